--- /dev/null
+++ b/bench/experiments.h
@@ -0,0 +1,37 @@
+#ifndef BENCH_EXPERIMENTS_H_
+#define BENCH_EXPERIMENTS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bench {
+
+// What all experiments on a running site share.
+struct SiteTargets {
+  std::vector<std::string> hosts;      // callers' URLs
+  std::vector<std::string> upstreams;  // stand-ins' URLs
+  std::vector<std::string> stores;     // stand-ins' URLs
+  std::vector<std::string> keys;       // API keys, one a customer
+  std::string prompts = "docs";        // folder
+  std::uint64_t seed = 1;
+  double seconds = 10;
+  double rate = 20;  // calls a second
+  int concurrent = 200;
+  bool json = false;
+};
+
+// Each returns the exit status: 0 if every check held.
+
+// Long prompts cold, warm, and returned after the upstreams lost their caches.
+int RunReturns(const SiteTargets& site);
+// First-token time through a host and straight from the stand-in, in turns.
+int RunOverhead(const SiteTargets& site);
+// Open-loop load with customers that return.
+int RunLoad(const SiteTargets& site);
+// Micro-benchmark of the routing decision; needs no site.
+int RunDecide(const SiteTargets& site);
+
+}  // namespace bench
+
+#endif  // BENCH_EXPERIMENTS_H_
--- /dev/null
+++ b/bench/main.cc
@@ -0,0 +1,90 @@
+// Load and experiment tool.
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+#include "endivecart/base/base.h"
+#include "experiments.h"
+
+namespace {
+
+constexpr int kUsageError = 2;
+
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream in(text);
+  for (std::string part; std::getline(in, part, ',');)
+    parts.push_back(part);
+  return parts;
+}
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("endivecart-bench", "Load and experiments");
+  const auto text = [] {
+    return cxxopts::value<std::string>()->default_value("");
+  };
+  options.add_options()("experiment", "returns, overhead, load or decide",
+                        cxxopts::value<std::string>())(
+      "hosts", "callers' URLs, comma-separated", text())(
+      "upstreams", "stand-in upstreams' URLs", text())(
+      "stores", "stand-in stores' URLs", text())("keys", "API keys", text())(
+      "prompts", "folder of texts to cut prompts from",
+      cxxopts::value<std::string>()->default_value("docs"))(
+      "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seconds", "length", cxxopts::value<double>()->default_value("10"))(
+      "rate", "calls a second", cxxopts::value<double>()->default_value("20"))(
+      "json", "print JSON lines")("help", "print this help");
+  options.parse_positional({"experiment"});
+  return options;
+}
+
+int Run(const cxxopts::ParseResult& args) {
+  const std::map<std::string, std::function<int(const bench::SiteTargets&)>>
+      experiments = {{"returns", bench::RunReturns},
+                     {"overhead", bench::RunOverhead},
+                     {"load", bench::RunLoad},
+                     {"decide", bench::RunDecide}};
+  const auto it = experiments.find(args["experiment"].as<std::string>());
+  if (it == experiments.end()) {
+    std::cerr << "endivecart-bench: unknown experiment\n";
+    return kUsageError;
+  }
+  bench::SiteTargets site;
+  site.hosts = Split(args["hosts"].as<std::string>());
+  site.upstreams = Split(args["upstreams"].as<std::string>());
+  site.stores = Split(args["stores"].as<std::string>());
+  site.keys = Split(args["keys"].as<std::string>());
+  site.prompts = args["prompts"].as<std::string>();
+  site.seed = args["seed"].as<std::uint64_t>();
+  site.seconds = args["seconds"].as<double>();
+  site.rate = args["rate"].as<double>();
+  site.json = args.count("json") > 0;
+  if (it->first != "decide" && (site.hosts.empty() || site.keys.empty())) {
+    std::cerr << "endivecart-bench: --hosts and --keys are required\n";
+    return kUsageError;
+  }
+  return it->second(site);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  endivecart::SetUpLogging({});
+  auto options = MakeOptions();
+  try {
+    const auto args = options.parse(argc, argv);
+    if (args.count("help") > 0 || args.count("experiment") == 0) {
+      std::cout << options.help() << '\n';
+      return args.count("help") > 0 ? 0 : kUsageError;
+    }
+    return Run(args);
+  } catch (const cxxopts::exceptions::exception& e) {
+    std::cerr << "endivecart-bench: " << e.what() << '\n';
+    return kUsageError;
+  }
+}
--- /dev/null
+++ b/daemons/command_line.cc
@@ -0,0 +1,421 @@
+#include "command_line.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/UUIDGenerator.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <thread>
+
+#include "endivecart/configuration/configuration.h"
+#include "endivecart/settings/settings.h"
+#include "endivecart/transport/transport.h"
+#include "operator_client.h"
+
+namespace command_line {
+
+namespace {
+
+using namespace endivecart;  // NOLINT(google-build-using-namespace)
+
+constexpr Millis kWaitPoll{50};
+
+int Fail(const std::string& message, int code) {
+  std::cerr << "endivecart: " << message << '\n';
+  return code;
+}
+
+int Fail(const ClientError& error) {
+  if (error.status == 409)
+    return Fail("conflict: " + error.detail, kConflict);
+  if (error.status == 503)
+    return Fail(error.detail, kUnknown);
+  return Fail(error.detail, error.status == 400 ? kUsageError : kFailure);
+}
+
+OperatorClient Client(const Arguments& arguments) {
+  return {arguments.operators, arguments.token};
+}
+
+void PrintJson(const Json& json) {
+  json.stringify(std::cout, 0);
+  std::cout << '\n';
+}
+
+std::string Field(const Json& json, const std::string& key) {
+  return json.has(key) ? json.get(key).toString() : "";
+}
+
+// --- commands without a site -------------------------------------------------
+
+int KeyGen(const Arguments&) {
+  const transport::CurveKeyPair keys = transport::GenerateCurveKeyPair();
+  std::cout << "public " << keys.public_key << "\nsecret " << keys.secret_key
+            << '\n';
+  return kOk;
+}
+
+int Digest(const Arguments& arguments) {
+  if (arguments.words.size() != 2)
+    return Fail("usage: endivecart digest TEXT", kUsageError);
+  std::cout << Sha256Hex(arguments.words[1]) << '\n';
+  return kOk;
+}
+
+Result<std::string, settings::SettingsErrors> LoadLists(
+    const std::string& place) {
+  // A folder of lists, or one file with any of them.
+  auto text = settings::ReadTextFile(place);
+  if (text && !text->empty())
+    return configuration::Canonical(*text);
+  return configuration::LoadListFolder(place);
+}
+
+int ConfigCheck(const Arguments& arguments) {
+  if (arguments.words.size() != 3)
+    return Fail("usage: endivecart config check FILE", kUsageError);
+  const std::string& place = arguments.words[2];
+  const auto text = settings::ReadTextFile(place);
+  settings::SettingsErrors errors;
+  const auto host =
+      text && !text->empty()
+          ? settings::ParseHostSettings(*text)
+          : Result<settings::HostSettings, settings::SettingsErrors>(
+                endivecart::Fail(settings::SettingsErrors{}));
+  if (host) {
+    std::cout << place << ": settings of host " << host->host.str()
+              << " are sound\n";
+    return kOk;
+  }
+  // A text without "host" and "listen" is taken for lists.
+  const bool is_host = text && text->find("\"listen\"") != std::string::npos;
+  if (is_host) {
+    errors = host.error();
+  } else {
+    const auto lists = LoadLists(place);
+    const auto checked =
+        lists
+            ? configuration::ParseConfiguration(*lists)
+            : Result<configuration::ConfigurationSet, settings::SettingsErrors>(
+                  endivecart::Fail(lists.error()));
+    if (checked) {
+      std::cout << place << ": lists are sound\n";
+      return kOk;
+    }
+    errors = checked.error();
+  }
+  for (const settings::SettingsError& error : errors)
+    std::cerr << place << ": " << error.ToString() << '\n';
+  return kUsageError;
+}
+
+// --- commands that ask a site ------------------------------------------------
+
+int Status(const Arguments& arguments) {
+  const OperatorClient client = Client(arguments);
+  int answered = 0;
+  Poco::JSON::Array::Ptr all = new Poco::JSON::Array;
+  for (const std::string& url : client.urls()) {
+    const auto status = client.GetFrom(url, "/v1/status");
+    if (!status) {
+      std::cerr << "endivecart: " << url << ": " << status.error().detail
+                << '\n';
+      continue;
+    }
+    ++answered;
+    all->add(*status);
+    if (!arguments.json) {
+      std::cout << Field(**status, "host") << "  domain "
+                << Field(**status, "domain") << "  revision "
+                << Field(**status, "revision") << "  "
+                << ((*status)->getValue<bool>("fresh") ? "fresh" : "NOT FRESH")
+                << "  leader " << Field(**status, "leader") << "  running "
+                << Field(**status, "running") << "  violations "
+                << Field(**status, "invariant_violations") << '\n';
+    }
+  }
+  if (arguments.json) {
+    Json json;
+    json.set("hosts", all);
+    PrintJson(json);
+  }
+  if (client.urls().empty())
+    return Fail("--operators is required", kUsageError);
+  return answered > 0 ? kOk : kFailure;
+}
+
+int Upstreams(const Arguments& arguments) {
+  const auto reply = Client(arguments).Get("/v1/upstreams");
+  if (!reply)
+    return Fail(reply.error());
+  if (arguments.json) {
+    PrintJson(**reply);
+    return kOk;
+  }
+  for (const auto& element : *(*reply)->getArray("upstreams")) {
+    const auto& upstream = *element.extract<Json::Ptr>();
+    std::cout << Field(upstream, "id") << "  domain "
+              << Field(upstream, "domain") << "  model "
+              << Field(upstream, "model") << "  free here "
+              << Field(upstream, "free_slots_here")
+              << (upstream.getValue<bool>("leaving") ? "  leaving" : "")
+              << (upstream.getValue<bool>("domain_out") ? "  domain out" : "")
+              << (upstream.getValue<bool>("breaker_open") ? "  failing" : "")
+              << '\n';
+  }
+  return kOk;
+}
+
+int ConfigShow(const Arguments& arguments) {
+  const auto reply = Client(arguments).Get("/v1/config");
+  if (!reply)
+    return Fail(reply.error());
+  if (arguments.json) {
+    PrintJson(**reply);
+    return kOk;
+  }
+  std::cout << "// revision " << Field(**reply, "revision") << '\n';
+  (*reply)->getObject("document")->stringify(std::cout, 2);
+  std::cout << '\n';
+  return kOk;
+}
+
+int ConfigHistory(const Arguments& arguments) {
+  const auto reply = Client(arguments).Get("/v1/config/history");
+  if (!reply)
+    return Fail(reply.error());
+  if (arguments.json) {
+    PrintJson(**reply);
+    return kOk;
+  }
+  for (const auto& element : *(*reply)->getArray("changes")) {
+    const auto& change = *element.extract<Json::Ptr>();
+    std::cout << Field(change, "revision") << "  " << Field(change, "author")
+              << "  " << Field(change, "change_id") << "  "
+              << Field(change, "patch") << '\n';
+  }
+  return kOk;
+}
+
+// Waits until a revision is in force; prints what is outstanding.
+int WaitInForce(const Arguments& arguments, const std::string& revision) {
+  const OperatorClient client = Client(arguments);
+  const auto end = std::chrono::steady_clock::now() +
+                   std::chrono::seconds(arguments.timeout_s);
+  Json::Ptr last;
+  while (std::chrono::steady_clock::now() < end) {
+    const auto force =
+        client.GetFromLeader("/v1/config/force?revision=" + revision);
+    if (force) {
+      last = *force;
+      if (last->getValue<bool>("in_force"))
+        break;
+    }
+    std::this_thread::sleep_for(kWaitPoll);
+  }
+  const bool in_force = !last.isNull() && last->getValue<bool>("in_force");
+  std::cout << "revision " << revision
+            << (in_force ? " is in force\n" : " is not in force yet\n");
+  if (!last.isNull()) {
+    for (const auto& element : *last->getArray("outstanding")) {
+      const auto& host = *element.extract<Json::Ptr>();
+      std::cout << "outstanding: " << Field(host, "host") << " at revision "
+                << Field(host, "revision") << ": " << Field(host, "reason")
+                << '\n';
+    }
+  }
+  return in_force ? kOk : kFailure;
+}
+
+int SendChange(const Arguments& arguments, const Json::Ptr& patch) {
+  Json body;
+  const std::string change_id =
+      arguments.change_id.empty()
+          ? Poco::UUIDGenerator::defaultGenerator().createRandom().toString()
+          : arguments.change_id;
+  body.set("change_id", change_id);
+  body.set("author", arguments.author);
+  body.set("patch", patch);
+  if (!arguments.expect_revision.empty()) {
+    body.set("expected_revision",
+             static_cast<Poco::UInt64>(std::strtoull(
+                 arguments.expect_revision.c_str(), nullptr, 10)));
+  }
+  const auto reply = Client(arguments).Post("/v1/config", body);
+  if (!reply) {
+    if (reply.error().status == 409 && !reply.error().body.isNull()) {
+      const Json& won = *reply.error().body;
+      return Fail("conflict: the revision is " + Field(won, "revision") +
+                      "; change " + Field(won, "conflict_change_id") + " by " +
+                      Field(won, "conflict_author") + " came first",
+                  kConflict);
+    }
+    std::cerr << "change id " << change_id << '\n';
+    return Fail(reply.error());
+  }
+  if (arguments.json) {
+    PrintJson(**reply);
+  } else {
+    std::cout << "accepted as revision " << Field(**reply, "revision")
+              << " (change id " << change_id << ")\n";
+  }
+  return arguments.wait ? WaitInForce(arguments, Field(**reply, "revision"))
+                        : kOk;
+}
+
+// The patch that makes the site's lists equal to those at `place`; lists that
+// are not given stay as they are.
+Result<Json::Ptr, std::string> PatchTo(const Arguments& arguments,
+                                       const std::string& place) {
+  const auto wanted = LoadLists(place);
+  if (!wanted)
+    return endivecart::Fail(settings::JoinErrors(wanted.error()));
+  const auto current = Client(arguments).Get("/v1/config");
+  if (!current)
+    return endivecart::Fail(current.error().detail);
+  const auto wanted_json = settings::ParseJsonText(*wanted);
+  Json::Ptr same_lists = new Json;
+  const Json::Ptr document = (*current)->getObject("document");
+  for (const std::string& key : wanted_json->root->getNames()) {
+    if (document->has(key))
+      same_lists->set(key, document->get(key));
+  }
+  std::ostringstream from;
+  same_lists->stringify(from);
+  const auto patch = configuration::DiffAsMergePatch(from.str(), *wanted);
+  if (!patch)
+    return endivecart::Fail(settings::JoinErrors(patch.error()));
+  return settings::ParseJsonText(*patch)->root;
+}
+
+int ConfigApply(const Arguments& arguments) {
+  if (arguments.words.size() != 3)
+    return Fail("usage: endivecart config apply FOLDER|FILE", kUsageError);
+  const auto patch = PatchTo(arguments, arguments.words[2]);
+  if (!patch)
+    return Fail(patch.error(), kUsageError);
+  if ((*patch)->size() == 0) {
+    std::cout << "nothing to change\n";
+    return kOk;
+  }
+  return SendChange(arguments, *patch);
+}
+
+int ConfigDiff(const Arguments& arguments) {
+  if (arguments.words.size() != 3)
+    return Fail("usage: endivecart config diff FOLDER|FILE", kUsageError);
+  const auto patch = PatchTo(arguments, arguments.words[2]);
+  if (!patch)
+    return Fail(patch.error(), kUsageError);
+  (*patch)->stringify(std::cout, 2);
+  std::cout << '\n';
+  return kOk;
+}
+
+int Config(const Arguments& arguments) {
+  const std::map<std::string, std::function<int(const Arguments&)>> commands = {
+      {"check", ConfigCheck},     {"show", ConfigShow},
+      {"apply", ConfigApply},     {"diff", ConfigDiff},
+      {"history", ConfigHistory},
+  };
+  const auto it = arguments.words.size() < 2
+                      ? commands.end()
+                      : commands.find(arguments.words[1]);
+  if (it == commands.end()) {
+    return Fail("usage: endivecart config check|show|apply|diff|history",
+                kUsageError);
+  }
+  return it->second(arguments);
+}
+
+int DomainStatus(const Arguments& arguments) {
+  const auto reply = Client(arguments).Get("/v1/config");
+  if (!reply)
+    return Fail(reply.error());
+  const Json::Ptr domains =
+      (*reply)->getObject("document")->getObject("domains");
+  if (domains.isNull()) {
+    std::cout << "all domains are in\n";
+    return kOk;
+  }
+  for (const std::string& name : domains->getNames())
+    std::cout << name << "  " << Field(*domains, name) << '\n';
+  return kOk;
+}
+
+int Domain(const Arguments& arguments) {
+  const std::string usage = "usage: endivecart domain out|in NAME | status";
+  if (arguments.words.size() == 2 && arguments.words[1] == "status")
+    return DomainStatus(arguments);
+  if (arguments.words.size() != 3 ||
+      (arguments.words[1] != "out" && arguments.words[1] != "in")) {
+    return Fail(usage, kUsageError);
+  }
+  Json::Ptr states = new Json;
+  states->set(arguments.words[2], arguments.words[1]);
+  Json::Ptr patch = new Json;
+  patch->set("domains", states);
+  return SendChange(arguments, patch);
+}
+
+int Upstream(const Arguments& arguments) {
+  if (arguments.words.size() != 3 ||
+      (arguments.words[1] != "leave" && arguments.words[1] != "return")) {
+    return Fail("usage: endivecart upstream leave|return NAME", kUsageError);
+  }
+  Json::Ptr rule = new Json;
+  rule->set("leaving", arguments.words[1] == "leave");
+  Json::Ptr rules = new Json;
+  rules->set(arguments.words[2], rule);
+  Json::Ptr patch = new Json;
+  patch->set("upstreams", rules);
+  return SendChange(arguments, patch);
+}
+
+int Voters(const Arguments& arguments) {
+  if (arguments.words.size() != 3) {
+    return Fail("usage: endivecart voters add|promote|remove HOST",
+                kUsageError);
+  }
+  Json body;
+  body.set("action", arguments.words[1]);
+  body.set("host", arguments.words[2]);
+  const auto reply = Client(arguments).PostToLeader("/v1/voters", body);
+  if (!reply)
+    return Fail(reply.error());
+  std::cout << Field(**reply, "result") << '\n';
+  return kOk;
+}
+
+int Drain(const Arguments& arguments) {
+  if (arguments.operators.size() != 1)
+    return Fail("drain takes the one host given by --operators", kUsageError);
+  const auto reply = Client(arguments).Post("/v1/drain", Json());
+  if (!reply)
+    return Fail(reply.error());
+  std::cout << "the host is no longer ready\n";
+  return kOk;
+}
+
+}  // namespace
+
+int RunCommand(const Arguments& arguments) {
+  const std::map<std::string, std::function<int(const Arguments&)>> commands = {
+      {"keygen", KeyGen}, {"digest", Digest},       {"config", Config},
+      {"status", Status}, {"upstreams", Upstreams}, {"upstream", Upstream},
+      {"domain", Domain}, {"voters", Voters},       {"drain", Drain},
+  };
+  const auto it = commands.find(arguments.words.front());
+  if (it == commands.end()) {
+    return Fail("unknown command '" + arguments.words.front() +
+                    "'; see endivecart --help",
+                kUsageError);
+  }
+  return it->second(arguments);
+}
+
+}  // namespace command_line
--- /dev/null
+++ b/src/endivecart/admission/admission.h
@@ -0,0 +1,10 @@
+#ifndef ENDIVECART_ADMISSION_ADMISSION_H_
+#define ENDIVECART_ADMISSION_ADMISSION_H_
+
+// Public header of the admission library: rates, and the fair order in which
+// waiting requests are served.
+
+#include "endivecart/admission/fair_queue.h"    // IWYU pragma: export
+#include "endivecart/admission/token_bucket.h"  // IWYU pragma: export
+
+#endif  // ENDIVECART_ADMISSION_ADMISSION_H_
--- /dev/null
+++ b/src/endivecart/base/ids.h
@@ -0,0 +1,47 @@
+#ifndef ENDIVECART_BASE_IDS_H_
+#define ENDIVECART_BASE_IDS_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace endivecart {
+
+// A name that cannot be confused with a name of another kind.
+template <class Tag>
+class Id {
+ public:
+  Id() = default;
+  explicit Id(std::string value) : value_(std::move(value)) {}
+
+  const std::string& str() const { return value_; }
+  bool empty() const { return value_.empty(); }
+  auto operator<=>(const Id&) const = default;
+
+ private:
+  std::string value_;
+};
+
+using HostId = Id<struct HostTag>;
+using DomainId = Id<struct DomainTag>;
+using CustomerId = Id<struct CustomerTag>;
+using UpstreamId = Id<struct UpstreamTag>;
+using ModelId = Id<struct ModelTag>;
+using VersionId = Id<struct VersionTag>;
+using RequestId = Id<struct RequestTag>;
+
+// Number of a committed configuration; it only grows.
+using Revision = std::uint64_t;
+
+}  // namespace endivecart
+
+template <class Tag>
+struct std::hash<endivecart::Id<Tag>> {
+  std::size_t operator()(const endivecart::Id<Tag>& id) const {
+    return std::hash<std::string>{}(id.str());
+  }
+};
+
+#endif  // ENDIVECART_BASE_IDS_H_
--- /dev/null
+++ b/src/endivecart/base/real_timer_service.h
@@ -0,0 +1,28 @@
+#ifndef ENDIVECART_BASE_REAL_TIMER_SERVICE_H_
+#define ENDIVECART_BASE_REAL_TIMER_SERVICE_H_
+
+#include <memory>
+
+#include "endivecart/base/timer_service.h"
+
+namespace endivecart {
+
+// The monotonic clock, and one thread that runs the callbacks. Thread-safe.
+class RealTimerService final : public TimerService {
+ public:
+  RealTimerService();
+  ~RealTimerService() override;
+
+  TimePoint Now() const override;
+  std::unique_ptr<TimerSubscription> Every(Millis interval,
+                                           Callback callback) override;
+
+ private:
+  struct State;
+  class Handle;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace endivecart
+
+#endif  // ENDIVECART_BASE_REAL_TIMER_SERVICE_H_
--- /dev/null
+++ b/src/endivecart/base/result.h
@@ -0,0 +1,19 @@
+#ifndef ENDIVECART_BASE_RESULT_H_
+#define ENDIVECART_BASE_RESULT_H_
+
+#include <tl/expected.hpp>
+
+namespace endivecart {
+
+// A value, or the error of the layer that was called.
+template <class T, class E>
+using Result = tl::expected<T, E>;
+
+template <class E>
+auto Fail(E error) {
+  return tl::unexpected<E>(std::move(error));
+}
+
+}  // namespace endivecart
+
+#endif  // ENDIVECART_BASE_RESULT_H_
--- /dev/null
+++ b/src/endivecart/control/control_node.cc
@@ -0,0 +1,658 @@
+#include "endivecart/control/control_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivecart::control {
+
+namespace {
+
+constexpr Millis kFreshnessLease{3000};
+// Clocks may differ in speed: what others hold is waited out a little longer.
+constexpr Millis kLeaseMargin{200};
+constexpr Millis kPollInterval{500};
+constexpr Millis kParentPatience{1200};
+constexpr Millis kProposalResend{300};
+constexpr Millis kMarkInterval{500};
+constexpr Millis kHostDownAfter{4500};
+constexpr Millis kProposalPatience{5000};
+constexpr char kFirstChangeId[] = "first-configuration";
+
+std::uint64_t ToWire(TimePoint time) {
+  return static_cast<std::uint64_t>(time.time_since_epoch().count());
+}
+
+TimePoint FromWire(std::uint64_t micros) {
+  return TimePoint(
+      std::chrono::microseconds(static_cast<std::int64_t>(micros)));
+}
+
+std::string ValidateDocument(const std::string& document) {
+  const auto parsed = configuration::ParseConfiguration(document);
+  return parsed ? std::string() : settings::JoinErrors(parsed.error());
+}
+
+wire::VoterSet FoundingVoters(const std::vector<settings::HostEntry>& hosts) {
+  wire::VoterSet voters;
+  for (const settings::HostEntry& host : hosts) {
+    if (host.voter)
+      voters.add_voters(MakeMemberId(host.id, "founder").str());
+  }
+  return voters;
+}
+
+}  // namespace
+
+ControlNode::ControlNode(ControlOptions options,
+                         Storage* storage,
+                         Hooks hooks,
+                         TimePoint now)
+    : options_(std::move(options)),
+      storage_(storage),
+      hooks_(std::move(hooks)),
+      freshness_(kFreshnessLease),
+      followers_(kFreshnessLease + kLeaseMargin) {
+  if (storage_ == nullptr)
+    return;
+  RaftDurableState state = storage_->loaded();
+  if (options_.is_founder && state.snapshot.last_index() == 0 &&
+      state.snapshot.voters().voters().empty()) {
+    *state.snapshot.mutable_voters() = FoundingVoters(options_.hosts);
+    wire::DurableVote vote;
+    vote.set_term(state.term);
+    vote.set_voted_for(state.voted_for.str());
+    const auto saved =
+        storage_->SaveSnapshot(state.snapshot, vote, state.entries);
+    if (!saved)
+      hooks_.on_disk_failure(saved.error());
+  }
+  RaftOptions raft;
+  raft.self = options_.member;
+  raft.seed = options_.seed;
+  machine_.emplace(ValidateDocument);
+  machine_->Restore(state.snapshot.state());
+  snapshot_state_ = state.snapshot.state();
+  core_.emplace(raft, state, now);
+  PublishMachine(now);
+}
+
+bool ControlNode::IsActiveVoter() const {
+  return core_ && core_->IsVoter(core_->self());
+}
+
+bool ControlNode::IsLeader() const {
+  return core_ && core_->role() == RaftRole::kLeader;
+}
+
+HostId ControlNode::LeaderHost() const {
+  if (core_ && !core_->leader().empty())
+    return HostOf(core_->leader());
+  return IsActiveVoter() ? HostId() : leader_hint_;
+}
+
+std::uint64_t ControlNode::Term() const {
+  return core_ ? core_->term() : 0;
+}
+
+const StateMachine* ControlNode::machine() const {
+  return machine_ ? &*machine_ : nullptr;
+}
+
+MemberId ControlNode::SeenMember(const HostId& host) const {
+  const auto it = seen_members_.find(host);
+  return it == seen_members_.end() ? MemberId() : it->second;
+}
+
+Result<std::uint64_t, RaftError> ControlNode::ChangeVoters(
+    const std::string& action,
+    const MemberId& member,
+    TimePoint now) {
+  if (!core_)
+    return Fail(RaftError{RaftErrorCode::kNotLeader});
+  if (action == "add")
+    return core_->AddLearner(member, now);
+  if (action == "promote")
+    return core_->Promote(member, now);
+  if (action == "remove")
+    return core_->Remove(member, now);
+  return Fail(RaftError{RaftErrorCode::kBadMember});
+}
+
+void ControlNode::Tick(TimePoint now) {
+  if (core_ && !stalled_)
+    core_->Tick(now);
+  Pump(now);
+  if (core_ && core_->role() != last_role_)
+    OnRoleChange(now);
+  if (IsLeader())
+    LeaderDuties(now);
+  if (now >= poll_due_)
+    Poll(now);
+  SendProposals(now);
+  ExpireProposals(now);
+}
+
+void ControlNode::OnRoleChange(TimePoint now) {
+  last_role_ = core_->role();
+  LogLine("control.role")
+      .Add("role", RaftRoleName(last_role_))
+      .Add("term", core_->term())
+      .Info();
+  if (last_role_ == RaftRole::kLeader) {
+    leader_since_ = now;
+    return;
+  }
+  // What became of the entries is not known here: own proposals are sent
+  // again, others' askers do so themselves.
+  pending_.clear();
+  for (auto& [key, proposal] : proposals_)
+    proposal.sent_at = TimePoint{};
+}
+
+// Persists, sends and applies until the core has nothing more to do.
+void ControlNode::Pump(TimePoint now) {
+  while (core_) {
+    RaftReady ready =
+        stalled_ ? *std::exchange(stalled_, std::nullopt) : core_->TakeReady();
+    if (ready.empty())
+      return;
+    // Followers may write while this host does; its own copy counts only once
+    // it is synced.
+    for (wire::RaftMessage& message : ready.messages) {
+      if (message.has_append_request())
+        SendRaft(message);
+    }
+    std::erase_if(ready.messages,
+                  [](const auto& m) { return m.has_append_request(); });
+    if (!Persist(ready)) {
+      stalled_ = std::move(ready);
+      return;
+    }
+    core_->OnPersisted(now);
+    if (ready.snapshot) {
+      snapshot_state_ = ready.snapshot->state();
+      machine_->Restore(snapshot_state_);
+      PublishMachine(now);
+    }
+    for (wire::RaftMessage& message : ready.messages)
+      SendRaft(std::move(message));
+    for (const wire::LogEntry& entry : ready.committed)
+      ApplyCommitted(entry, now);
+    CompactIfLong();
+  }
+}
+
+bool ControlNode::Persist(const RaftReady& ready) {
+  Result<bool, StorageError> saved = true;
+  if (ready.snapshot) {
+    wire::DurableVote vote;
+    vote.set_term(core_->term());
+    vote.set_voted_for(core_->voted_for().str());
+    saved = storage_->SaveSnapshot(*ready.snapshot, vote, {});
+  }
+  if (saved && !ready.records.empty())
+    saved = storage_->Append(ready.records);
+  if (saved)
+    return true;
+  if (saved.error().code == StorageErrorCode::kFull) {
+    LogLine("control.disk_full").Add("detail", saved.error().detail).Error();
+  } else {
+    hooks_.on_disk_failure(saved.error());
+  }
+  return false;
+}
+
+void ControlNode::SendRaft(wire::RaftMessage message) {
+  if (message.has_snapshot_request())
+    message.mutable_snapshot_request()->set_state(snapshot_state_);
+  const HostId to = HostOf(MemberId(message.to()));
+  wire::Envelope envelope;
+  *envelope.mutable_raft() = std::move(message);
+  hooks_.send(to, std::move(envelope));
+}
+
+void ControlNode::ApplyCommitted(const wire::LogEntry& entry, TimePoint now) {
+  const Revision before = machine_->revision();
+  wire::Outcome outcome;
+  if (entry.has_command())
+    outcome = machine_->Apply(entry.command());
+  if (machine_->revision() != before && IsLeader()) {
+    LogLine("configuration.accepted")
+        .Add("revision", machine_->revision())
+        .Info();
+  }
+  PublishMachine(now);
+  const auto it = pending_.find(entry.index());
+  if (it == pending_.end())
+    return;
+  const Pending pending = it->second;
+  pending_.erase(it);
+  // Another entry at this index means that the proposal was lost.
+  if (pending.term == entry.term())
+    Answer(pending, outcome);
+}
+
+void ControlNode::Answer(const Pending& pending, const wire::Outcome& outcome) {
+  if (pending.own) {
+    const auto it = proposals_.find(*pending.own);
+    if (it == proposals_.end())
+      return;
+    const Callback callback = std::move(it->second.callback);
+    proposals_.erase(it);
+    callback(outcome);
+    return;
+  }
+  wire::Envelope envelope;
+  wire::ProposeReply& reply = *envelope.mutable_propose_reply();
+  reply.set_request(pending.asker->second);
+  reply.set_known(true);
+  reply.set_outcome(outcome.SerializeAsString());
+  hooks_.send(pending.asker->first, std::move(envelope));
+}
+
+void ControlNode::CompactIfLong() {
+  const std::uint64_t applied = core_->commit_index();
+  if (applied < core_->log().snapshot_index() + options_.compact_entries)
+    return;
+  wire::DurableSnapshot snapshot;
+  snapshot.set_last_index(applied);
+  snapshot.set_last_term(core_->log().TermAt(applied));
+  *snapshot.mutable_voters() = core_->VotersAt(applied);
+  snapshot.set_state(machine_->Snapshot());
+  wire::DurableVote vote;
+  vote.set_term(core_->term());
+  vote.set_voted_for(core_->voted_for().str());
+  std::vector<wire::LogEntry> rest;
+  for (std::uint64_t i = applied + 1; i <= core_->log().last_index(); ++i)
+    rest.push_back(core_->log().At(i));
+  const auto saved = storage_->SaveSnapshot(snapshot, vote, rest);
+  if (!saved) {
+    // The log stays long; there will be another occasion.
+    LogLine("control.snapshot_failed")
+        .Add("detail", saved.error().detail)
+        .Error();
+    if (saved.error().code == StorageErrorCode::kIo)
+      hooks_.on_disk_failure(saved.error());
+    return;
+  }
+  snapshot_state_ = snapshot.state();
+  core_->CompactTo(snapshot);
+}
+
+void ControlNode::PublishMachine(TimePoint now) {
+  SetDownHosts(machine_->down_hosts(), machine_->down_epoch());
+  const Revision before = current_ ? current_->revision : 0;
+  Publish(machine_->revision(), machine_->document());
+  if (machine_->revision() <= before)
+    return;
+  PushNews(now);
+  if (IsLeader()) {
+    core_->Nudge(now);
+  } else {
+    poll_due_ = now;
+  }
+}
+
+void ControlNode::Publish(Revision revision, const std::string& document) {
+  if (revision == 0 || (current_ && revision <= current_->revision))
+    return;
+  auto parsed = configuration::ParseConfiguration(document);
+  if (!parsed) {
+    LogLine("configuration.unreadable").Add("revision", revision).Error();
+    return;
+  }
+  current_ = std::make_shared<const configuration::ConfigurationSnapshot>(
+      configuration::ConfigurationSnapshot{revision, document,
+                                           std::move(*parsed)});
+  hooks_.on_configuration(current_);
+}
+
+void ControlNode::SetDownHosts(const std::set<HostId>& down,
+                               std::uint64_t epoch) {
+  if (epoch <= down_epoch_)
+    return;
+  down_hosts_ = down;
+  down_epoch_ = epoch;
+  hooks_.on_down_hosts(down_hosts_, down_epoch_);
+}
+
+std::optional<TimePoint> ControlNode::OwnContact(TimePoint now) const {
+  if (IsLeader())
+    return core_->QuorumContact(now);
+  return freshness_.Holds(now) ? std::optional(freshness_.contact())
+                               : std::nullopt;
+}
+
+bool ControlNode::Fresh(TimePoint now) const {
+  const auto contact = OwnContact(now);
+  return current_ && contact && now < *contact + kFreshnessLease;
+}
+
+void ControlNode::LeaderDuties(TimePoint now) {
+  if (now < mark_due_)
+    return;
+  mark_due_ = now + kMarkInterval;
+  const bool committed_own_term =
+      core_->log().TermAt(core_->commit_index()) == core_->term();
+  if (!committed_own_term)
+    return;
+  if (machine_->revision() == 0 && !options_.first_document.empty()) {
+    wire::Command command;
+    command.mutable_change()->set_change_id(kFirstChangeId);
+    command.mutable_change()->set_author("settings");
+    command.mutable_change()->set_patch(options_.first_document);
+    Propose(
+        std::move(command), now + kProposalPatience, [](auto) {}, now);
+  }
+  MarkHosts(now);
+}
+
+// Records which hosts are down, so that their homes move.
+void ControlNode::MarkHosts(TimePoint now) {
+  if (now < leader_since_ + kHostDownAfter)
+    return;
+  for (const settings::HostEntry& host : options_.hosts) {
+    if (host.id == options_.self)
+      continue;
+    const FollowerTracker::Known* known = followers_.Find(host.id);
+    const bool down = known == nullptr || now >= known->heard + kHostDownAfter;
+    if (down == machine_->down_hosts().contains(host.id))
+      continue;
+    LogLine("membership.host")
+        .Add("host", host.id.str())
+        .Add("down", down ? 1 : 0)
+        .Info();
+    wire::Command command;
+    command.mutable_host_state()->set_host(host.id.str());
+    command.mutable_host_state()->set_down(down);
+    Propose(
+        std::move(command), now + kProposalPatience, [](auto) {}, now);
+  }
+  if (machine_->down_hosts().contains(options_.self)) {
+    wire::Command command;
+    command.mutable_host_state()->set_host(options_.self.str());
+    Propose(
+        std::move(command), now + kProposalPatience, [](auto) {}, now);
+  }
+}
+
+std::optional<ForceReport> ControlNode::Force(Revision revision,
+                                              TimePoint now) const {
+  if (!IsLeader())
+    return std::nullopt;
+  ForceReport report;
+  report.revision = revision;
+  const auto contact = core_->QuorumContact(now);
+  report.in_force = contact && machine_->revision() >= revision;
+  // Leases that an earlier leader gave may still be out.
+  const TimePoint settled = leader_since_ + kFreshnessLease + kLeaseMargin;
+  for (const settings::HostEntry& host : options_.hosts) {
+    if (host.id == options_.self)
+      continue;
+    const FollowerTracker::Known* known = followers_.Find(host.id);
+    if (known != nullptr && known->revision >= revision)
+      continue;
+    BehindHost behind;
+    behind.host = host.id;
+    behind.revision = known == nullptr ? 0 : known->revision;
+    if (followers_.MayBeFresh(host.id, now) || now < settled) {
+      behind.reason = "not acknowledged; it may hold a freshness lease";
+      report.in_force = false;
+    } else {
+      behind.reason = "cut off or stopped; its freshness lease has run out";
+    }
+    report.behind.push_back(std::move(behind));
+  }
+  return report;
+}
+
+void ControlNode::Propose(wire::Command command,
+                          TimePoint deadline,
+                          Callback callback,
+                          TimePoint now) {
+  command.set_at_ms(hooks_.unix_ms());
+  const std::uint64_t key = next_proposal_++;
+  proposals_.emplace(key, Proposal{std::move(command), deadline,
+                                   std::move(callback), TimePoint{}});
+  if (IsLeader())
+    ProposeLocally(key, now);
+}
+
+void ControlNode::ProposeLocally(std::uint64_t key, TimePoint now) {
+  Proposal& proposal = proposals_.at(key);
+  const auto index = core_->Propose(proposal.command.SerializeAsString(), now);
+  if (!index)
+    return;
+  // Not sent again while this host leads: its fate is decided here.
+  proposal.sent_at = proposal.deadline;
+  pending_[*index] = {core_->term(), key, std::nullopt};
+}
+
+void ControlNode::SendProposals(TimePoint now) {
+  const HostId leader = LeaderHost();
+  for (auto& [key, proposal] : proposals_) {
+    if (IsLeader()) {
+      if (proposal.sent_at < proposal.deadline)
+        ProposeLocally(key, now);
+      continue;
+    }
+    if (leader.empty() || leader == options_.self ||
+        (proposal.sent_at != TimePoint{} &&
+         now < proposal.sent_at + kProposalResend)) {
+      continue;
+    }
+    proposal.sent_at = now;
+    wire::Envelope envelope;
+    envelope.mutable_propose_request()->set_request(key);
+    envelope.mutable_propose_request()->set_command(
+        proposal.command.SerializeAsString());
+    hooks_.send(leader, std::move(envelope));
+  }
+}
+
+void ControlNode::ExpireProposals(TimePoint now) {
+  std::vector<Callback> expired;
+  std::erase_if(proposals_, [&](auto& entry) {
+    if (now < entry.second.deadline)
+      return false;
+    expired.push_back(std::move(entry.second.callback));
+    return true;
+  });
+  for (const Callback& callback : expired)
+    callback(std::nullopt);
+}
+
+void ControlNode::OnProposeRequest(const HostId& from,
+                                   const wire::ProposeRequest& request,
+                                   TimePoint now) {
+  if (!IsLeader()) {
+    wire::Envelope envelope;
+    envelope.mutable_propose_reply()->set_request(request.request());
+    envelope.mutable_propose_reply()->set_leader(LeaderHost().str());
+    hooks_.send(from, std::move(envelope));
+    return;
+  }
+  const auto index = core_->Propose(request.command(), now);
+  if (index) {
+    pending_[*index] = {core_->term(), std::nullopt,
+                        std::pair(from, request.request())};
+  }
+}
+
+void ControlNode::OnProposeReply(const wire::ProposeReply& reply) {
+  const auto it = proposals_.find(reply.request());
+  if (it == proposals_.end())
+    return;
+  if (!reply.known()) {
+    if (!reply.leader().empty() && reply.leader() != leader_hint_.str()) {
+      leader_hint_ = HostId(reply.leader());
+      it->second.sent_at = TimePoint{};
+    }
+    return;
+  }
+  wire::Outcome outcome;
+  if (!outcome.ParseFromString(reply.outcome()))
+    return;
+  const Callback callback = std::move(it->second.callback);
+  proposals_.erase(it);
+  callback(outcome);
+}
+
+void ControlNode::OnEnvelope(const wire::Envelope& envelope, TimePoint now) {
+  const HostId from(envelope.from());
+  if (envelope.has_raft()) {
+    const MemberId member(envelope.raft().member());
+    if (HostOf(member) != from)
+      return;
+    seen_members_[from] = member;
+    if (core_ && !stalled_)
+      core_->Step(envelope.raft(), now);
+  } else if (envelope.has_follow_poll()) {
+    OnFollowPoll(from, envelope.follow_poll(), now);
+  } else if (envelope.has_follow_reply()) {
+    OnFollowReply(from, envelope.follow_reply(), now);
+  } else if (envelope.has_propose_request()) {
+    OnProposeRequest(from, envelope.propose_request(), now);
+  } else if (envelope.has_propose_reply()) {
+    OnProposeReply(envelope.propose_reply());
+  }
+}
+
+std::optional<HostId> ControlNode::ChooseParent(TimePoint now) {
+  // A voter follows the leader: it is itself the parent of others.
+  if (IsActiveVoter())
+    return LeaderHost().empty() ? std::nullopt : std::optional(LeaderHost());
+  std::vector<HostId> voters;
+  for (const settings::HostEntry& host : options_.hosts) {
+    if (host.voter && host.id != options_.self &&
+        host.domain == options_.domain)
+      voters.push_back(host.id);
+  }
+  for (const settings::HostEntry& host : options_.hosts) {
+    if (host.voter && host.id != options_.self &&
+        host.domain != options_.domain)
+      voters.push_back(host.id);
+  }
+  if (voters.empty())
+    return std::nullopt;
+  if (now >= std::max(parent_heard_, parent_since_) + kParentPatience) {
+    parent_since_ = now;
+    if (!parent_.empty())
+      ++parent_turn_;
+  }
+  return voters[parent_turn_ % voters.size()];
+}
+
+void ControlNode::Poll(TimePoint now) {
+  poll_due_ = now + kPollInterval;
+  if (IsLeader())
+    return;
+  const auto parent = ChooseParent(now);
+  if (!parent || *parent == options_.self)
+    return;
+  parent_ = *parent;
+  wire::Envelope envelope;
+  wire::FollowPoll& poll = *envelope.mutable_follow_poll();
+  poll.set_asked_at(ToWire(now));
+  poll.set_revision(current_ ? current_->revision : 0);
+  poll.set_down_epoch(down_epoch_);
+  for (const wire::FollowerState& follower : followers_.Report(now))
+    *poll.add_followers() = follower;
+  hooks_.send(*parent, std::move(envelope));
+  // A member that is not a voter yet makes itself known, to be added.
+  if (core_ && !IsActiveVoter()) {
+    wire::Envelope hello;
+    hello.mutable_raft()->set_member(options_.member.str());
+    hooks_.send(*parent, hello);
+    if (!leader_hint_.empty() && leader_hint_ != *parent)
+      hooks_.send(leader_hint_, std::move(hello));
+  }
+}
+
+void ControlNode::OnFollowPoll(const HostId& from,
+                               const wire::FollowPoll& poll,
+                               TimePoint now) {
+  if (!IsActiveVoter())
+    return;
+  const FollowerTracker::Known* known = followers_.Find(from);
+  if (known == nullptr || known->revision < poll.revision())
+    poll_due_ = now;  // the leader waits for this acknowledgement
+  followers_.OnPoll(from, poll, now);
+  SendFollowReply(from, now);
+}
+
+void ControlNode::PushNews(TimePoint now) {
+  for (const HostId& host : followers_.Direct(now))
+    SendFollowReply(host, now);
+}
+
+void ControlNode::SendFollowReply(const HostId& to, TimePoint now) {
+  const FollowerTracker::Known* known = followers_.Find(to);
+  if (known == nullptr || !IsActiveVoter())
+    return;
+  wire::Envelope envelope;
+  wire::FollowReply& reply = *envelope.mutable_follow_reply();
+  reply.set_asked_at(known->asked_at);
+  reply.set_leader(LeaderHost().str());
+  const auto contact = OwnContact(now);
+  reply.set_fresh(contact && Fresh(now));
+  if (contact) {
+    const auto age = std::chrono::duration_cast<Millis>(now - *contact);
+    reply.set_age_ms(static_cast<std::uint32_t>(age.count()) + 1);
+  }
+  reply.set_revision(machine_->revision());
+  std::vector<wire::RevisionPatch> patches;
+  if (known->revision > 0 && machine_->PatchesSince(known->revision, patches)) {
+    for (wire::RevisionPatch& patch : patches)
+      *reply.add_patches() = std::move(patch);
+  } else if (known->revision < machine_->revision()) {
+    reply.set_document(machine_->document());
+  }
+  reply.set_down_epoch(down_epoch_);
+  if (known->down_epoch != down_epoch_) {
+    for (const HostId& host : down_hosts_)
+      reply.add_down_hosts(host.str());
+  }
+  hooks_.send(to, std::move(envelope));
+}
+
+bool ControlNode::AdoptConfiguration(const wire::FollowReply& reply) {
+  const Revision before = current_ ? current_->revision : 0;
+  if (!reply.document().empty())
+    Publish(reply.revision(), reply.document());
+  for (const wire::RevisionPatch& patch : reply.patches()) {
+    if (!current_ || patch.revision() != current_->revision + 1)
+      continue;
+    const auto document =
+        configuration::ApplyMergePatch(current_->document, patch.patch());
+    if (document)
+      Publish(patch.revision(), *document);
+  }
+  return current_ && current_->revision > before;
+}
+
+void ControlNode::OnFollowReply(const HostId& from,
+                                const wire::FollowReply& reply,
+                                TimePoint now) {
+  parent_heard_ = now;
+  if (!reply.leader().empty())
+    leader_hint_ = HostId(reply.leader());
+  const bool news = AdoptConfiguration(reply);
+  if (reply.down_epoch() > down_epoch_) {
+    std::set<HostId> down;
+    for (const std::string& host : reply.down_hosts())
+      down.insert(HostId(host));
+    SetDownHosts(down, reply.down_epoch());
+  }
+  // An answer without the configuration it speaks of confirms nothing.
+  const TimePoint asked = FromWire(reply.asked_at());
+  if (reply.fresh() && current_ && current_->revision >= reply.revision() &&
+      asked <= now) {
+    freshness_.Confirm(asked - Millis(reply.age_ms()));
+  }
+  // Acknowledges at once, so that the change is soon known to be in force.
+  if (news && from == parent_)
+    poll_due_ = now;
+}
+
+}  // namespace endivecart::control
--- /dev/null
+++ b/src/endivecart/control/data_folder.cc
@@ -0,0 +1,346 @@
+#include "endivecart/control/data_folder.h"
+
+#include <Poco/UUIDGenerator.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <sstream>
+
+#include "endivecart/control/frame.h"
+
+namespace endivecart::control {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr char kIdentityName[] = "identity";
+constexpr char kLogPrefix[] = "log-";
+constexpr char kTemporarySuffix[] = ".new";
+constexpr int kFileMode = 0600;
+
+auto SystemError(const std::string& what) {
+  const int error = errno;
+  const auto code = error == ENOSPC || error == EDQUOT ? StorageErrorCode::kFull
+                                                       : StorageErrorCode::kIo;
+  return Fail(StorageError{code, what + ": " + std::strerror(error)});
+}
+
+auto Damaged(const std::string& file, const std::string& why) {
+  return Fail(StorageError{StorageErrorCode::kDamaged, file + ": " + why});
+}
+
+Result<std::string, StorageError> ReadWhole(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  std::ostringstream out;
+  out << in.rdbuf();
+  if (!in)
+    return SystemError("cannot read " + file);
+  return out.str();
+}
+
+// A list of records as the payload of one frame.
+std::string EncodeRecords(const std::vector<wire::DurableRecord>& records) {
+  std::string payload;
+  for (const wire::DurableRecord& record : records) {
+    const std::string bytes = record.SerializeAsString();
+    const auto size = static_cast<std::uint32_t>(bytes.size());
+    payload.append(reinterpret_cast<const char*>(&size), sizeof size);
+    payload += bytes;
+  }
+  return payload;
+}
+
+bool DecodeRecords(std::string_view payload,
+                   const std::function<void(const wire::DurableRecord&)>& use) {
+  while (!payload.empty()) {
+    std::uint32_t size = 0;
+    if (payload.size() < sizeof size)
+      return false;
+    std::memcpy(&size, payload.data(), sizeof size);
+    payload.remove_prefix(sizeof size);
+    wire::DurableRecord record;
+    if (payload.size() < size ||
+        !record.ParseFromArray(payload.data(), static_cast<int>(size))) {
+      return false;
+    }
+    payload.remove_prefix(size);
+    use(record);
+  }
+  return true;
+}
+
+bool WriteAll(int file, std::string_view data) {
+  while (!data.empty()) {
+    const ssize_t written = ::write(file, data.data(), data.size());
+    if (written < 0 && errno == EINTR)
+      continue;
+    if (written <= 0)
+      return false;
+    data.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
+}  // namespace
+
+void ApplyRecord(const wire::DurableRecord& record, RaftDurableState& state) {
+  if (record.has_vote()) {
+    state.term = record.vote().term();
+    state.voted_for = MemberId(record.vote().voted_for());
+  } else if (record.has_entry()) {
+    state.entries.push_back(record.entry());
+  } else {
+    const std::uint64_t from = record.truncate_from();
+    while (!state.entries.empty() && state.entries.back().index() >= from)
+      state.entries.pop_back();
+  }
+}
+
+DataFolder::~DataFolder() {
+  if (log_ >= 0)
+    ::close(log_);
+}
+
+Result<std::unique_ptr<DataFolder>, StorageError>
+DataFolder::Open(const std::string& path, const HostId& host, bool as_founder) {
+  std::error_code error;
+  fs::create_directories(path, error);
+  if (error) {
+    return Fail(
+        StorageError{StorageErrorCode::kIo, path + ": " + error.message()});
+  }
+  std::unique_ptr<DataFolder> folder(new DataFolder(path));
+  if (auto ok = folder->LoadIdentity(host, as_founder); !ok)
+    return Fail(ok.error());
+  if (auto ok = folder->LoadLog(); !ok)
+    return Fail(ok.error());
+  return folder;
+}
+
+Result<bool, StorageError> DataFolder::LoadIdentity(const HostId& host,
+                                                    bool as_founder) {
+  const std::string file = path_ + "/" + kIdentityName;
+  wire::DataFolderIdentity identity;
+  if (!fs::exists(file)) {
+    for (const auto& entry : fs::directory_iterator(path_)) {
+      if (entry.path().filename().string().starts_with(kLogPrefix))
+        return Damaged(file, "is missing though there is a log");
+    }
+    identity.set_host(host.str());
+    identity.set_member(as_founder ? kFounderIdentity
+                                   : Poco::UUIDGenerator::defaultGenerator()
+                                         .createRandom()
+                                         .toString());
+    if (auto ok = WriteWhole(kIdentityName,
+                             EncodeFrame(identity.SerializeAsString()));
+        !ok) {
+      return ok;
+    }
+  }
+  const auto content = ReadWhole(file);
+  if (!content)
+    return Fail(content.error());
+  const FrameScan scan = ScanFrames(*content);
+  if (scan.payloads.size() != 1 || scan.end != FrameScanEnd::kClean ||
+      !identity.ParseFromString(scan.payloads.front())) {
+    return Damaged(file, "is not readable");
+  }
+  if (identity.host() != host.str()) {
+    return Fail(
+        StorageError{StorageErrorCode::kForeign,
+                     path_ + " belongs to host '" + identity.host() + "'"});
+  }
+  member_ = MakeMemberId(host, identity.member());
+  is_founder_ = identity.member() == kFounderIdentity;
+  return true;
+}
+
+std::string DataFolder::LogName(std::uint64_t number) const {
+  return kLogPrefix + std::to_string(number);
+}
+
+Result<bool, StorageError> DataFolder::LoadLog() {
+  std::uint64_t newest = 0;
+  bool any = false;
+  for (const auto& entry : fs::directory_iterator(path_)) {
+    const std::string name = entry.path().filename().string();
+    const std::string number =
+        name.substr(std::min(name.size(), std::strlen(kLogPrefix)));
+    if (!name.starts_with(kLogPrefix) || number.empty() ||
+        number.find_first_not_of("0123456789") != std::string::npos) {
+      continue;
+    }
+    any = true;
+    newest = std::max<std::uint64_t>(
+        newest, std::strtoull(number.c_str(), nullptr, 10));
+  }
+  if (!any) {
+    const wire::DurableSnapshot empty;
+    return SaveSnapshot(empty, {}, {});
+  }
+  if (auto ok = ReadLogFile(newest); !ok)
+    return ok;
+  if (auto ok = OpenLog(newest); !ok)
+    return ok;
+  RemoveOlderLogs();
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::ReadLogFile(std::uint64_t number) {
+  const std::string file = path_ + "/" + LogName(number);
+  const auto content = ReadWhole(file);
+  if (!content)
+    return Fail(content.error());
+  const FrameScan scan = ScanFrames(*content);
+  if (scan.end == FrameScanEnd::kDamaged) {
+    return Damaged(file, "a record at byte " + std::to_string(scan.good_bytes) +
+                             " is damaged though later ones are whole");
+  }
+  // The snapshot was synced before the file got its name.
+  if (scan.payloads.empty() ||
+      !loaded_.snapshot.ParseFromString(scan.payloads.front())) {
+    return Damaged(file, "the snapshot at its start is not readable");
+  }
+  for (std::size_t i = 1; i < scan.payloads.size(); ++i) {
+    if (!DecodeRecords(scan.payloads[i], [&](const auto& record) {
+          ApplyRecord(record, loaded_);
+        })) {
+      return Damaged(file, "a record is malformed");
+    }
+  }
+  std::uint64_t next = loaded_.snapshot.last_index() + 1;
+  for (const wire::LogEntry& entry : loaded_.entries) {
+    if (entry.index() != next++)
+      return Damaged(file, "an entry is missing");
+  }
+  if (scan.end == FrameScanEnd::kTornTail) {
+    LogLine("control.torn_tail")
+        .Add("file", file)
+        .Add("cut_bytes",
+             static_cast<std::int64_t>(content->size() - scan.good_bytes))
+        .Warn();
+  }
+  log_bytes_ = scan.good_bytes;
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::OpenLog(std::uint64_t number) {
+  if (log_ >= 0)
+    ::close(log_);
+  log_number_ = number;
+  const std::string file = path_ + "/" + LogName(number);
+  log_ = ::open(file.c_str(), O_WRONLY | O_CLOEXEC);
+  if (log_ < 0)
+    return SystemError("cannot open " + file);
+  // Cuts a torn tail, so that later records follow the good ones.
+  if (::ftruncate(log_, static_cast<off_t>(log_bytes_)) != 0 ||
+      ::lseek(log_, 0, SEEK_END) < 0 || ::fdatasync(log_) != 0) {
+    return SystemError("cannot prepare " + file);
+  }
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::SyncFolder() const {
+  const int folder = ::open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0)
+    return SystemError("cannot open " + path_);
+  const bool synced = ::fsync(folder) == 0;
+  const int error = errno;
+  ::close(folder);
+  errno = error;
+  if (!synced)
+    return SystemError("cannot sync " + path_);
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::WriteWhole(
+    const std::string& name,
+    const std::string& content) const {
+  const std::string file = path_ + "/" + name;
+  const std::string temporary = file + kTemporarySuffix;
+  const int out = ::open(temporary.c_str(),
+                         O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
+  if (out < 0)
+    return SystemError("cannot create " + temporary);
+  const bool written = WriteAll(out, content) && ::fsync(out) == 0;
+  const int error = errno;
+  ::close(out);
+  errno = error;
+  if (!written) {
+    auto failure = SystemError("cannot write " + temporary);
+    ::unlink(temporary.c_str());
+    return failure;
+  }
+  if (::rename(temporary.c_str(), file.c_str()) != 0)
+    return SystemError("cannot rename " + temporary);
+  return SyncFolder();
+}
+
+Result<bool, StorageError> DataFolder::Append(
+    const std::vector<wire::DurableRecord>& records) {
+  if (failed_) {
+    return Fail(StorageError{StorageErrorCode::kIo,
+                             "an earlier sync of the log failed"});
+  }
+  const std::string frame = EncodeFrame(EncodeRecords(records));
+  if (!WriteAll(log_, frame)) {
+    auto failure = SystemError("cannot write the log");
+    // Nothing of a record that found no room may stay.
+    if (::ftruncate(log_, static_cast<off_t>(log_bytes_)) != 0 ||
+        ::lseek(log_, 0, SEEK_END) < 0) {
+      failed_ = true;
+    }
+    return failure;
+  }
+  if (::fdatasync(log_) != 0) {
+    // What a failed sync left on the disk can't be known.
+    failed_ = true;
+    return SystemError("cannot sync the log");
+  }
+  log_bytes_ += frame.size();
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::SaveSnapshot(
+    const wire::DurableSnapshot& snapshot,
+    const wire::DurableVote& vote,
+    const std::vector<wire::LogEntry>& entries) {
+  std::vector<wire::DurableRecord> records;
+  if (vote.term() > 0)
+    *records.emplace_back().mutable_vote() = vote;
+  for (const wire::LogEntry& entry : entries)
+    *records.emplace_back().mutable_entry() = entry;
+  std::string content = EncodeFrame(snapshot.SerializeAsString());
+  if (!records.empty())
+    content += EncodeFrame(EncodeRecords(records));
+  const std::uint64_t number = log_number_ + 1;
+  if (auto ok = WriteWhole(LogName(number), content); !ok)
+    return ok;
+  log_bytes_ = content.size();
+  if (auto ok = OpenLog(number); !ok) {
+    failed_ = true;
+    return ok;
+  }
+  failed_ = false;
+  RemoveOlderLogs();
+  return true;
+}
+
+void DataFolder::RemoveOlderLogs() const {
+  std::error_code ignored;
+  for (const auto& entry : fs::directory_iterator(path_)) {
+    const std::string name = entry.path().filename().string();
+    const bool is_log = name.starts_with(kLogPrefix);
+    if (is_log && name != LogName(log_number_))
+      fs::remove(entry.path(), ignored);
+  }
+}
+
+}  // namespace endivecart::control
--- /dev/null
+++ b/src/endivecart/control/raft_core.cc
@@ -0,0 +1,628 @@
+#include "endivecart/control/raft_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivecart::control {
+
+namespace {
+
+constexpr std::uint64_t kMaxEntriesPerAppend = 256;
+constexpr std::size_t kMaxBytesPerAppend = 1UL << 20;
+constexpr std::uint64_t kCaughtUpLag = 64;  // entries a learner may be behind
+constexpr Millis kSnapshotResend{1000};
+
+bool Contains(const google::protobuf::RepeatedPtrField<std::string>& list,
+              const MemberId& member) {
+  return std::find(list.begin(), list.end(), member.str()) != list.end();
+}
+
+void Erase(google::protobuf::RepeatedPtrField<std::string>& list,
+           const MemberId& member) {
+  const auto it = std::find(list.begin(), list.end(), member.str());
+  if (it != list.end())
+    list.erase(it);
+}
+
+std::uint64_t ToWire(TimePoint time) {
+  return static_cast<std::uint64_t>(time.time_since_epoch().count());
+}
+
+TimePoint FromWire(std::uint64_t micros) {
+  return TimePoint(
+      std::chrono::microseconds(static_cast<std::int64_t>(micros)));
+}
+
+}  // namespace
+
+MemberId MakeMemberId(const HostId& host, const std::string& identity) {
+  return MemberId(host.str() + "@" + identity);
+}
+
+HostId HostOf(const MemberId& member) {
+  return HostId(member.str().substr(0, member.str().find('@')));
+}
+
+std::string_view RaftRoleName(RaftRole role) {
+  switch (role) {
+    case RaftRole::kFollower:
+      return "follower";
+    case RaftRole::kPreCandidate:
+      return "pre-candidate";
+    case RaftRole::kCandidate:
+      return "candidate";
+    case RaftRole::kLeader:
+      return "leader";
+  }
+  return "unknown";
+}
+
+std::string_view RaftErrorName(RaftErrorCode code) {
+  switch (code) {
+    case RaftErrorCode::kNotLeader:
+      return "not the leader";
+    case RaftErrorCode::kChangePending:
+      return "another change of voters is pending";
+    case RaftErrorCode::kNotCaughtUp:
+      return "the learner has not caught up";
+    case RaftErrorCode::kBadMember:
+      return "not possible for this member";
+  }
+  return "unknown";
+}
+
+RaftCore::RaftCore(RaftOptions options,
+                   const RaftDurableState& state,
+                   TimePoint now)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      term_(state.term),
+      voted_for_(state.voted_for),
+      // A restart forgets contacts with leaders: assume the newest possible.
+      leader_contact_(now) {
+  log_.Reset(state.snapshot.last_index(), state.snapshot.last_term());
+  snapshot_voters_ = state.snapshot.voters();
+  for (const wire::LogEntry& entry : state.entries)
+    log_.Append(entry);
+  commit_ = handed_out_ = log_.snapshot_index();
+  persisted_ = taken_ = log_.last_index();
+  RefreshVoters();
+  ResetElectionTimer(now);
+}
+
+bool RaftCore::IsVoter(const MemberId& member) const {
+  return Contains(voters_.voters(), member);
+}
+
+int RaftCore::QuorumSize() const {
+  return voters_.voters_size() / 2 + 1;
+}
+
+void RaftCore::ResetElectionTimer(TimePoint now) {
+  std::uniform_int_distribution<std::int64_t> spread(
+      options_.election_min.count(), options_.election_max.count());
+  election_due_ = now + Millis(spread(random_));
+}
+
+bool RaftCore::HasLeaderContact(TimePoint now) const {
+  return now < leader_contact_ + options_.election_min;
+}
+
+void RaftCore::RecordVote() {
+  wire::DurableRecord record;
+  record.mutable_vote()->set_term(term_);
+  record.mutable_vote()->set_voted_for(voted_for_.str());
+  ready_.records.push_back(std::move(record));
+}
+
+void RaftCore::BecomeFollower(std::uint64_t term,
+                              const MemberId& leader,
+                              TimePoint now) {
+  if (term > term_) {
+    term_ = term;
+    voted_for_ = MemberId();
+    RecordVote();
+  }
+  if (role_ != RaftRole::kFollower)
+    ResetElectionTimer(now);
+  role_ = RaftRole::kFollower;
+  leader_ = leader;
+}
+
+void RaftCore::Tick(TimePoint now) {
+  if (role_ == RaftRole::kLeader) {
+    if (now >= heartbeat_due_)
+      Broadcast(now);
+    // Check-quorum: a leader that no quorum answers must not think it leads.
+    const auto contact = QuorumContact(now);
+    const TimePoint newest = contact.value_or(leader_since_);
+    if (now >= std::max(newest, leader_since_) + options_.election_max)
+      BecomeFollower(term_, MemberId(), now);
+    return;
+  }
+  if (now < election_due_)
+    return;
+  ResetElectionTimer(now);
+  if (IsVoter(options_.self))
+    StartPreVote(now);
+}
+
+void RaftCore::Send(const MemberId& to,
+                    wire::RaftMessage message,
+                    std::uint64_t term) {
+  message.set_to(to.str());
+  message.set_member(options_.self.str());
+  message.set_term(term);
+  ready_.messages.push_back(std::move(message));
+}
+
+void RaftCore::AskForVotes(bool pre_vote, std::uint64_t term) {
+  for (const std::string& voter : voters_.voters()) {
+    if (voter == options_.self.str())
+      continue;
+    wire::RaftMessage message;
+    wire::VoteRequest* request = message.mutable_vote_request();
+    request->set_pre_vote(pre_vote);
+    request->set_last_index(log_.last_index());
+    request->set_last_term(log_.last_term());
+    Send(MemberId(voter), std::move(message), term);
+  }
+}
+
+void RaftCore::StartPreVote(TimePoint now) {
+  role_ = RaftRole::kPreCandidate;
+  leader_ = MemberId();
+  votes_ = {options_.self};
+  if (QuorumSize() == 1)
+    return StartElection(now);
+  AskForVotes(true, term_ + 1);
+}
+
+void RaftCore::StartElection(TimePoint now) {
+  role_ = RaftRole::kCandidate;
+  ++term_;
+  voted_for_ = options_.self;
+  RecordVote();
+  votes_ = {options_.self};
+  ResetElectionTimer(now);
+  if (QuorumSize() == 1)
+    return BecomeLeader(now);
+  AskForVotes(false, term_);
+}
+
+void RaftCore::BecomeLeader(TimePoint now) {
+  role_ = RaftRole::kLeader;
+  leader_ = options_.self;
+  leader_since_ = now;
+  peers_.clear();
+  RefreshPeers();
+  // Nothing of earlier terms counts as committed before an own entry does.
+  wire::LogEntry no_op;
+  no_op.set_no_op(true);
+  Append(std::move(no_op));
+  Broadcast(now);
+}
+
+void RaftCore::RefreshPeers() {
+  std::set<MemberId> wanted;
+  for (const std::string& voter : voters_.voters())
+    wanted.insert(MemberId(voter));
+  for (const std::string& learner : voters_.learners())
+    wanted.insert(MemberId(learner));
+  wanted.erase(options_.self);
+  std::erase_if(peers_,
+                [&](const auto& peer) { return !wanted.contains(peer.first); });
+  for (const MemberId& member : wanted) {
+    if (!peers_.contains(member))
+      peers_[member].next = log_.last_index() + 1;
+  }
+}
+
+wire::VoterSet RaftCore::VotersAt(std::uint64_t index) const {
+  for (std::uint64_t i = std::min(index, log_.last_index());
+       i >= log_.first_index(); --i) {
+    if (log_.At(i).has_voters())
+      return log_.At(i).voters();
+  }
+  return snapshot_voters_;
+}
+
+void RaftCore::RefreshVoters() {
+  voters_ = snapshot_voters_;
+  voters_index_ = log_.snapshot_index();
+  for (std::uint64_t i = log_.first_index(); i <= log_.last_index(); ++i) {
+    if (log_.At(i).has_voters()) {
+      voters_ = log_.At(i).voters();
+      voters_index_ = i;
+    }
+  }
+}
+
+void RaftCore::Append(wire::LogEntry entry) {
+  if (entry.index() == 0) {
+    entry.set_index(log_.last_index() + 1);
+    entry.set_term(term_);
+  }
+  wire::DurableRecord record;
+  *record.mutable_entry() = entry;
+  ready_.records.push_back(std::move(record));
+  const bool has_voters = entry.has_voters();
+  log_.Append(std::move(entry));
+  if (!has_voters)
+    return;
+  RefreshVoters();
+  if (role_ == RaftRole::kLeader)
+    RefreshPeers();
+}
+
+void RaftCore::TruncateFrom(std::uint64_t index) {
+  wire::DurableRecord record;
+  record.set_truncate_from(index);
+  ready_.records.push_back(std::move(record));
+  log_.TruncateFrom(index);
+  persisted_ = std::min(persisted_, index - 1);
+  taken_ = std::min(taken_, index - 1);
+  RefreshVoters();
+}
+
+Result<std::uint64_t, RaftError> RaftCore::Propose(const std::string& command,
+                                                   TimePoint now) {
+  if (role_ != RaftRole::kLeader)
+    return Fail(RaftError{RaftErrorCode::kNotLeader});
+  wire::LogEntry entry;
+  entry.set_command(command);
+  Append(std::move(entry));
+  heartbeat_due_ = now;  // sent with the next tick, together with others
+  return log_.last_index();
+}
+
+Result<std::uint64_t, RaftError> RaftCore::ChangeVoters(
+    const wire::VoterSet& voters,
+    TimePoint now) {
+  if (role_ != RaftRole::kLeader)
+    return Fail(RaftError{RaftErrorCode::kNotLeader});
+  const bool own_term_committed = log_.TermAt(commit_) == term_;
+  if (voters_index_ > commit_ || !own_term_committed)
+    return Fail(RaftError{RaftErrorCode::kChangePending});
+  wire::LogEntry entry;
+  *entry.mutable_voters() = voters;
+  Append(std::move(entry));
+  heartbeat_due_ = now;
+  return log_.last_index();
+}
+
+Result<std::uint64_t, RaftError> RaftCore::AddLearner(const MemberId& member,
+                                                      TimePoint now) {
+  if (IsVoter(member) || Contains(voters_.learners(), member))
+    return Fail(RaftError{RaftErrorCode::kBadMember});
+  wire::VoterSet voters = voters_;
+  voters.add_learners(member.str());
+  return ChangeVoters(voters, now);
+}
+
+Result<std::uint64_t, RaftError> RaftCore::Promote(const MemberId& member,
+                                                   TimePoint now) {
+  if (!Contains(voters_.learners(), member))
+    return Fail(RaftError{RaftErrorCode::kBadMember});
+  if (MatchOf(member) + kCaughtUpLag < log_.last_index())
+    return Fail(RaftError{RaftErrorCode::kNotCaughtUp});
+  wire::VoterSet voters = voters_;
+  Erase(*voters.mutable_learners(), member);
+  voters.add_voters(member.str());
+  return ChangeVoters(voters, now);
+}
+
+Result<std::uint64_t, RaftError> RaftCore::Remove(const MemberId& member,
+                                                  TimePoint now) {
+  wire::VoterSet voters = voters_;
+  Erase(*voters.mutable_voters(), member);
+  Erase(*voters.mutable_learners(), member);
+  const bool known = voters.voters_size() + voters.learners_size() <
+                     voters_.voters_size() + voters_.learners_size();
+  if (!known || voters.voters_size() == 0)
+    return Fail(RaftError{RaftErrorCode::kBadMember});
+  return ChangeVoters(voters, now);
+}
+
+std::uint64_t RaftCore::MatchOf(const MemberId& member) const {
+  if (member == options_.self)
+    return persisted_;
+  const auto it = peers_.find(member);
+  return it == peers_.end() ? 0 : it->second.match;
+}
+
+void RaftCore::Broadcast(TimePoint now) {
+  heartbeat_due_ = now + options_.heartbeat;
+  for (auto& [member, peer] : peers_)
+    SendAppend(member, peer, now);
+}
+
+void RaftCore::SendAppend(const MemberId& to, Peer& peer, TimePoint now) {
+  if (peer.next < log_.first_index())
+    return SendSnapshot(to, peer, now);
+  wire::RaftMessage message;
+  wire::AppendRequest* request = message.mutable_append_request();
+  request->set_previous_index(peer.next - 1);
+  request->set_previous_term(log_.TermAt(peer.next - 1));
+  request->set_commit_index(commit_);
+  request->set_sent_at(ToWire(now));
+  std::size_t bytes = 0;
+  const std::uint64_t end =
+      std::min(log_.last_index() + 1, peer.next + kMaxEntriesPerAppend);
+  for (; peer.next < end && bytes < kMaxBytesPerAppend; ++peer.next) {
+    *request->add_entries() = log_.At(peer.next);
+    bytes += log_.At(peer.next).ByteSizeLong();
+  }
+  Send(to, std::move(message), term_);
+}
+
+void RaftCore::SendSnapshot(const MemberId& to, Peer& peer, TimePoint now) {
+  if (now < peer.snapshot_sent + kSnapshotResend)
+    return;
+  peer.snapshot_sent = now;
+  wire::RaftMessage message;
+  wire::SnapshotRequest* request = message.mutable_snapshot_request();
+  request->set_last_index(log_.snapshot_index());
+  request->set_last_term(log_.snapshot_term());
+  *request->mutable_voters() = snapshot_voters_;
+  request->set_sent_at(ToWire(now));
+  // The owner fills in the state: the core does not hold it.
+  Send(to, std::move(message), term_);
+}
+
+void RaftCore::Step(const wire::RaftMessage& message, TimePoint now) {
+  if (message.to() != options_.self.str())
+    return;
+  const MemberId from(message.member());
+  const bool is_pre_vote =
+      (message.has_vote_request() && message.vote_request().pre_vote()) ||
+      (message.has_vote_reply() && message.vote_reply().pre_vote());
+  // A voter that hears its leader is not disturbed by others' elections.
+  if (message.has_vote_request() &&
+      (HasLeaderContact(now) || role_ == RaftRole::kLeader) &&
+      message.term() > term_) {
+    return;
+  }
+  if (message.term() > term_ && !is_pre_vote)
+    BecomeFollower(message.term(), MemberId(), now);
+  if (message.has_vote_request()) {
+    OnVoteRequest(from, message, now);
+  } else if (message.has_vote_reply()) {
+    OnVoteReply(from, message, now);
+  } else if (message.has_append_request()) {
+    OnAppendRequest(from, message, now);
+  } else if (message.has_append_reply()) {
+    OnAppendReply(from, message, now);
+  } else if (message.has_snapshot_request()) {
+    OnSnapshot(from, message, now);
+  }
+}
+
+void RaftCore::OnVoteRequest(const MemberId& from,
+                             const wire::RaftMessage& message,
+                             TimePoint now) {
+  const wire::VoteRequest& request = message.vote_request();
+  const bool up_to_date =
+      std::pair(request.last_term(), request.last_index()) >=
+      std::pair(log_.last_term(), log_.last_index());
+  bool granted = up_to_date && message.term() > term_;
+  if (!request.pre_vote()) {
+    granted = up_to_date && message.term() == term_ &&
+              (voted_for_.empty() || voted_for_ == from);
+    if (granted) {
+      voted_for_ = from;
+      RecordVote();
+      ResetElectionTimer(now);
+    }
+  }
+  wire::RaftMessage reply;
+  reply.mutable_vote_reply()->set_pre_vote(request.pre_vote());
+  reply.mutable_vote_reply()->set_granted(granted);
+  // A granted pre-vote answers for the term that was asked about.
+  Send(from, std::move(reply),
+       request.pre_vote() && granted ? message.term() : term_);
+}
+
+void RaftCore::OnVoteReply(const MemberId& from,
+                           const wire::RaftMessage& message,
+                           TimePoint now) {
+  const wire::VoteReply& reply = message.vote_reply();
+  const bool pre_vote = role_ == RaftRole::kPreCandidate;
+  const std::uint64_t asked_term = pre_vote ? term_ + 1 : term_;
+  if (reply.pre_vote() && !reply.granted() && message.term() > term_)
+    return BecomeFollower(message.term(), MemberId(), now);
+  if (!reply.granted() || reply.pre_vote() != pre_vote ||
+      message.term() != asked_term || !IsVoter(from) ||
+      (!pre_vote && role_ != RaftRole::kCandidate)) {
+    return;
+  }
+  votes_.insert(from);
+  if (static_cast<int>(votes_.size()) < QuorumSize())
+    return;
+  if (pre_vote) {
+    StartElection(now);
+  } else {
+    BecomeLeader(now);
+  }
+}
+
+void RaftCore::ReplyAppend(const MemberId& to,
+                           bool success,
+                           std::uint64_t match,
+                           std::uint64_t sent_at) {
+  wire::RaftMessage message;
+  wire::AppendReply* reply = message.mutable_append_reply();
+  reply->set_success(success);
+  reply->set_match_index(match);
+  reply->set_sent_at(sent_at);
+  Send(to, std::move(message), term_);
+}
+
+void RaftCore::OnAppendRequest(const MemberId& from,
+                               const wire::RaftMessage& message,
+                               TimePoint now) {
+  const wire::AppendRequest& request = message.append_request();
+  if (message.term() < term_)
+    return ReplyAppend(from, false, 0, request.sent_at());
+  BecomeFollower(message.term(), from, now);
+  leader_contact_ = now;
+  ResetElectionTimer(now);
+  const std::uint64_t previous = request.previous_index();
+  const bool matches = previous <= log_.last_index() &&
+                       (previous < log_.snapshot_index() ||
+                        log_.TermAt(previous) == request.previous_term());
+  if (!matches) {
+    const std::uint64_t hint =
+        previous > 0 ? std::min(log_.last_index(), previous - 1) : 0;
+    return ReplyAppend(from, false, hint, request.sent_at());
+  }
+  if (!TakeEntries(request))
+    return;
+  const std::uint64_t match =
+      previous + static_cast<std::uint64_t>(request.entries_size());
+  SetCommit(std::min(request.commit_index(), match));
+  ReplyAppend(from, true, match, request.sent_at());
+}
+
+bool RaftCore::TakeEntries(const wire::AppendRequest& request) {
+  for (const wire::LogEntry& entry : request.entries()) {
+    if (entry.index() <= log_.snapshot_index())
+      continue;
+    if (log_.Holds(entry.index())) {
+      if (log_.TermAt(entry.index()) == entry.term())
+        continue;
+      if (!CheckInvariant(entry.index() > commit_,
+                          Invariant::kConfigurationMonotone,
+                          "a committed entry would be replaced")) {
+        return false;
+      }
+      TruncateFrom(entry.index());
+    }
+    if (entry.index() != log_.last_index() + 1)
+      return false;
+    Append(entry);
+  }
+  return true;
+}
+
+void RaftCore::OnAppendReply(const MemberId& from,
+                             const wire::RaftMessage& message,
+                             TimePoint now) {
+  const auto it = peers_.find(from);
+  if (role_ != RaftRole::kLeader || message.term() != term_ ||
+      it == peers_.end()) {
+    return;
+  }
+  const wire::AppendReply& reply = message.append_reply();
+  Peer& peer = it->second;
+  const TimePoint sent = FromWire(reply.sent_at());
+  if (sent <= now)
+    peer.acked_send = std::max(peer.acked_send, sent);
+  if (!reply.success()) {
+    // The hint only ever moves back to what may match.
+    peer.next =
+        std::max(peer.match + 1, std::min(peer.next, reply.match_index() + 1));
+    return SendAppend(from, peer, now);
+  }
+  peer.match = std::max(peer.match, reply.match_index());
+  peer.next = std::max(peer.next, peer.match + 1);
+  AdvanceCommit();
+  if (peer.next <= log_.last_index())
+    SendAppend(from, peer, now);
+}
+
+void RaftCore::AdvanceCommit() {
+  std::vector<std::uint64_t> matches;
+  for (const std::string& voter : voters_.voters())
+    matches.push_back(MatchOf(MemberId(voter)));
+  if (matches.empty())
+    return;
+  std::sort(matches.rbegin(), matches.rend());
+  const std::uint64_t index =
+      matches[static_cast<std::size_t>(QuorumSize()) - 1];
+  // Entries of earlier terms are committed only along with one of this term.
+  if (index > commit_ && log_.TermAt(index) == term_)
+    SetCommit(index);
+}
+
+void RaftCore::SetCommit(std::uint64_t index) {
+  commit_ = std::max(commit_, std::min(index, log_.last_index()));
+  // A leader that is no longer a voter has done its last duty.
+  if (role_ == RaftRole::kLeader && !IsVoter(options_.self) &&
+      voters_index_ <= commit_) {
+    role_ = RaftRole::kFollower;
+    leader_ = MemberId();
+  }
+}
+
+void RaftCore::OnSnapshot(const MemberId& from,
+                          const wire::RaftMessage& message,
+                          TimePoint now) {
+  const wire::SnapshotRequest& request = message.snapshot_request();
+  if (message.term() < term_)
+    return ReplyAppend(from, false, 0, request.sent_at());
+  BecomeFollower(message.term(), from, now);
+  leader_contact_ = now;
+  ResetElectionTimer(now);
+  if (request.last_index() > commit_) {
+    wire::DurableSnapshot snapshot;
+    snapshot.set_last_index(request.last_index());
+    snapshot.set_last_term(request.last_term());
+    *snapshot.mutable_voters() = request.voters();
+    snapshot.set_state(request.state());
+    log_.Reset(request.last_index(), request.last_term());
+    snapshot_voters_ = request.voters();
+    commit_ = handed_out_ = request.last_index();
+    persisted_ = taken_ = request.last_index();
+    // Entries that were to be written are replaced as a whole.
+    std::erase_if(ready_.records,
+                  [](const auto& record) { return !record.has_vote(); });
+    ready_.snapshot = std::move(snapshot);
+    RefreshVoters();
+  }
+  ReplyAppend(from, true, request.last_index(), request.sent_at());
+}
+
+RaftReady RaftCore::TakeReady() {
+  RaftReady ready = std::exchange(ready_, RaftReady{});
+  taken_ = log_.last_index();
+  for (; handed_out_ < commit_; ++handed_out_)
+    ready.committed.push_back(log_.At(handed_out_ + 1));
+  return ready;
+}
+
+void RaftCore::OnPersisted(TimePoint) {
+  persisted_ = std::max(persisted_, taken_);
+  if (role_ == RaftRole::kLeader)
+    AdvanceCommit();
+}
+
+void RaftCore::CompactTo(const wire::DurableSnapshot& snapshot) {
+  if (snapshot.last_index() <= log_.snapshot_index())
+    return;
+  snapshot_voters_ = snapshot.voters();
+  log_.CompactTo(snapshot.last_index(), snapshot.last_term());
+  RefreshVoters();
+}
+
+std::optional<TimePoint> RaftCore::QuorumContact(TimePoint now) const {
+  if (role_ != RaftRole::kLeader || log_.TermAt(commit_) != term_)
+    return std::nullopt;
+  std::vector<TimePoint> contacts;
+  for (const std::string& voter : voters_.voters()) {
+    const MemberId member(voter);
+    const auto it = peers_.find(member);
+    if (member == options_.self) {
+      contacts.push_back(now);
+    } else if (it != peers_.end()) {
+      contacts.push_back(it->second.acked_send);
+    }
+  }
+  std::sort(contacts.rbegin(), contacts.rend());
+  const auto quorum = static_cast<std::size_t>(QuorumSize());
+  if (contacts.size() < quorum || contacts[quorum - 1] == TimePoint{})
+    return std::nullopt;
+  return contacts[quorum - 1];
+}
+
+}  // namespace endivecart::control
--- /dev/null
+++ b/src/endivecart/control/raft_log.h
@@ -0,0 +1,45 @@
+#ifndef ENDIVECART_CONTROL_RAFT_LOG_H_
+#define ENDIVECART_CONTROL_RAFT_LOG_H_
+
+#include <cstdint>
+#include <deque>
+
+#include "endivecart/transport/transport.h"
+
+namespace endivecart::control {
+
+// The entries after the newest snapshot, by index. Indexes start at 1.
+class RaftLog {
+ public:
+  std::uint64_t first_index() const { return snapshot_index_ + 1; }
+  std::uint64_t last_index() const { return snapshot_index_ + entries_.size(); }
+  std::uint64_t last_term() const { return TermAt(last_index()); }
+  std::uint64_t snapshot_index() const { return snapshot_index_; }
+  std::uint64_t snapshot_term() const { return snapshot_term_; }
+
+  // Term of an entry or of the snapshot's last entry; 0 if it isn't held.
+  std::uint64_t TermAt(std::uint64_t index) const;
+  bool Holds(std::uint64_t index) const {
+    return index >= first_index() && index <= last_index();
+  }
+  // Requires Holds(index).
+  const wire::LogEntry& At(std::uint64_t index) const;
+
+  // The entry's index must be last_index() + 1.
+  void Append(wire::LogEntry entry);
+  // Drops `index` and all after it.
+  void TruncateFrom(std::uint64_t index);
+  // Drops all up to `index`, which a snapshot now covers.
+  void CompactTo(std::uint64_t index, std::uint64_t term);
+  // Drops everything: a snapshot from elsewhere replaces it.
+  void Reset(std::uint64_t index, std::uint64_t term);
+
+ private:
+  std::uint64_t snapshot_index_ = 0;
+  std::uint64_t snapshot_term_ = 0;
+  std::deque<wire::LogEntry> entries_;
+};
+
+}  // namespace endivecart::control
+
+#endif  // ENDIVECART_CONTROL_RAFT_LOG_H_
--- /dev/null
+++ b/src/endivecart/entry/placement.h
@@ -0,0 +1,81 @@
+#ifndef ENDIVECART_ENTRY_PLACEMENT_H_
+#define ENDIVECART_ENTRY_PLACEMENT_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "endivecart/base/base.h"
+#include "endivecart/cache/cache.h"
+#include "endivecart/configuration/configuration.h"
+#include "endivecart/routing/routing.h"
+
+namespace endivecart::entry {
+
+// A request as the dispatcher sees it, through all of its attempts.
+struct PlacementRequest {
+  RequestId id;
+  CustomerId customer;
+  std::string class_name;
+  ModelId model;
+  int priority = 0;
+  TimePoint deadline;
+  const std::string* prompt = nullptr;      // outlives the call
+  std::optional<VersionId> pinned_version;  // of a stream already begun
+  std::vector<UpstreamId> excluded;
+};
+
+// Where one attempt goes. The slot it stands for is held until Finish().
+struct Placement {
+  UpstreamId upstream;
+  std::string url;
+  std::uint64_t incarnation = 0;
+  DomainId domain;
+  VersionId version;
+  std::vector<VersionId> loaded;  // versions at the upstream
+  cache::PromptPieces pieces;
+  routing::SourceKind source = routing::SourceKind::kRecompute;
+  std::string store_url;       // for SourceKind::kStore
+  cache::StoredPrefix stored;  // for SourceKind::kStore
+  int cached_tokens = 0;       // that need not be recomputed, predicted
+  double predicted_ms = 0;
+  std::uint64_t number = 0;  // of this placement, unique in the process
+};
+
+enum class PlacementErrorCode {
+  kUnknownModel,
+  kRateLimited,
+  kQueueFull,
+  kDeadline,     // it can't be met, or has passed while waiting
+  kUnavailable,  // no upstream may take it
+  kStopping,
+};
+
+struct PlacementError {
+  PlacementErrorCode code;
+  Millis retry_after{0};
+
+  bool operator==(const PlacementError&) const = default;
+};
+
+std::string_view PlacementErrorName(PlacementErrorCode code);
+
+// What became of one attempt.
+struct AttemptReport {
+  bool ok = false;
+  bool failed = false;        // the upstream's fault
+  double first_token_ms = 0;  // 0: none came
+  double max_gap_ms = 0;      // between tokens
+  int tokens = 0;
+  int prompt_tokens = 0;
+  int cached_tokens = 0;  // reported by the upstream, imports included
+  int imported_tokens = 0;
+  double import_ms = 0;
+  bool empty_answer = false;
+
+  bool operator==(const AttemptReport&) const = default;
+};
+
+}  // namespace endivecart::entry
+
+#endif  // ENDIVECART_ENTRY_PLACEMENT_H_
--- /dev/null
+++ b/src/endivecart/host/control_thread.h
@@ -0,0 +1,74 @@
+#ifndef ENDIVECART_HOST_CONTROL_THREAD_H_
+#define ENDIVECART_HOST_CONTROL_THREAD_H_
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "endivecart/base/base.h"
+#include "endivecart/control/control.h"
+#include "endivecart/membership/membership.h"
+#include "endivecart/settings/settings.h"
+#include "endivecart/transport/transport.h"
+
+namespace endivecart::host {
+
+// Internal. The thread that owns the message bus, the control node and the
+// share exchange. Others hand it tasks.
+class ControlThread {
+ public:
+  using Task = std::function<void(TimePoint now)>;
+
+  struct Parts {
+    std::unique_ptr<transport::MessageBus> bus;
+    std::unique_ptr<control::ControlNode> node;
+    std::unique_ptr<membership::ShareExchange> exchange;
+    std::function<void(TimePoint)> on_tick;  // about every 10 ms
+  };
+
+  explicit ControlThread(TimerService& timer);
+  ~ControlThread();
+
+  void Start(Parts parts);
+  void Stop();
+  // Runs `task` soon on the control thread.
+  void Post(Task task);
+  // Runs `function` there and waits for its result.
+  template <class Function>
+  auto Ask(Function function) {
+    using T = decltype(function(TimePoint{}));
+    auto promise = std::make_shared<std::promise<T>>();
+    auto future = promise->get_future();
+    Post([promise, function](TimePoint now) {
+      promise->set_value(function(now));
+    });
+    return future.get();
+  }
+
+  // Only for tasks on the control thread.
+  control::ControlNode& node() { return *parts_.node; }
+  membership::ShareExchange& exchange() { return *parts_.exchange; }
+  const transport::BusCounters& counters() const {
+    return parts_.bus->counters();
+  }
+
+ private:
+  void Run();
+  void RunTasks(TimePoint now);
+  void Dispatch(const wire::Envelope& envelope);
+
+  TimerService& timer_;
+  Parts parts_;
+  std::mutex mutex_;
+  std::vector<Task> tasks_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace endivecart::host
+
+#endif  // ENDIVECART_HOST_CONTROL_THREAD_H_
--- /dev/null
+++ b/src/endivecart/membership/share_holder.cc
@@ -0,0 +1,96 @@
+#include "endivecart/membership/share_holder.h"
+
+#include <algorithm>
+
+namespace endivecart::membership {
+
+namespace {
+
+constexpr Millis kPeakWindow{2000};
+
+}  // namespace
+
+void ShareHolder::SetGrant(const std::string& resource,
+                           int slots,
+                           TimePoint valid_until) {
+  Holding& holding = holdings_[resource];
+  // An answer that comes late must not bring back an older grant.
+  if (valid_until < holding.valid_until)
+    return;
+  holding.granted = slots;
+  holding.valid_until = valid_until;
+}
+
+void ShareHolder::SetOwned(const std::string& resource, int slots) {
+  holdings_[resource].owned = slots;
+}
+
+void ShareHolder::Remove(const std::string& resource) {
+  const auto it = holdings_.find(resource);
+  if (it == holdings_.end())
+    return;
+  it->second.granted = 0;
+  it->second.owned = 0;
+  if (it->second.in_use == 0)
+    holdings_.erase(it);
+}
+
+int ShareHolder::Slots(const std::string& resource, TimePoint now) const {
+  const auto it = holdings_.find(resource);
+  if (it == holdings_.end())
+    return 0;
+  const Holding& holding = it->second;
+  return holding.owned + (now < holding.valid_until ? holding.granted : 0);
+}
+
+int ShareHolder::Free(const std::string& resource, TimePoint now) const {
+  return std::max(0, Slots(resource, now) - InUse(resource));
+}
+
+int ShareHolder::InUse(const std::string& resource) const {
+  const auto it = holdings_.find(resource);
+  return it == holdings_.end() ? 0 : it->second.in_use;
+}
+
+bool ShareHolder::TryTake(const std::string& resource, TimePoint now) {
+  if (Free(resource, now) == 0)
+    return false;
+  Holding& holding = holdings_.find(resource)->second;
+  ++holding.in_use;
+  NotePeak(holding, now);
+  return CheckInvariant(holding.in_use <= Slots(resource, now),
+                        Invariant::kUpstreamCapacity, resource);
+}
+
+void ShareHolder::Give(const std::string& resource, TimePoint now) {
+  const auto it = holdings_.find(resource);
+  if (it == holdings_.end() || it->second.in_use == 0)
+    return;
+  NotePeak(it->second, now);
+  --it->second.in_use;
+}
+
+void ShareHolder::NoteWaiting(const std::string& resource,
+                              int waiting,
+                              TimePoint now) {
+  Holding& holding = holdings_[resource];
+  holding.waiting = waiting;
+  NotePeak(holding, now);
+}
+
+void ShareHolder::NotePeak(Holding& holding, TimePoint now) {
+  if (now - holding.peak_since > kPeakWindow) {
+    holding.peak = 0;
+    holding.peak_since = now;
+  }
+  holding.peak = std::max(holding.peak, holding.in_use + holding.waiting);
+}
+
+ShareWish ShareHolder::Wish(const std::string& resource, TimePoint now) {
+  Holding& holding = holdings_[resource];
+  NotePeak(holding, now);
+  return {std::max(holding.peak - holding.owned, 0),
+          std::max(holding.in_use - holding.owned, 0)};
+}
+
+}  // namespace endivecart::membership
--- /dev/null
+++ b/src/endivecart/operators/operators.h
@@ -0,0 +1,9 @@
+#ifndef ENDIVECART_OPERATORS_OPERATORS_H_
+#define ENDIVECART_OPERATORS_OPERATORS_H_
+
+// Public header of the operators library: the operators' HTTP API.
+
+#include "endivecart/operators/operator_server.h"  // IWYU pragma: export
+#include "endivecart/operators/operator_values.h"  // IWYU pragma: export
+
+#endif  // ENDIVECART_OPERATORS_OPERATORS_H_
--- /dev/null
+++ b/src/endivecart/settings/host_settings.h
@@ -0,0 +1,91 @@
+#ifndef ENDIVECART_SETTINGS_HOST_SETTINGS_H_
+#define ENDIVECART_SETTINGS_HOST_SETTINGS_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "endivecart/base/base.h"
+#include "endivecart/settings/settings_error.h"
+
+namespace endivecart::settings {
+
+// An IP address and TCP port.
+struct Endpoint {
+  std::string address;
+  int port = 0;
+
+  bool operator==(const Endpoint&) const = default;
+  std::string ToString() const;
+};
+
+// Parses "ADDRESS:PORT", where ADDRESS is an IP number.
+Result<Endpoint, std::string> ParseEndpoint(std::string_view text);
+
+// One of the system's own hosts, as every host's settings list it.
+struct HostEntry {
+  HostId id;
+  DomainId domain;
+  Endpoint control;        // ZeroMQ
+  std::string public_key;  // CURVE, 40 characters of Z85
+  bool voter = false;
+
+  bool operator==(const HostEntry&) const = default;
+};
+
+// A store host, which keeps cache pieces in memory and on disk.
+struct StoreEntry {
+  std::string id;
+  DomainId domain;
+  std::string url;
+  std::int64_t link_bytes_per_s = 0;
+  std::int64_t capacity_bytes = 0;
+
+  bool operator==(const StoreEntry&) const = default;
+};
+
+// Bounds on what callers may send.
+struct CallerLimits {
+  int max_connections = 512;
+  int max_header_bytes = 16 * 1024;
+  int max_body_bytes = 8 * 1024 * 1024;
+  std::chrono::milliseconds idle_timeout{15000};
+
+  bool operator==(const CallerLimits&) const = default;
+};
+
+// The checked settings of one host.
+struct HostSettings {
+  HostId host;
+  DomainId domain;
+  Endpoint callers;
+  Endpoint operators;
+  Endpoint control;
+  std::string data_folder;            // empty on a host without a disk
+  std::string secret_key;             // CURVE, 40 characters of Z85
+  std::string operator_token_digest;  // SHA-256, hexadecimal
+  std::string announce_token_digest;  // the same, for upstreams
+  std::string lists_folder;           // first configuration of a new site
+  std::vector<HostEntry> hosts;
+  std::vector<StoreEntry> stores;
+  CallerLimits limits;
+  LogOptions log;
+
+  const HostEntry* FindHost(const HostId& id) const;
+  std::vector<HostId> HostsOfDomain(const DomainId& domain) const;
+};
+
+// Reads and checks a settings text; reports every fault at once.
+Result<HostSettings, SettingsErrors> ParseHostSettings(std::string_view text);
+
+// The same, from a file; `secret_key_file` and `lists` in it may be relative
+// to the file's folder.
+Result<HostSettings, SettingsErrors> LoadHostSettings(const std::string& file);
+
+// Reads a whole file.
+Result<std::string, SettingsErrors> ReadTextFile(const std::string& file);
+
+}  // namespace endivecart::settings
+
+#endif  // ENDIVECART_SETTINGS_HOST_SETTINGS_H_
--- /dev/null
+++ b/src/endivecart/settings/settings.h
@@ -0,0 +1,12 @@
+#ifndef ENDIVECART_SETTINGS_SETTINGS_H_
+#define ENDIVECART_SETTINGS_SETTINGS_H_
+
+// Public header of the settings library: JSON with comments, read into checked
+// immutable values.
+
+#include "endivecart/settings/host_settings.h"   // IWYU pragma: export
+#include "endivecart/settings/json_reader.h"     // IWYU pragma: export
+#include "endivecart/settings/json_text.h"       // IWYU pragma: export
+#include "endivecart/settings/settings_error.h"  // IWYU pragma: export
+
+#endif  // ENDIVECART_SETTINGS_SETTINGS_H_
--- /dev/null
+++ b/standins/upstream_standin.h
@@ -0,0 +1,106 @@
+#ifndef STANDINS_UPSTREAM_STANDIN_H_
+#define STANDINS_UPSTREAM_STANDIN_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "endivecart/http/http.h"
+#include "json_body.h"
+
+namespace standins {
+
+struct UpstreamOptions {
+  endivecart::settings::Endpoint listen;
+  std::string id;
+  std::string domain;
+  std::string model;
+  std::vector<std::string> versions;
+  int capacity = 8;  // requests at once, once warm
+  int prefill_tokens_per_s = 16000;
+  int token_ms = 2;                      // between tokens
+  std::size_t cache_pieces = 64;         // of the prefix cache
+  std::size_t piece_bytes = 65536;       // of an exported piece
+  std::vector<std::string> announce_to;  // base URLs of entry hosts
+  std::string announce_token;
+  bool checks_fencing = false;
+};
+
+// A model upstream: prefills at a rate, keeps a bounded prefix cache, bears a
+// number of requests that grows as it serves, and streams answers that are a
+// function of the prompt.
+class UpstreamStandin {
+ public:
+  explicit UpstreamStandin(UpstreamOptions options);
+  ~UpstreamStandin();
+
+  // Listens and announces itself; returns an error text, empty if all is well.
+  std::string Start();
+
+ private:
+  struct Job;
+  struct CachedPiece {
+    std::string owner;
+    std::string version;
+    std::list<std::string>::iterator age;
+  };
+
+  void Handle(endivecart::http::ServerRequest& request,
+              endivecart::http::ServerResponse& response);
+  void Complete(endivecart::http::ServerRequest& request,
+                endivecart::http::ServerResponse& response);
+  Job MakeJob(const Json& body, const std::string& request_id);
+  void Import(const Json& plan, Job& job);
+  void Prefill(Job& job);
+  void Stream(const Job& job, endivecart::http::ServerResponse& response);
+  bool StreamTokens(const Job& job, std::ostream& out);
+  void AddToCache(const Job& job, const std::vector<std::string>& pieces);
+  void Export(const Json& body);
+  void Order(const Json& body, endivecart::http::ServerResponse& response);
+  void Control(const Json& body);
+  void Announce();
+  Json::Ptr Describe();
+  Json::Ptr Stats();
+  int Fault(const std::string& kind, const std::string& version);
+  int Bears() const;
+
+  const UpstreamOptions options_;
+  std::unique_ptr<endivecart::http::Server> server_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::uint64_t incarnation_;
+  std::uint64_t cache_epoch_ = 0;
+  std::set<std::string> versions_;
+  std::map<std::string, CachedPiece> cache_;
+  std::list<std::string> by_age_;  // newest first
+  std::vector<std::string> events_;
+  std::map<std::string, int> faults_;  // kind or kind:version -> number
+  std::set<std::string> cancelled_;
+  std::chrono::steady_clock::time_point prefill_free_;
+  std::uint64_t newest_fence_ = 0;
+  std::uint64_t refused_orders_ = 0;
+  int running_ = 0;
+  int queued_tokens_ = 0;
+  int served_ = 0;  // since it was last cold
+  int violations_ = 0;
+  int max_running_ = 0;
+  std::uint64_t requests_ = 0;
+  std::uint64_t prompt_tokens_ = 0;
+  std::uint64_t cached_tokens_ = 0;
+  std::uint64_t imported_tokens_ = 0;
+  std::string last_answer_id_ = "none";
+  bool leaving_ = false;
+  bool stopping_ = false;
+  std::thread announcer_;
+};
+
+}  // namespace standins
+
+#endif  // STANDINS_UPSTREAM_STANDIN_H_
