Keep generated code apart from checked sources

Cause: the linter reported 5,200 findings, all but 16 of them inside the generated protobuf header, which stood under a checked folder.

--- a/src/endivecart/control/frame.cc
+++ b/src/endivecart/control/frame.cc
@@ -25,10 +25,10 @@
 
 std::uint32_t Get(std::string_view data, std::size_t at) {
   std::uint32_t value = 0;
-  for (std::size_t i = 0; i < 4; ++i)
-    value |=
-        static_cast<std::uint32_t>(static_cast<unsigned char>(data[at + i]))
-        << (8 * i);
+  for (std::size_t i = 0; i < 4; ++i) {
+    const auto byte = static_cast<unsigned char>(data[at + i]);
+    value |= static_cast<std::uint32_t>(byte) << (8 * i);
+  }
   return value;
 }
 
--- a/src/endivecart/entry/cache_keeper.cc
+++ b/src/endivecart/entry/cache_keeper.cc
@@ -18,7 +18,7 @@
 constexpr double kFullPart = 0.9;   // of a store's capacity: start freeing
 constexpr double kAfterPart = 0.8;  // free down to this
 // Bytes that a piece is expected to need, for booking the link.
-constexpr std::int64_t kExpectedPieceBytes = 64 * 1024;
+constexpr std::int64_t kExpectedPieceBytes = 64LL * 1024;
 constexpr Millis kExportTimeout{2000};
 
 TimePoint SteadyNow() {
--- a/src/endivecart/entry/completion_handler.cc
+++ b/src/endivecart/entry/completion_handler.cc
@@ -140,7 +140,7 @@
   input.deadline = caller.arrived + caller.request_class.deadline;
   const TimePoint started = hooks_.now();
   ++progress.attempts;
-  const AttemptResult result = RunAttempt(
+  AttemptResult result = RunAttempt(
       input, hooks_.now, pool_,
       [&](double ms) {
         dispatcher_.OnFirstToken(placement, ms);
--- a/src/endivecart/entry/dispatcher.cc
+++ b/src/endivecart/entry/dispatcher.cc
@@ -302,11 +302,12 @@
     return Fail(queued.error());
   while (!waiter.placement && !waiter.error) {
     const TimePoint now = hooks_.now();
-    if (now >= request.deadline)
+    if (now >= request.deadline) {
       waiter.error =
           PlacementError{ErrorAtDeadline(waiter), kShortestRetryAfter};
-    else
+    } else {
       waiter.changed.wait_for(lock, request.deadline - now);
+    }
   }
   std::erase_if(waiters_, [&](const auto& entry) {
     if (entry.second != &waiter)
--- a/src/endivecart/host/claim_client.cc
+++ b/src/endivecart/host/claim_client.cc
@@ -38,8 +38,7 @@
 
 }  // namespace
 
-ClaimClient::ClaimClient(ControlThread& control, const TimerService& timer)
-    : control_(control), timer_(timer) {}
+ClaimClient::ClaimClient(ControlThread& control) : control_(control) {}
 
 Result<ledger::ClaimResult, ledger::LedgerError> ClaimClient::Claim(
     const ledger::ClaimRequest& request) {
@@ -77,7 +76,7 @@
   control.Post([&control, command, done](TimePoint now) {
     control.node().Propose(
         command, now + kRetryPatience,
-        [&control, command, done](std::optional<wire::Outcome> outcome) {
+        [&control, command, done](const std::optional<wire::Outcome>& outcome) {
           if (outcome) {
             done();
           } else {
--- a/src/endivecart/host/claim_client.h
+++ b/src/endivecart/host/claim_client.h
@@ -11,7 +11,7 @@
 // threads. What must reach the log in the end is proposed until it has.
 class ClaimClient {
  public:
-  ClaimClient(ControlThread& control, const TimerService& timer);
+  explicit ClaimClient(ControlThread& control);
 
   // Blocks until the outcome is certain, or until this host has given the
   // claim up for good.
@@ -33,7 +33,6 @@
   void RunToEnd(const wire::Command& command, Millis wait);
 
   ControlThread& control_;
-  const TimerService& timer_;
 };
 
 }  // namespace endivecart::host
--- a/src/endivecart/host/host.cc
+++ b/src/endivecart/host/host.cc
@@ -257,7 +257,7 @@
   parts.on_tick = [this](TimePoint now) {
     fresh_ = control_.node().Fresh(now);
   };
-  claims_ = std::make_unique<ClaimClient>(control_, timer_);
+  claims_ = std::make_unique<ClaimClient>(control_);
   control_.Start(std::move(parts));
   dispatcher_tick_ =
       timer_.Every(kDispatcherTick, [this](TimePoint) { dispatcher_->Tick(); });
--- a/src/endivecart/ledger/ledger_state.cc
+++ b/src/endivecart/ledger/ledger_state.cc
@@ -6,7 +6,7 @@
 
 constexpr std::uint64_t kHourMs = 3600ULL * 1000;
 constexpr std::uint64_t kFinishedRetentionMs = 24 * kHourMs;
-constexpr std::uint64_t kUnknownRetentionMs = 7 * 24 * kHourMs;
+constexpr std::uint64_t kUnknownRetentionMs = 7ULL * 24 * kHourMs;
 constexpr std::uint64_t kGivenUpRetentionMs = kHourMs;
 
 std::uint64_t RetentionOf(ClaimState state) {
--- a/src/endivecart/routing/decide_unittest.cc
+++ b/src/endivecart/routing/decide_unittest.cc
@@ -100,6 +100,7 @@
 
 BOOST_AUTO_TEST_CASE(equal_choices_go_by_affinity_the_same_on_every_host) {
   std::vector<UpstreamView> views;
+  views.reserve(8);
   for (int i = 0; i < 8; ++i)
     views.push_back(MakeView("u" + std::to_string(i), "a"));
   std::set<UpstreamId> chosen;
--- a/src/endivecart/transport/message_bus.h
+++ b/src/endivecart/transport/message_bus.h
@@ -9,7 +9,7 @@
 
 #include "endivecart/base/base.h"
 #include "endivecart/settings/settings.h"
-#include "endivecart/transport/generated/messages.pb.h"
+#include "endivecart_wire/messages.pb.h"
 
 namespace endivecart::transport {
 
--- a/src/endivecart/transport/transport.h
+++ b/src/endivecart/transport/transport.h
@@ -4,8 +4,8 @@
 // Public header of the transport library: authenticated, lossy, one-way
 // messages between the system's own hosts.
 
-#include "endivecart/transport/curve_keys.h"             // IWYU pragma: export
-#include "endivecart/transport/generated/messages.pb.h"  // IWYU pragma: export
-#include "endivecart/transport/message_bus.h"            // IWYU pragma: export
+#include "endivecart/transport/curve_keys.h"   // IWYU pragma: export
+#include "endivecart/transport/message_bus.h"  // IWYU pragma: export
+#include "endivecart_wire/messages.pb.h"       // IWYU pragma: export
 
 #endif  // ENDIVECART_TRANSPORT_TRANSPORT_H_
