--- a/src/endivecart/control/control_node.cc
+++ b/src/endivecart/control/control_node.cc
@@ -149,8 +149,15 @@
     proposal.sent_at = TimePoint{};
 }
 
-// Persists, sends and applies until the core has nothing more to do.
 void ControlNode::Pump(TimePoint now) {
+  PumpRaft(now);
+  // Only now does what is published include all that is committed.
+  if (std::exchange(news_to_push_, false))
+    PushNews(now);
+}
+
+// Persists, sends and applies until the core has nothing more to do.
+void ControlNode::PumpRaft(TimePoint now) {
   while (core_) {
     RaftReady ready =
         stalled_ ? *std::exchange(stalled_, std::nullopt) : core_->TakeReady();
@@ -251,7 +258,7 @@
 }
 
 void ControlNode::CompactIfLong() {
-  const std::uint64_t applied = core_->commit_index();
+  const std::uint64_t applied = core_->handed_out_index();
   if (applied < core_->log().snapshot_index() + options_.compact_entries)
     return;
   wire::DurableSnapshot snapshot;
@@ -285,7 +292,7 @@
   Publish(machine_->revision(), machine_->document());
   if (machine_->revision() <= before)
     return;
-  PushNews(now);
+  news_to_push_ = true;
   if (IsLeader()) {
     core_->Nudge(now);
   } else {
@@ -317,8 +324,12 @@
 }
 
 std::optional<TimePoint> ControlNode::OwnContact(TimePoint now) const {
-  if (IsLeader())
+  if (IsLeader()) {
+    // What is committed but not applied yet is not in force here.
+    if (core_->handed_out_index() < core_->commit_index() || stalled_)
+      return std::nullopt;
     return core_->QuorumContact(now);
+  }
   return freshness_.Holds(now) ? std::optional(freshness_.contact())
                                : std::nullopt;
 }
@@ -600,13 +611,17 @@
     const auto age = std::chrono::duration_cast<Millis>(now - *contact);
     reply.set_age_ms(static_cast<std::uint32_t>(age.count()) + 1);
   }
-  reply.set_revision(machine_->revision());
+  // This host's freshness speaks of the configuration it has in force, which
+  // may be ahead of its own copy of the log.
+  const Revision revision = current_ ? current_->revision : 0;
+  reply.set_revision(revision);
   std::vector<wire::RevisionPatch> patches;
-  if (known->revision > 0 && machine_->PatchesSince(known->revision, patches)) {
+  if (known->revision > 0 && machine_->revision() == revision &&
+      machine_->PatchesSince(known->revision, patches)) {
     for (wire::RevisionPatch& patch : patches)
       *reply.add_patches() = std::move(patch);
-  } else if (known->revision < machine_->revision()) {
-    reply.set_document(machine_->document());
+  } else if (known->revision < revision) {
+    reply.set_document(current_->document);
   }
   reply.set_down_epoch(down_epoch_);
   if (known->down_epoch != down_epoch_) {
--- a/src/endivecart/control/control_node.h
+++ b/src/endivecart/control/control_node.h
@@ -119,6 +119,7 @@
   };
 
   void Pump(TimePoint now);
+  void PumpRaft(TimePoint now);
   bool Persist(const RaftReady& ready);
   void SendRaft(wire::RaftMessage message);
   void ApplyCommitted(const wire::LogEntry& entry, TimePoint now);
@@ -157,6 +158,7 @@
   std::optional<RaftCore> core_;
   std::optional<StateMachine> machine_;
   std::string snapshot_state_;        // of the newest snapshot
+  bool news_to_push_ = false;
   std::optional<RaftReady> stalled_;  // found no room on the disk
   RaftRole last_role_ = RaftRole::kFollower;
   TimePoint leader_since_{};
--- a/src/endivecart/control/follower_tracker.cc
+++ b/src/endivecart/control/follower_tracker.cc
@@ -15,15 +15,16 @@
 void FollowerTracker::OnPoll(const HostId& host,
                              const wire::FollowPoll& poll,
                              TimePoint now) {
-  const auto before = hosts_.find(host);
-  // A restarted host may have lost what it had in force.
-  if (before != hosts_.end() && poll.asked_at() < before->second.asked_at)
-    before->second.revision = 0;
-  Note(host, poll.revision(), now);
   Known& known = hosts_[host];
-  known.asked_at = poll.asked_at();
-  known.down_epoch = poll.down_epoch();
+  known.heard = now;
   known.direct = true;
+  // Polls may come late or doubled. A restarted host may have less in force
+  // than before: its newest word counts, not its highest.
+  if (poll.asked_at() >= known.asked_at) {
+    known.asked_at = poll.asked_at();
+    known.revision = poll.revision();
+    known.down_epoch = poll.down_epoch();
+  }
   for (const wire::FollowerState& follower : poll.followers())
     Note(HostId(follower.host()), follower.revision(), now);
 }
--- a/src/endivecart/control/raft_core.cc
+++ b/src/endivecart/control/raft_core.cc
@@ -11,6 +11,7 @@
 constexpr std::size_t kMaxBytesPerAppend = 1UL << 20;
 constexpr std::uint64_t kCaughtUpLag = 64;  // entries a learner may be behind
 constexpr Millis kSnapshotResend{1000};
+constexpr Millis kRetryInterval{20};
 
 bool Contains(const google::protobuf::RepeatedPtrField<std::string>& list,
               const MemberId& member) {
@@ -522,7 +523,12 @@
     // The hint only ever moves back to what may match.
     peer.next =
         std::max(peer.match + 1, std::min(peer.next, reply.match_index() + 1));
-    return SendAppend(from, peer, now);
+    // Late and doubled rejections must not set off ever more messages.
+    if (now >= peer.retry_sent + kRetryInterval) {
+      peer.retry_sent = now;
+      SendAppend(from, peer, now);
+    }
+    return;
   }
   peer.match = std::max(peer.match, reply.match_index());
   peer.next = std::max(peer.next, peer.match + 1);
--- a/src/endivecart/control/raft_core.h
+++ b/src/endivecart/control/raft_core.h
@@ -110,6 +110,9 @@
   const MemberId& leader() const { return leader_; }
   const MemberId& self() const { return options_.self; }
   std::uint64_t commit_index() const { return commit_; }
+  // Last committed entry that TakeReady() handed out. The commit index may
+  // already be further.
+  std::uint64_t handed_out_index() const { return handed_out_; }
   const RaftLog& log() const { return log_; }
   const wire::VoterSet& voters() const { return voters_; }
   const MemberId& voted_for() const { return voted_for_; }
@@ -129,6 +132,7 @@
     std::uint64_t match = 0;
     TimePoint acked_send{};  // when the newest acknowledged message was sent
     TimePoint snapshot_sent{};
+    TimePoint retry_sent{};  // after a rejection
   };
 
   void ResetElectionTimer(TimePoint now);
