--- a/src/endivecart/control/data_folder.cc
+++ b/src/endivecart/control/data_folder.cc
@@ -94,13 +94,16 @@
   if (record.has_vote()) {
     state.term = record.vote().term();
     state.voted_for = MemberId(record.vote().voted_for());
-  } else if (record.has_entry()) {
-    state.entries.push_back(record.entry());
-  } else {
-    const std::uint64_t from = record.truncate_from();
-    while (!state.entries.empty() && state.entries.back().index() >= from)
-      state.entries.pop_back();
+    return;
   }
+  // An entry replaces what stood at its place: a snapshot may already have
+  // been saved along with entries whose own records come after it.
+  const std::uint64_t from = record.has_entry() ? record.entry().index()
+                                                : record.truncate_from();
+  while (!state.entries.empty() && state.entries.back().index() >= from)
+    state.entries.pop_back();
+  if (record.has_entry() && from > state.snapshot.last_index())
+    state.entries.push_back(record.entry());
 }
 
 DataFolder::~DataFolder() {
