Leaders keep office while a quorum answers; faster back-off of logs that differ

Change: check-quorum counts answers, not commits; a follower names the last index that may match, a whole term at a time.

--- a/soak/fakes.cc
+++ b/soak/fakes.cc
@@ -56,8 +56,8 @@
 template <class Write>
 Result<bool, control::StorageError> FakeDisk::Guarded(Write write) {
   if (full_) {
-    return Fail(control::StorageError{control::StorageErrorCode::kFull,
-                                      "no room"});
+    return Fail(
+        control::StorageError{control::StorageErrorCode::kFull, "no room"});
   }
   const bool crash = dice_.Chance(crash_chance_);
   const bool reached = !crash || dice_.Chance(0.5);
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -19,9 +19,8 @@
 std::vector<std::uint64_t> ReadSeeds(const std::string& text) {
   const std::size_t dash = text.find('-');
   const std::uint64_t first = std::stoull(text.substr(0, dash));
-  const std::uint64_t last = dash == std::string::npos
-                                 ? first
-                                 : std::stoull(text.substr(dash + 1));
+  const std::uint64_t last =
+      dash == std::string::npos ? first : std::stoull(text.substr(dash + 1));
   std::vector<std::uint64_t> seeds;
   for (std::uint64_t seed = first; seed <= last; ++seed)
     seeds.push_back(seed);
--- a/soak/random_run.cc
+++ b/soak/random_run.cc
@@ -18,7 +18,7 @@
 constexpr std::int64_t kStepMs = 10;
 constexpr int kUpstreamSlots = 5;
 constexpr std::int64_t kFreshnessMs = 3000;
-constexpr double kMaxDrift = 0.01;       // of a host's clock speed
+constexpr double kMaxDrift = 0.01;           // of a host's clock speed
 constexpr std::int64_t kQuietEndMs = 20000;  // to settle after the last fault
 constexpr char kUpstream[] = "upstream:a-u1";
 const char kFirstDocument[] =
@@ -29,7 +29,7 @@
   std::map<Revision, std::string> change_at;     // accepted change by revision
   std::map<Revision, std::int64_t> accepted_ms;  // when first seen
   std::map<Revision, std::string> document_at;
-  std::map<std::string, std::string> answer_of;  // change id -> answer
+  std::map<std::string, std::string> answer_of;   // change id -> answer
   std::map<std::string, std::string> dispatched;  // key -> claim id
 };
 
@@ -48,8 +48,8 @@
 
   TimePoint Now(std::int64_t ms) const {
     return TimePoint(std::chrono::microseconds(
-        1000000 + static_cast<std::int64_t>(static_cast<double>(ms) * 1000 *
-                                            speed)));
+        1000000 +
+        static_cast<std::int64_t>(static_cast<double>(ms) * 1000 * speed)));
   }
 };
 
@@ -73,7 +73,9 @@
   void Work();
   void OperatorWork();
   void ClaimWork();
-  void OnClaimed(SimHost& host, std::uint64_t life, const std::string& key,
+  void OnClaimed(SimHost& host,
+                 std::uint64_t life,
+                 const std::string& key,
                  const std::string& claim_id,
                  const std::optional<wire::Outcome>& outcome);
   void RepairVoters();
@@ -88,8 +90,10 @@
   void CheckEnd();
   void Violation(const std::string& text);
   settings::HostSettings SettingsOf(const SimHost& host) const;
-  SimHost& Any() { return hosts_[static_cast<std::size_t>(
-      dice_.Below(static_cast<int>(hosts_.size())))]; }
+  SimHost& Any() {
+    return hosts_[static_cast<std::size_t>(
+        dice_.Below(static_cast<int>(hosts_.size())))];
+  }
 
   const RunOptions options_;
   Dice dice_;
@@ -162,14 +166,14 @@
     }
   };
   share.on_upstreams = [](const HostId&, const auto&) {};
-  host.exchange = std::make_unique<membership::ShareExchange>(
-      SettingsOf(host), std::move(share));
+  host.exchange = std::make_unique<membership::ShareExchange>(SettingsOf(host),
+                                                              std::move(share));
   control::ControlOptions options;
   options.self = host.entry.id;
   options.domain = host.entry.domain;
   options.hosts = entries_;
-  options.seed = options_.seed * 100 + static_cast<std::uint64_t>(
-                                           dice_.Below(1000000));
+  options.seed =
+      options_.seed * 100 + static_cast<std::uint64_t>(dice_.Below(1000000));
   options.compact_entries = 40;
   options.first_document = kFirstDocument;
   if (host.disk) {
@@ -211,14 +215,12 @@
   }
 }
 
-void Run::OnPublished(SimHost& host,
-                      const configuration::ConfigurationPtr& c) {
+void Run::OnPublished(SimHost& host, const configuration::ConfigurationPtr& c) {
   if (c->revision <= host.revision)
     Violation(host.entry.id.str() + " reverted to revision " +
               std::to_string(c->revision));
   host.revision = c->revision;
-  const auto [it, added] =
-      truth_.document_at.emplace(c->revision, c->document);
+  const auto [it, added] = truth_.document_at.emplace(c->revision, c->document);
   if (!added && it->second != c->document)
     Violation("two documents at revision " + std::to_string(c->revision));
   truth_.accepted_ms.emplace(c->revision, now_ms_);
@@ -293,17 +295,19 @@
         host.disk->SetFull(dice_.Chance(0.3));
       return;
     default: {
-      // A disk is lost only while all other voters are founders or repaired:
-      // a quorum must keep its memory.
-      const bool all_up = std::all_of(
-          hosts_.begin(), hosts_.end(),
-          [](const SimHost& h) { return !h.disk || h.node; });
+      // A disk is lost only once the repair before it is complete: with two
+      // of four voters' disks lost no quorum keeps its memory.
+      const bool all_up =
+          std::all_of(hosts_.begin(), hosts_.end(),
+                      [](const SimHost& h) { return !h.disk || h.node; });
       if (!host.disk || !all_up || !host.node || !dice_.Chance(0.5))
         return;
-      const bool settled = std::all_of(
-          hosts_.begin(), hosts_.end(), [&](const SimHost& h) {
-            return !h.disk || (h.node->core()->IsVoter(h.node->core()->self()) &&
-                               h.node->core()->voters().learners().empty());
+      const bool settled =
+          std::all_of(hosts_.begin(), hosts_.end(), [&](const SimHost& h) {
+            return !h.disk ||
+                   (h.node->core()->IsVoter(h.node->core()->self()) &&
+                    h.node->core()->voters().learners().empty() &&
+                    h.node->core()->voters().voters_size() == 3);
           });
       if (!settled)
         return;
@@ -383,16 +387,16 @@
     std::tie(change_id, command) = dice_.Pick(sent_changes_);
   } else {
     change_id = "change-" + std::to_string(next_id_++);
-    const Revision seen = host.node->configuration()
-                              ? host.node->configuration()->revision
-                              : 0;
+    const Revision seen =
+        host.node->configuration() ? host.node->configuration()->revision : 0;
     wire::ConfigurationChange* change = command.mutable_change();
     change->set_change_id(change_id);
     change->set_expected_revision(seen);
     change->set_author("op" + std::to_string(dice_.Below(2)));
     const std::string state = dice_.Chance(0.5) ? "out" : "in";
-    change->set_patch("{\"domains\":{\"" + std::string(1, "abc"[dice_.Below(3)]) +
-                      "\":\"" + state + "\"},\"upstreams\":{\"x\":{\"leaving\":" +
+    change->set_patch("{\"domains\":{\"" +
+                      std::string(1, "abc"[dice_.Below(3)]) + "\":\"" + state +
+                      "\"},\"upstreams\":{\"x\":{\"leaving\":" +
                       (dice_.Chance(0.5) ? "true" : "false") + "}}}");
     sent_changes_.emplace_back(change_id, command);
   }
@@ -470,7 +474,8 @@
   } else {
     return;
   }
-  host.node->Propose(next, now + Millis(5000), [](const auto&) {}, now);
+  host.node->Propose(
+      next, now + Millis(5000), [](const auto&) {}, now);
 }
 
 void Run::Announce() {
@@ -587,9 +592,8 @@
 }
 
 void Run::CheckEnd() {
-  const Revision newest = truth_.accepted_ms.empty()
-                              ? 0
-                              : truth_.accepted_ms.rbegin()->first;
+  const Revision newest =
+      truth_.accepted_ms.empty() ? 0 : truth_.accepted_ms.rbegin()->first;
   if (newest == 0)
     Violation("no configuration was ever accepted");
   for (const SimHost& host : hosts_) {
--- a/src/endivecart/control/control_node.h
+++ b/src/endivecart/control/control_node.h
@@ -157,7 +157,7 @@
   const Hooks hooks_;
   std::optional<RaftCore> core_;
   std::optional<StateMachine> machine_;
-  std::string snapshot_state_;        // of the newest snapshot
+  std::string snapshot_state_;  // of the newest snapshot
   bool news_to_push_ = false;
   std::optional<RaftReady> stalled_;  // found no room on the disk
   RaftRole last_role_ = RaftRole::kFollower;
--- a/src/endivecart/control/data_folder.cc
+++ b/src/endivecart/control/data_folder.cc
@@ -98,8 +98,8 @@
   }
   // An entry replaces what stood at its place: a snapshot may already have
   // been saved along with entries whose own records come after it.
-  const std::uint64_t from = record.has_entry() ? record.entry().index()
-                                                : record.truncate_from();
+  const std::uint64_t from =
+      record.has_entry() ? record.entry().index() : record.truncate_from();
   while (!state.entries.empty() && state.entries.back().index() >= from)
     state.entries.pop_back();
   if (record.has_entry() && from > state.snapshot.last_index())
--- a/src/endivecart/control/raft_core.cc
+++ b/src/endivecart/control/raft_core.cc
@@ -135,9 +135,8 @@
     if (now >= heartbeat_due_)
       Broadcast(now);
     // Check-quorum: a leader that no quorum answers must not think it leads.
-    const auto contact = QuorumContact(now);
-    const TimePoint newest = contact.value_or(leader_since_);
-    if (now >= std::max(newest, leader_since_) + options_.election_max)
+    const TimePoint contact = NewestQuorumSend(now).value_or(leader_since_);
+    if (now >= std::max(contact, leader_since_) + options_.election_max)
       BecomeFollower(term_, MemberId(), now);
     return;
   }
@@ -473,9 +472,7 @@
                        (previous < log_.snapshot_index() ||
                         log_.TermAt(previous) == request.previous_term());
   if (!matches) {
-    const std::uint64_t hint =
-        previous > 0 ? std::min(log_.last_index(), previous - 1) : 0;
-    return ReplyAppend(from, false, hint, request.sent_at());
+    return ReplyAppend(from, false, MatchHint(previous), request.sent_at());
   }
   if (!TakeEntries(request))
     return;
@@ -485,6 +482,19 @@
   ReplyAppend(from, true, match, request.sent_at());
 }
 
+// The last index that may match a leader whose entry at `previous` differs: a
+// whole term is skipped at a time.
+std::uint64_t RaftCore::MatchHint(std::uint64_t previous) const {
+  std::uint64_t hint = std::min(log_.last_index(), previous);
+  const std::uint64_t conflicting_term = log_.TermAt(hint);
+  while (hint > commit_ && hint >= log_.first_index() &&
+         (hint == previous || log_.TermAt(hint) == conflicting_term) &&
+         log_.last_index() >= previous) {
+    --hint;
+  }
+  return hint;
+}
+
 bool RaftCore::TakeEntries(const wire::AppendRequest& request) {
   for (const wire::LogEntry& entry : request.entries()) {
     if (entry.index() <= log_.snapshot_index())
@@ -614,6 +624,10 @@
 std::optional<TimePoint> RaftCore::QuorumContact(TimePoint now) const {
   if (role_ != RaftRole::kLeader || log_.TermAt(commit_) != term_)
     return std::nullopt;
+  return NewestQuorumSend(now);
+}
+
+std::optional<TimePoint> RaftCore::NewestQuorumSend(TimePoint now) const {
   std::vector<TimePoint> contacts;
   for (const std::string& voter : voters_.voters()) {
     const MemberId member(voter);
--- a/src/endivecart/control/raft_core.h
+++ b/src/endivecart/control/raft_core.h
@@ -145,6 +145,9 @@
   void RecordVote();
   void AskForVotes(bool pre_vote, std::uint64_t term);
   bool HasLeaderContact(TimePoint now) const;
+  // When the newest messages were sent that a quorum has answered.
+  std::optional<TimePoint> NewestQuorumSend(TimePoint now) const;
+  std::uint64_t MatchHint(std::uint64_t previous) const;
   void Send(const MemberId& to, wire::RaftMessage message, std::uint64_t term);
   void SendAppend(const MemberId& to, Peer& peer, TimePoint now);
   void SendSnapshot(const MemberId& to, Peer& peer, TimePoint now);
