--- a/src/endivecart/control/control_node.cc
+++ b/src/endivecart/control/control_node.cc
@@ -50,6 +50,7 @@
     : options_(std::move(options)),
       storage_(storage),
       hooks_(std::move(hooks)),
+      started_at_(now),
       freshness_(kFreshnessLease),
       followers_(kFreshnessLease + kLeaseMargin) {
   if (storage_ == nullptr)
@@ -396,7 +397,8 @@
   const auto contact = core_->QuorumContact(now);
   report.in_force = contact && machine_->revision() >= revision;
   // Leases that an earlier leader gave may still be out.
-  const TimePoint settled = leader_since_ + kFreshnessLease + kLeaseMargin;
+  const TimePoint settled = std::max(
+      leader_since_ + kFreshnessLease + kLeaseMargin, unreported_until_);
   for (const settings::HostEntry& host : options_.hosts) {
     if (host.id == options_.self)
       continue;
@@ -567,6 +569,8 @@
   poll.set_asked_at(ToWire(now));
   poll.set_revision(current_ ? current_->revision : 0);
   poll.set_down_epoch(down_epoch_);
+  poll.set_recently_started(core_ &&
+                            now < started_at_ + kFreshnessLease + kLeaseMargin);
   for (const wire::FollowerState& follower : followers_.Report(now))
     *poll.add_followers() = follower;
   hooks_.send(*parent, std::move(envelope));
@@ -588,6 +592,8 @@
   const FollowerTracker::Known* known = followers_.Find(from);
   if (known == nullptr || known->revision < poll.revision())
     poll_due_ = now;  // the leader waits for this acknowledgement
+  if (poll.recently_started())
+    unreported_until_ = now + kFreshnessLease + kLeaseMargin;
   followers_.OnPoll(from, poll, now);
   SendFollowReply(from, now);
 }
--- a/src/endivecart/control/control_node.h
+++ b/src/endivecart/control/control_node.h
@@ -162,6 +162,9 @@
   std::optional<RaftReady> stalled_;  // found no room on the disk
   RaftRole last_role_ = RaftRole::kFollower;
   TimePoint leader_since_{};
+  TimePoint started_at_;
+  // Until then, leases may be out of which no voter's report tells.
+  TimePoint unreported_until_{};
   configuration::ConfigurationPtr current_;
   std::set<HostId> down_hosts_;
   std::uint64_t down_epoch_ = 0;
--- a/src/endivecart/control/raft_core.cc
+++ b/src/endivecart/control/raft_core.cc
@@ -580,7 +580,11 @@
   BecomeFollower(message.term(), from, now);
   leader_contact_ = now;
   ResetElectionTimer(now);
-  if (request.last_index() > commit_) {
+  if (log_.Holds(request.last_index()) &&
+      log_.TermAt(request.last_index()) == request.last_term()) {
+    // The log already covers it, and may hold acknowledged entries beyond.
+    SetCommit(request.last_index());
+  } else if (request.last_index() > commit_) {
     wire::DurableSnapshot snapshot;
     snapshot.set_last_index(request.last_index());
     snapshot.set_last_term(request.last_term());
