Voters report what other voters reported to them

Cause: a voter that still took a deposed leader for the leader reported its followers there; that one reported the voter but not the followers, and the new leader said a change was in force while such a host was fresh without it (seed 576).

Change: a voter's report lists every host that may hold a lease, however it came to know of it.

--- a/src/endivecart/control/follower_tracker.cc
+++ b/src/endivecart/control/follower_tracker.cc
@@ -45,10 +45,12 @@
 
 std::vector<wire::FollowerState> FollowerTracker::Report(TimePoint now) const {
   std::vector<wire::FollowerState> report;
-  for (const HostId& host : Direct(now)) {
+  for (const auto& [host, known] : hosts_) {
+    if (!MayBeFresh(host, now))
+      continue;
     wire::FollowerState& state = report.emplace_back();
     state.set_host(host.str());
-    state.set_revision(hosts_.at(host).revision);
+    state.set_revision(known.revision);
   }
   return report;
 }
--- a/src/endivecart/control/follower_tracker.h
+++ b/src/endivecart/control/follower_tracker.h
@@ -34,7 +34,9 @@
 
   bool MayBeFresh(const HostId& host, TimePoint now) const;
   const Known* Find(const HostId& host) const;
-  // Direct followers that may hold a lease, for the report to the leader.
+  // All hosts that may hold a lease, for the report to the leader. Those that
+  // others reported are among them: while a new leader becomes known, a voter
+  // may still report to one that is no longer the leader.
   std::vector<wire::FollowerState> Report(TimePoint now) const;
   // Direct followers to push news to.
   std::vector<HostId> Direct(TimePoint now) const;
