Scarce slots are given back at once

Cause: while upstreams are fresh, their few slots stood idle at hosts that had no work until the next renewal, up to a second.

Change: a grant says when slots are scarce; idle ones are then given back with the next message, along with what finished requests told of the upstream.

--- a/soak/random_run.cc
+++ b/soak/random_run.cc
@@ -162,7 +162,8 @@
   };
   share.on_grants = [self](const auto& grants) {
     for (const membership::ResourceGrant& grant : grants) {
-      self->holder.SetGrant(grant.resource, grant.slots, grant.valid_until);
+      self->holder.SetGrant(grant.resource, grant.slots, grant.valid_until,
+                            grant.scarce);
     }
   };
   share.on_upstreams = [](const HostId&, const auto&) {};
--- a/src/endivecart/entry/dispatcher.cc
+++ b/src/endivecart/entry/dispatcher.cc
@@ -558,6 +558,10 @@
     }
     --running_;
     Serve(now);
+    if (slots_.ShouldReturn(membership::UpstreamResource(placement.upstream),
+                            now)) {
+      hooks_.on_demand();
+    }
   }
   hooks_.on_report(placement, class_name, report);
 }
@@ -588,7 +592,8 @@
     const std::vector<membership::ResourceGrant>& grants) {
   std::scoped_lock lock(state_->mutex_);
   for (const membership::ResourceGrant& grant : grants)
-    state_->slots_.SetGrant(grant.resource, grant.slots, grant.valid_until);
+    state_->slots_.SetGrant(grant.resource, grant.slots, grant.valid_until,
+                            grant.scarce);
   state_->RefreshAndServe();
 }
 
--- a/src/endivecart/membership/share_book.cc
+++ b/src/endivecart/membership/share_book.cc
@@ -97,6 +97,16 @@
   return wanted == 0 && ample ? 1 : wanted;
 }
 
+bool ShareBook::IsScarce(const std::string& resource, TimePoint now) const {
+  const auto it = resources_.find(resource);
+  if (it == resources_.end())
+    return false;
+  const Resource& entry = it->second;
+  const int lendable = entry.capacity - entry.reserved;
+  return DemandWithout(entry, HostId(), now) > lendable ||
+         lendable <= static_cast<int>(entry.borrowers.size());
+}
+
 int ShareBook::Ask(const std::string& resource,
                    const HostId& borrower,
                    const ShareWish& wish,
--- a/src/endivecart/membership/share_book.h
+++ b/src/endivecart/membership/share_book.h
@@ -34,6 +34,9 @@
   void SetRunning(const std::string& resource, int running, TimePoint now);
   void Remove(const std::string& resource);
 
+  // Whether there are hardly enough slots to go round.
+  bool IsScarce(const std::string& resource, TimePoint now) const;
+
   // Renews the borrower's lease and returns its slots, those in use included.
   int Ask(const std::string& resource,
           const HostId& borrower,
--- a/src/endivecart/membership/share_exchange.cc
+++ b/src/endivecart/membership/share_exchange.cc
@@ -302,7 +302,8 @@
   std::vector<ResourceGrant> grants;
   for (const ResourceWish& wish : wishes) {
     const int slots = book_.Ask(wish.resource, self_, wish.wish, now);
-    grants.push_back({wish.resource, slots, now + kShareLease});
+    grants.push_back({wish.resource, slots, now + kShareLease,
+                      book_.IsScarce(wish.resource, now)});
   }
   hooks_.on_grants(grants);
   hooks_.on_upstreams(self_, HomedUpstreams());
@@ -340,6 +341,7 @@
     wire::ShareGrant* grant = reply.add_grants();
     grant->set_resource(wish.resource());
     grant->set_lease_ms(static_cast<std::uint32_t>(kShareLease.count()));
+    grant->set_scarce(book_.IsScarce(wish.resource(), now));
     grant->set_slots(static_cast<std::uint32_t>(book_.Ask(
         wish.resource(), from,
         {static_cast<int>(wish.wanted()), static_cast<int>(wish.in_use())},
@@ -364,7 +366,7 @@
     for (const wire::ShareGrant& grant : reply.grants()) {
       const Millis lease(grant.lease_ms() * (100 - kClockDriftPercent) / 100);
       grants.push_back({grant.resource(), static_cast<int>(grant.slots()),
-                        peer->second.asked_at + lease});
+                        peer->second.asked_at + lease, grant.scarce()});
     }
     hooks_.on_grants(grants);
   }
--- a/src/endivecart/membership/share_exchange.h
+++ b/src/endivecart/membership/share_exchange.h
@@ -36,6 +36,7 @@
   std::string resource;
   int slots = 0;
   TimePoint valid_until;
+  bool scarce = false;  // idle slots are to be given back at once
 
   bool operator==(const ResourceGrant&) const = default;
 };
--- a/src/endivecart/membership/share_holder.cc
+++ b/src/endivecart/membership/share_holder.cc
@@ -12,12 +12,14 @@
 
 void ShareHolder::SetGrant(const std::string& resource,
                            int slots,
-                           TimePoint valid_until) {
+                           TimePoint valid_until,
+                           bool scarce) {
   Holding& holding = holdings_[resource];
   // An answer that comes late must not bring back an older grant.
   if (valid_until < holding.valid_until)
     return;
   holding.granted = slots;
+  holding.scarce = scarce;
   holding.valid_until = valid_until;
 }
 
@@ -70,6 +72,13 @@
   --it->second.in_use;
 }
 
+bool ShareHolder::ShouldReturn(const std::string& resource,
+                               TimePoint now) const {
+  const auto it = holdings_.find(resource);
+  return it != holdings_.end() && it->second.scarce &&
+         it->second.waiting == 0 && Free(resource, now) > 0;
+}
+
 void ShareHolder::NoteWaiting(const std::string& resource,
                               int waiting,
                               TimePoint now) {
@@ -89,7 +98,9 @@
 ShareWish ShareHolder::Wish(const std::string& resource, TimePoint now) {
   Holding& holding = holdings_[resource];
   NotePeak(holding, now);
-  return {std::max(holding.peak - holding.owned, 0),
+  const int wanted =
+      holding.scarce ? holding.in_use + holding.waiting : holding.peak;
+  return {std::max(wanted - holding.owned, 0),
           std::max(holding.in_use - holding.owned, 0)};
 }
 
--- a/src/endivecart/membership/share_holder.h
+++ b/src/endivecart/membership/share_holder.h
@@ -14,7 +14,10 @@
 class ShareHolder {
  public:
   // Records a grant; `valid_until` is counted from when it was asked for.
-  void SetGrant(const std::string& resource, int slots, TimePoint valid_until);
+  void SetGrant(const std::string& resource,
+                int slots,
+                TimePoint valid_until,
+                bool scarce = false);
   // Slots this host owns without any lease.
   void SetOwned(const std::string& resource, int slots);
   void Remove(const std::string& resource);
@@ -25,6 +28,9 @@
   int InUse(const std::string& resource) const;
   int Slots(const std::string& resource, TimePoint now) const;
 
+  // Whether idle slots are held that others may be waiting for.
+  bool ShouldReturn(const std::string& resource, TimePoint now) const;
+
   // Notes that work waits for this resource.
   void NoteWaiting(const std::string& resource, int waiting, TimePoint now);
   // What to ask the home for: recent peak use and what waits now.
@@ -33,6 +39,7 @@
  private:
   struct Holding {
     int granted = 0;
+    bool scarce = false;
     int owned = 0;
     int in_use = 0;
     int waiting = 0;
