Moves of versions: gate, judge, plan and controller

Cause: new versions must take over by a deadline, and bad ones be taken back after a small share of traffic.

Change: slice moves; each host judges a new version route by route with sequential tests against the promoted version in the same window and stops it at once; the leader raises the share by steps up to the deadline, orders loads with its term as fencing number (two at a time), promotes, goes on judging, and takes back. All state is in the replicated configuration.

--- a/src/endivecart/configuration/configuration_set.cc
+++ b/src/endivecart/configuration/configuration_set.cc
@@ -76,6 +76,7 @@
   rollout.started_ms = reader.Int("started_ms", 0, kMaxUnixMs);
   rollout.deadline_ms = reader.Int("deadline_ms", 0, kMaxUnixMs);
   rollout.route = reader.StringOr("route", "");
+  rollout.previous = VersionId(reader.StringOr("previous", ""));
   rollout.reason = reader.StringOr("reason", "");
   reader.RefuseUnknownKeys();
   return rollout;
--- a/src/endivecart/configuration/configuration_values.h
+++ b/src/endivecart/configuration/configuration_values.h
@@ -51,6 +51,7 @@
 // The move of a model's traffic to a new version.
 struct Rollout {
   VersionId version;
+  VersionId previous;  // promoted before; known once the rollout is done
   RolloutState state = RolloutState::kRunning;
   int share_permille = 0;        // of the model's new requests
   std::int64_t started_ms = 0;   // Unix time
--- a/src/endivecart/endivecart.h
+++ b/src/endivecart/endivecart.h
@@ -14,6 +14,7 @@
 #include "endivecart/http/http.h"                    // IWYU pragma: export
 #include "endivecart/ledger/ledger.h"                // IWYU pragma: export
 #include "endivecart/membership/membership.h"        // IWYU pragma: export
+#include "endivecart/moves/moves.h"                  // IWYU pragma: export
 #include "endivecart/operators/operators.h"          // IWYU pragma: export
 #include "endivecart/routing/routing.h"              // IWYU pragma: export
 #include "endivecart/settings/settings.h"            // IWYU pragma: export
--- a/src/endivecart/entry/dispatcher.cc
+++ b/src/endivecart/entry/dispatcher.cc
@@ -715,10 +715,13 @@
   return state_->running_;
 }
 
-std::vector<routing::UpstreamView> Dispatcher::Views() const {
+std::vector<ListedUpstream> Dispatcher::ListUpstreams() const {
   std::scoped_lock lock(state_->mutex_);
+  std::vector<ListedUpstream> list;
   const auto views = state_->table_.views();
-  return {views.begin(), views.end()};
+  for (std::size_t i = 0; i < views.size(); ++i)
+    list.push_back({views[i], state_->table_.upstream(i).url});
+  return list;
 }
 
 }  // namespace endivecart::entry
--- a/src/endivecart/entry/dispatcher.h
+++ b/src/endivecart/entry/dispatcher.h
@@ -17,6 +17,14 @@
 // Which order of upstreams is used; all but the first are baselines.
 enum class RoutingPolicy { kPredicted, kLeastLoaded, kRoundRobin };
 
+// One upstream that this host knows of.
+struct ListedUpstream {
+  routing::UpstreamView view;
+  std::string url;
+
+  bool operator==(const ListedUpstream&) const = default;
+};
+
 // Admits requests and gives each attempt a place: plan limits, fair order,
 // slots and the routing decision under one lock. Thread-safe.
 class Dispatcher {
@@ -88,7 +96,7 @@
   void StopAdmitting();
   int Running() const;
 
-  std::vector<routing::UpstreamView> Views() const;
+  std::vector<ListedUpstream> ListUpstreams() const;
 
  private:
   class State;
--- a/src/endivecart/host/control_thread.cc
+++ b/src/endivecart/host/control_thread.cc
@@ -55,6 +55,8 @@
     parts_.exchange->OnAsk(from, envelope.share_ask(), now);
   } else if (envelope.has_share_reply()) {
     parts_.exchange->OnReply(from, envelope.share_reply(), now);
+  } else if (envelope.has_move_report()) {
+    parts_.on_other(envelope);
   } else {
     parts_.node->OnEnvelope(envelope, now);
   }
--- a/src/endivecart/host/control_thread.h
+++ b/src/endivecart/host/control_thread.h
@@ -28,6 +28,8 @@
     std::unique_ptr<control::ControlNode> node;
     std::unique_ptr<membership::ShareExchange> exchange;
     std::function<void(TimePoint)> on_tick;  // about every 10 ms
+    // Messages that are neither for the node nor for the exchange.
+    std::function<void(const wire::Envelope&)> on_other;
   };
 
   explicit ControlThread(TimerService& timer);
@@ -52,6 +54,9 @@
   // Only for tasks on the control thread.
   control::ControlNode& node() { return *parts_.node; }
   membership::ShareExchange& exchange() { return *parts_.exchange; }
+  void Send(const HostId& to, wire::Envelope envelope) {
+    parts_.bus->Send(to, std::move(envelope));
+  }
   const transport::BusCounters& counters() const {
     return parts_.bus->counters();
   }
--- a/src/endivecart/host/host.cc
+++ b/src/endivecart/host/host.cc
@@ -12,6 +12,7 @@
 #include "endivecart/control/control.h"
 #include "endivecart/host/claim_client.h"
 #include "endivecart/host/control_thread.h"
+#include "endivecart/host/move_runner.h"
 #include "endivecart/operators/operators.h"
 
 namespace endivecart::host {
@@ -84,9 +85,6 @@
       transport::MessageBus& bus);
   void MakeDispatcher();
   void MakeHandlers();
-  VersionId ChooseVersion(const configuration::Model& model,
-                          const std::string& class_name,
-                          int draw) const;
   operators::OperatorServer::Hooks OperatorHooks();
   Result<operators::ChangeResult, operators::OperatorError> Change(
       const operators::ChangeRequest& request);
@@ -109,6 +107,7 @@
   ControlThread control_;
   std::unique_ptr<ClaimClient> claims_;
   std::unique_ptr<entry::Dispatcher> dispatcher_;
+  std::unique_ptr<MoveRunner> moves_;
   http::ClientPool pool_;
   std::unique_ptr<entry::CacheKeeper> cache_;
   std::unique_ptr<entry::CompletionHandler> completions_;
@@ -163,33 +162,25 @@
   return true;
 }
 
-VersionId Host::Parts::ChooseVersion(const configuration::Model& model,
-                                     const std::string& class_name,
-                                     int draw) const {
-  const auto& rollout = model.rollout;
-  // A host that may be out of date sends nothing to an unproved version.
-  if (!rollout || rollout->state != configuration::RolloutState::kRunning ||
-      !fresh_ || draw >= rollout->share_permille ||
-      (!rollout->route.empty() && rollout->route != class_name)) {
-    return model.version;
-  }
-  return rollout->version;
-}
-
 void Host::Parts::MakeDispatcher() {
   entry::Dispatcher::Hooks hooks;
   hooks.now = [this] { return timer_.Now(); };
   hooks.fresh = [this] { return fresh_.load(); };
   hooks.choose_version = [this](const auto& model, const auto& class_name,
                                 int draw) {
-    return ChooseVersion(model, class_name, draw);
+    return moves_->Choose(model, class_name, draw, fresh_);
   };
   hooks.on_demand = [this] {
     control_.Post([this](TimePoint now) { exchange_->OnDemand(now); });
   };
-  hooks.on_report = [](const auto&, const auto&, const auto&) {};
+  hooks.on_report = [this](const auto& placement, const auto& class_name,
+                           const auto& report) {
+    moves_->OnReport(placement, class_name, report);
+  };
   dispatcher_ = std::make_unique<entry::Dispatcher>(
       options_.settings, options_.policy, std::move(hooks), metrics_);
+  moves_ = std::make_unique<MoveRunner>(options_.settings.host, control_,
+                                        *dispatcher_);
 }
 
 std::unique_ptr<control::ControlNode> Host::Parts::MakeNode(
@@ -256,6 +247,10 @@
   parts.bus = std::move(*bus);
   parts.on_tick = [this](TimePoint now) {
     fresh_ = control_.node().Fresh(now);
+    moves_->Tick(now);
+  };
+  parts.on_other = [this](const wire::Envelope& envelope) {
+    moves_->OnEnvelope(envelope);
   };
   claims_ = std::make_unique<ClaimClient>(control_);
   control_.Start(std::move(parts));
@@ -470,7 +465,8 @@
 
 std::string Host::Parts::UpstreamsJson() {
   Poco::JSON::Array::Ptr list = new Poco::JSON::Array;
-  for (const routing::UpstreamView& view : dispatcher_->Views()) {
+  for (const entry::ListedUpstream& listed : dispatcher_->ListUpstreams()) {
+    const routing::UpstreamView& view = listed.view;
     Json::Ptr entry = new Json;
     entry->set("id", view.id.str());
     entry->set("domain", view.domain.str());
--- /dev/null
+++ b/src/endivecart/moves/move_controller.cc
@@ -0,0 +1,242 @@
+#include "endivecart/moves/move_controller.h"
+
+#include <algorithm>
+
+namespace endivecart::moves {
+
+namespace {
+
+using configuration::Rollout;
+using configuration::RolloutState;
+
+// An upstream that does not check fencing numbers may still carry out an
+// order of the leader before: its lease, and the longest that an order is
+// under way, are waited out.
+constexpr Millis kOldLeaderLease{1200};
+constexpr Millis kLongestOrder{10000};
+
+std::uint64_t Requests(const std::map<HostId, MoveReport>& reports) {
+  std::uint64_t total = 0;
+  for (const auto& [host, report] : reports)
+    total += report.requests;
+  return total;
+}
+
+std::string Verdict(const std::map<HostId, MoveReport>& reports) {
+  for (const auto& [host, report] : reports) {
+    if (!report.verdict.empty())
+      return host.str() + ": " + report.verdict;
+  }
+  return {};
+}
+
+// A JSON string of text that holds no character to escape but quotes.
+std::string Quoted(const std::string& text) {
+  std::string out = "\"";
+  for (const char c : text)
+    out += c == '"' || c == '\\' ? '\'' : c;
+  return out + "\"";
+}
+
+std::string RolloutPatch(const ModelId& model, const std::string& fields) {
+  return "\"rollouts\":{" + Quoted(model.str()) + ":{" + fields + "}}";
+}
+
+std::string PromotePatch(const ModelId& model, const VersionId& version) {
+  return "\"models\":{" + Quoted(model.str()) +
+         ":{\"version\":" + Quoted(version.str()) + "}}";
+}
+
+std::string PatchFor(const MoveStep& step,
+                     const configuration::Model& model) {
+  const Rollout& rollout = *model.rollout;
+  switch (step.kind) {
+    case MoveStepKind::kRaiseShare:
+      return "{" + RolloutPatch(model.id,
+                                "\"share_permille\":" +
+                                    std::to_string(step.share_permille)) +
+             "}";
+    case MoveStepKind::kFinish:
+      return "{" +
+             RolloutPatch(model.id, "\"state\":\"done\",\"reason\":" +
+                                        Quoted(step.reason) +
+                                        ",\"previous\":" +
+                                        Quoted(model.version.str())) +
+             "," + PromotePatch(model.id, rollout.version) + "}";
+    case MoveStepKind::kTakeBack:
+      return "{" +
+             RolloutPatch(model.id,
+                          "\"state\":\"taken-back\",\"share_permille\":0,"
+                          "\"reason\":" +
+                              Quoted(step.reason)) +
+             "}";
+    case MoveStepKind::kWait:
+      break;
+  }
+  return {};
+}
+
+}  // namespace
+
+void MoveController::OnLeading(std::uint64_t fence, TimePoint now) {
+  fence_ = fence;
+  leading_since_ = now;
+  seen_.clear();
+  ordered_.clear();
+}
+
+void MoveController::OnReport(const HostId& host, const MoveReport& report) {
+  const auto it = seen_.find(report.model);
+  if (it != seen_.end() && it->second.started_ms == report.started_ms)
+    it->second.reports[host] = report;
+}
+
+void MoveController::OnOrderEnded(const UpstreamId& upstream) {
+  ordered_.erase(upstream);
+}
+
+MoveController::Seen& MoveController::SeenOf(const configuration::Model& model,
+                                             std::int64_t unix_ms) {
+  Seen& seen = seen_[model.id];
+  if (seen.started_ms != model.rollout->started_ms) {
+    seen = {};
+    seen.started_ms = model.rollout->started_ms;
+  }
+  if (seen.share_permille != model.rollout->share_permille) {
+    seen.share_permille = model.rollout->share_permille;
+    seen.share_since_ms = unix_ms;
+    seen.requests_at_share = Requests(seen.reports);
+  }
+  return seen;
+}
+
+MoveView MoveController::MakeView(
+    const configuration::ConfigurationSnapshot& configuration,
+    const configuration::Model& model,
+    const std::vector<KnownUpstream>& upstreams,
+    const Seen& seen,
+    std::int64_t unix_ms) const {
+  MoveView view;
+  view.rollout = *model.rollout;
+  view.requests = Requests(seen.reports);
+  view.verdict = Verdict(seen.reports);
+  view.now_ms = unix_ms;
+  view.share_since_ms = seen.share_since_ms;
+  view.requests_at_share = seen.requests_at_share;
+  for (const KnownUpstream& upstream : upstreams) {
+    if (upstream.model != model.id)
+      continue;
+    MoveUpstream entry;
+    entry.id = upstream.id;
+    entry.has_new = std::find(upstream.versions.begin(),
+                              upstream.versions.end(),
+                              model.rollout->version) !=
+                    upstream.versions.end();
+    entry.loading = !entry.has_new && ordered_.contains(upstream.id);
+    entry.usable = !configuration.set.DomainIsOut(upstream.domain) &&
+                   !configuration.set.UpstreamIsLeaving(upstream.id);
+    view.upstreams.push_back(entry);
+  }
+  std::sort(view.upstreams.begin(), view.upstreams.end(),
+            [](const auto& a, const auto& b) { return a.id < b.id; });
+  return view;
+}
+
+void MoveController::SendLoads(
+    const configuration::ConfigurationSnapshot& configuration,
+    const MoveStep& step,
+    const VersionId& version,
+    const std::vector<KnownUpstream>& upstreams,
+    TimePoint now) {
+  for (const KnownUpstream& upstream : upstreams) {
+    if (std::find(step.load.begin(), step.load.end(), upstream.id) ==
+        step.load.end()) {
+      continue;
+    }
+    const auto rule = configuration.set.upstreams().find(upstream.id);
+    const bool checks = rule != configuration.set.upstreams().end() &&
+                        rule->second.checks_fencing;
+    if (!checks && now < leading_since_ + kOldLeaderLease + kLongestOrder)
+      continue;
+    ordered_.insert(upstream.id);
+    LogLine("moves.order")
+        .Add("upstream", upstream.id.str())
+        .Add("version", version.str())
+        .Add("fence", fence_)
+        .Info();
+    hooks_.send_order({upstream.id, upstream.url, "load", version, fence_});
+  }
+}
+
+void MoveController::Propose(
+    const configuration::ConfigurationSnapshot& configuration,
+    const configuration::Model& model,
+    const std::string& patch) {
+  // The same step of the same revision always has the same id.
+  hooks_.propose("move-" + model.id.str() + "-" +
+                     std::to_string(configuration.revision),
+                 patch, configuration.revision);
+}
+
+void MoveController::RunMove(
+    const configuration::ConfigurationSnapshot& configuration,
+    const configuration::Model& model,
+    const std::vector<KnownUpstream>& upstreams,
+    std::int64_t unix_ms,
+    TimePoint now) {
+  const Seen& seen = SeenOf(model, unix_ms);
+  const MoveView view =
+      MakeView(configuration, model, upstreams, seen, unix_ms);
+  const MoveStep step = PlanStep(view);
+  SendLoads(configuration, step, model.rollout->version, upstreams, now);
+  if (step.kind == MoveStepKind::kWait)
+    return;
+  LogLine("moves.step")
+      .Add("model", model.id.str())
+      .Add("version", model.rollout->version.str())
+      .Add("kind", static_cast<int>(step.kind))
+      .Add("share_permille", step.share_permille)
+      .Add("requests", view.requests)
+      .Add("reason", step.reason)
+      .Info();
+  Propose(configuration, model, PatchFor(step, model));
+}
+
+void MoveController::WatchPromoted(
+    const configuration::ConfigurationSnapshot& configuration,
+    const configuration::Model& model) {
+  const auto seen = seen_.find(model.id);
+  if (seen == seen_.end() || model.rollout->previous.empty() ||
+      seen->second.started_ms != model.rollout->started_ms) {
+    return;
+  }
+  MoveStep step;
+  step.kind = MoveStepKind::kTakeBack;
+  step.reason = Verdict(seen->second.reports);
+  if (step.reason.empty())
+    return;
+  step.reason = "after promotion, " + step.reason;
+  const std::string rollout = PatchFor(step, model);
+  Propose(configuration, model,
+          rollout.substr(0, rollout.size() - 1) + "," +
+              PromotePatch(model.id, model.rollout->previous) + "}");
+}
+
+void MoveController::Tick(
+    const configuration::ConfigurationSnapshot& configuration,
+    const std::vector<KnownUpstream>& upstreams,
+    std::int64_t unix_ms,
+    TimePoint now) {
+  for (const auto& [id, model] : configuration.set.models()) {
+    if (!model.rollout)
+      continue;
+    if (model.rollout->state == RolloutState::kRunning) {
+      RunMove(configuration, model, upstreams, unix_ms, now);
+    } else if (model.rollout->state == RolloutState::kDone) {
+      SeenOf(model, unix_ms);
+      WatchPromoted(configuration, model);
+    }
+  }
+}
+
+}  // namespace endivecart::moves
