Moves are judged by all hosts together, by route, domain and in all

Cause: each host judged alone with a sixth of a small share; the first steps loaded one domain only; short deadlines were lost to waiting for requests.

Change: the leader pools the hosts' counts; outcomes are tested by route, by domain of the upstream and over all routes; every domain takes part from the first step; the schedule counts from the move's start, small shares get most of it, loads run two steps ahead. Commands version start, status, abort, history.

--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -31,6 +31,10 @@
 int RunLoad(const SiteTargets& site);
 // Micro-benchmark of the routing decision; needs no site.
 int RunDecide(const SiteTargets& site);
+// Moves of versions of every kind through the real decision code, with a
+// manual clock; `concurrent` is the number of moves of each kind. Needs no
+// site.
+int RunMoves(const SiteTargets& site);
 
 }  // namespace bench
 
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -37,7 +37,9 @@
       "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seconds", "length", cxxopts::value<double>()->default_value("10"))(
       "rate", "calls a second", cxxopts::value<double>()->default_value("20"))(
-      "json", "print JSON lines")("help", "print this help");
+      "count", "moves of each kind",
+      cxxopts::value<int>()->default_value("40"))("json", "print JSON lines")(
+      "help", "print this help");
   options.parse_positional({"experiment"});
   return options;
 }
@@ -47,7 +49,8 @@
       experiments = {{"returns", bench::RunReturns},
                      {"overhead", bench::RunOverhead},
                      {"load", bench::RunLoad},
-                     {"decide", bench::RunDecide}};
+                     {"decide", bench::RunDecide},
+                     {"moves", bench::RunMoves}};
   const auto it = experiments.find(args["experiment"].as<std::string>());
   if (it == experiments.end()) {
     std::cerr << "endivecart-bench: unknown experiment\n";
@@ -62,8 +65,10 @@
   site.seed = args["seed"].as<std::uint64_t>();
   site.seconds = args["seconds"].as<double>();
   site.rate = args["rate"].as<double>();
+  site.concurrent = args["count"].as<int>();
   site.json = args.count("json") > 0;
-  if (it->first != "decide" && (site.hosts.empty() || site.keys.empty())) {
+  const bool needs_site = it->first != "decide" && it->first != "moves";
+  if (needs_site && (site.hosts.empty() || site.keys.empty())) {
     std::cerr << "endivecart-bench: --hosts and --keys are required\n";
     return kUsageError;
   }
--- a/daemons/command_line.cc
+++ b/daemons/command_line.cc
@@ -23,6 +23,7 @@
 using namespace endivecart;  // NOLINT(google-build-using-namespace)
 
 constexpr Millis kWaitPoll{50};
+constexpr Millis kMovePoll{1000};
 
 int Fail(const std::string& message, int code) {
   std::cerr << "endivecart: " << message << '\n';
@@ -376,6 +377,134 @@
   return SendChange(arguments, patch);
 }
 
+std::int64_t UnixMillis() {
+  return std::chrono::system_clock::now().time_since_epoch() / Millis(1);
+}
+
+Json::Ptr RolloutPatch(const std::string& model, const Json::Ptr& rollout) {
+  Json::Ptr rollouts = new Json;
+  rollouts->set(model, rollout);
+  Json::Ptr patch = new Json;
+  patch->set("rollouts", rollouts);
+  return patch;
+}
+
+// The site's rollouts; null if there are none.
+Result<Json::Ptr, ClientError> ReadRollouts(const Arguments& arguments) {
+  const auto reply = Client(arguments).Get("/v1/config");
+  if (!reply)
+    return endivecart::Fail(reply.error());
+  return (*reply)->getObject("document")->getObject("rollouts");
+}
+
+int VersionStart(const Arguments& arguments) {
+  if (arguments.words.size() != 4 || arguments.deadline.empty()) {
+    return Fail(
+        "usage: endivecart version start MODEL VERSION "
+        "--deadline SECONDS [--route CLASS]",
+        kUsageError);
+  }
+  const auto rollouts = ReadRollouts(arguments);
+  if (!rollouts)
+    return Fail(rollouts.error());
+  const std::string& model = arguments.words[2];
+  const Json::Ptr present =
+      rollouts->isNull() ? nullptr : (*rollouts)->getObject(model);
+  if (!present.isNull() && Field(*present, "state") == "running") {
+    return Fail("a move of " + model + " to " + Field(*present, "version") +
+                    " is running; abort it first",
+                kConflict);
+  }
+  Json::Ptr rollout = new Json;
+  const std::int64_t now = UnixMillis();
+  rollout->set("version", arguments.words[3]);
+  rollout->set("state", "running");
+  rollout->set("share_permille", 0);
+  rollout->set("started_ms", now);
+  rollout->set(
+      "deadline_ms",
+      now + std::strtoll(arguments.deadline.c_str(), nullptr, 10) * 1000);
+  rollout->set("route", arguments.route);
+  rollout->set("reason", "");
+  rollout->set("previous", "");
+  return SendChange(arguments, RolloutPatch(model, rollout));
+}
+
+int VersionAbort(const Arguments& arguments) {
+  if (arguments.words.size() != 3)
+    return Fail("usage: endivecart version abort MODEL", kUsageError);
+  Json::Ptr rollout = new Json;
+  rollout->set("state", "taken-back");
+  rollout->set("share_permille", 0);
+  rollout->set("reason", "aborted by " + arguments.author);
+  return SendChange(arguments, RolloutPatch(arguments.words[2], rollout));
+}
+
+bool PrintRollouts(const Json::Ptr& rollouts) {
+  bool running = false;
+  for (const std::string& model : rollouts->getNames()) {
+    const Json::Ptr rollout = rollouts->getObject(model);
+    running |= Field(*rollout, "state") == "running";
+    std::cout << model << "  version " << Field(*rollout, "version") << "  "
+              << Field(*rollout, "state") << "  share "
+              << Field(*rollout, "share_permille") << " permille"
+              << (Field(*rollout, "reason").empty() ? "" : "  ")
+              << Field(*rollout, "reason") << '\n';
+  }
+  return running;
+}
+
+int VersionStatus(const Arguments& arguments) {
+  const auto end = std::chrono::steady_clock::now() +
+                   std::chrono::seconds(arguments.timeout_s);
+  while (true) {
+    const auto rollouts = ReadRollouts(arguments);
+    if (!rollouts)
+      return Fail(rollouts.error());
+    if (rollouts->isNull()) {
+      std::cout << "no moves\n";
+      return kOk;
+    }
+    const bool running = PrintRollouts(*rollouts);
+    if (!arguments.wait || !running)
+      return kOk;
+    if (std::chrono::steady_clock::now() >= end)
+      return Fail("the move is still running", kFailure);
+    std::this_thread::sleep_for(kMovePoll);
+  }
+}
+
+int VersionHistory(const Arguments& arguments) {
+  const auto reply = Client(arguments).Get("/v1/config/history");
+  if (!reply)
+    return Fail(reply.error());
+  for (const auto& element : *(*reply)->getArray("changes")) {
+    const auto& change = *element.extract<Json::Ptr>();
+    if (Field(change, "patch").find("\"rollouts\"") != std::string::npos) {
+      std::cout << Field(change, "revision") << "  " << Field(change, "author")
+                << "  " << Field(change, "patch") << '\n';
+    }
+  }
+  return kOk;
+}
+
+int Version(const Arguments& arguments) {
+  const std::map<std::string, std::function<int(const Arguments&)>> commands = {
+      {"start", VersionStart},
+      {"status", VersionStatus},
+      {"abort", VersionAbort},
+      {"history", VersionHistory},
+  };
+  const auto it = arguments.words.size() < 2
+                      ? commands.end()
+                      : commands.find(arguments.words[1]);
+  if (it == commands.end()) {
+    return Fail("usage: endivecart version start|status|abort|history",
+                kUsageError);
+  }
+  return it->second(arguments);
+}
+
 int Voters(const Arguments& arguments) {
   if (arguments.words.size() != 3) {
     return Fail("usage: endivecart voters add|promote|remove HOST",
@@ -405,9 +534,10 @@
 
 int RunCommand(const Arguments& arguments) {
   const std::map<std::string, std::function<int(const Arguments&)>> commands = {
-      {"keygen", KeyGen}, {"digest", Digest},       {"config", Config},
-      {"status", Status}, {"upstreams", Upstreams}, {"upstream", Upstream},
-      {"domain", Domain}, {"voters", Voters},       {"drain", Drain},
+      {"keygen", KeyGen},   {"digest", Digest},       {"config", Config},
+      {"status", Status},   {"upstreams", Upstreams}, {"upstream", Upstream},
+      {"domain", Domain},   {"voters", Voters},       {"drain", Drain},
+      {"version", Version},
   };
   const auto it = commands.find(arguments.words.front());
   if (it == commands.end()) {
--- a/daemons/endivecart.cc
+++ b/daemons/endivecart.cc
@@ -22,6 +22,9 @@
   upstream leave|return NAME stop or resume new work for an upstream
   domain out|in NAME         take a failure domain out or bring it back
   domain status              print which domains are out
+  version start MODEL VERSION --deadline SECONDS [--route CLASS]
+                             move a model's traffic to a new version
+  version status|abort MODEL|history   follow or end such a move
   voters add|promote|remove HOST   change the voters, one at a time
   drain                      make one host no longer ready
   keygen                     make a CURVE key pair
@@ -53,6 +56,10 @@
       cxxopts::value<std::string>()->default_value("operator"))(
       "expect-revision", "revision that a change is made against",
       cxxopts::value<std::string>()->default_value(""))(
+      "deadline", "seconds until a move must be done",
+      cxxopts::value<std::string>()->default_value(""))(
+      "route", "request class that a move is limited to",
+      cxxopts::value<std::string>()->default_value(""))(
       "words", "command", cxxopts::value<std::vector<std::string>>())(
       "version", "print the version")("help", "print this help");
   options.parse_positional({"words"});
@@ -68,6 +75,12 @@
   arguments.wait = args.count("wait") > 0;
   arguments.timeout_s = args["timeout"].as<int>();
   arguments.change_id = args["change-id"].as<std::string>();
+  arguments.deadline = args["deadline"].as<std::string>();
+  arguments.route = args["route"].as<std::string>();
+  if (arguments.deadline.find_first_not_of("0123456789") != std::string::npos) {
+    std::cerr << "endivecart: --deadline: must be a number of seconds\n";
+    return command_line::kUsageError;
+  }
   arguments.author = args["author"].as<std::string>();
   arguments.expect_revision = args["expect-revision"].as<std::string>();
   if (arguments.expect_revision.find_first_not_of("0123456789") !=
--- a/src/endivecart/host/move_runner.cc
+++ b/src/endivecart/host/move_runner.cc
@@ -30,24 +30,25 @@
     : self_(self),
       control_(control),
       dispatcher_(dispatcher),
-      controller_(
-          {[this](const std::string& change_id, const std::string& patch,
-                  Revision revision) {
-             wire::Command command;
-             command.mutable_change()->set_change_id(change_id);
-             command.mutable_change()->set_author("moves");
-             command.mutable_change()->set_patch(patch);
-             command.mutable_change()->set_expected_revision(revision);
-             control_.Post([this, command](TimePoint now) {
-               control_.node().Propose(
-                   command, now + kProposalPatience, [](const auto&) {}, now);
-             });
-           },
-           [this](const moves::Order& order) {
-             std::scoped_lock lock(mutex_);
-             orders_.push_back(order);
-             changed_.notify_one();
-           }}) {
+      controller_({[this](const std::string& change_id,
+                          const std::string& patch,
+                          Revision revision) {
+                     wire::Command command;
+                     command.mutable_change()->set_change_id(change_id);
+                     command.mutable_change()->set_author("moves");
+                     command.mutable_change()->set_patch(patch);
+                     command.mutable_change()->set_expected_revision(revision);
+                     control_.Post([this, command](TimePoint now) {
+                       control_.node().Propose(
+                           command, now + kProposalPatience, [](const auto&) {},
+                           now);
+                     });
+                   },
+                   [this](const moves::Order& order) {
+                     std::scoped_lock lock(mutex_);
+                     orders_.push_back(order);
+                     changed_.notify_one();
+                   }}) {
   for (int i = 0; i < kOrderThreads; ++i)
     threads_.emplace_back([this] { RunOrders(); });
 }
@@ -84,9 +85,8 @@
         .Add("version", order.version.str())
         .Add("status", reply ? reply->status : 0)
         .Info();
-    control_.Post([this, order](TimePoint) {
-      controller_.OnOrderEnded(order.upstream);
-    });
+    control_.Post(
+        [this, order](TimePoint) { controller_.OnOrderEnded(order.upstream); });
   }
 }
 
@@ -110,6 +110,7 @@
     return;
   moves::VersionOutcome outcome;
   outcome.route = class_name;
+  outcome.domain = placement.domain;
   outcome.failed = report.failed || report.empty_answer;
   outcome.first_token_ratio =
       report.first_token_ms / std::max(placement.predicted_ms, 10.0);
@@ -138,17 +139,30 @@
     message->set_requests(report.requests);
     message->set_faults(report.faults);
     message->set_verdict(report.verdict);
+    for (const auto& [route, counts] : report.counts) {
+      wire::RouteCounts* out = message->add_counts();
+      out->set_route(route);
+      out->set_requests(counts.requests);
+      out->set_failed(counts.failed);
+      out->set_slow_first_tokens(counts.slow_first_tokens);
+      out->set_slow_gaps(counts.slow_gaps);
+    }
     control_.Send(leader, std::move(envelope));
   }
 }
 
 void MoveRunner::OnEnvelope(const wire::Envelope& envelope) {
   const wire::MoveReportMessage& message = envelope.move_report();
+  moves::CountsByPart counts;
+  for (const wire::RouteCounts& route : message.counts()) {
+    counts[route.route()] = {route.requests(), route.failed(),
+                             route.slow_first_tokens(), route.slow_gaps()};
+  }
   controller_.OnReport(
       HostId(envelope.from()),
       {ModelId(message.model()), VersionId(message.version()),
        message.started_ms(), message.requests(), message.faults(),
-       message.verdict()});
+       message.verdict(), std::move(counts)});
 }
 
 std::vector<moves::KnownUpstream> MoveRunner::KnownUpstreams() const {
--- a/src/endivecart/moves/move_controller.cc
+++ b/src/endivecart/moves/move_controller.cc
@@ -22,12 +22,14 @@
   return total;
 }
 
-std::string Verdict(const std::map<HostId, MoveReport>& reports) {
+// Any host's own verdict, or that of all together.
+std::string Verdict(const std::map<HostId, MoveReport>& reports,
+                    const PooledJudge& pooled) {
   for (const auto& [host, report] : reports) {
     if (!report.verdict.empty())
       return host.str() + ": " + report.verdict;
   }
-  return {};
+  return pooled.verdict();
 }
 
 // A JSON string of text that holds no character to escape but quotes.
@@ -47,21 +49,20 @@
          ":{\"version\":" + Quoted(version.str()) + "}}";
 }
 
-std::string PatchFor(const MoveStep& step,
-                     const configuration::Model& model) {
+std::string PatchFor(const MoveStep& step, const configuration::Model& model) {
   const Rollout& rollout = *model.rollout;
   switch (step.kind) {
     case MoveStepKind::kRaiseShare:
-      return "{" + RolloutPatch(model.id,
-                                "\"share_permille\":" +
-                                    std::to_string(step.share_permille)) +
+      return "{" +
+             RolloutPatch(model.id, "\"share_permille\":" +
+                                        std::to_string(step.share_permille)) +
              "}";
     case MoveStepKind::kFinish:
       return "{" +
-             RolloutPatch(model.id, "\"state\":\"done\",\"reason\":" +
-                                        Quoted(step.reason) +
-                                        ",\"previous\":" +
-                                        Quoted(model.version.str())) +
+             RolloutPatch(
+                 model.id,
+                 "\"state\":\"done\",\"reason\":" + Quoted(step.reason) +
+                     ",\"previous\":" + Quoted(model.version.str())) +
              "," + PromotePatch(model.id, rollout.version) + "}";
     case MoveStepKind::kTakeBack:
       return "{" +
@@ -87,8 +88,10 @@
 
 void MoveController::OnReport(const HostId& host, const MoveReport& report) {
   const auto it = seen_.find(report.model);
-  if (it != seen_.end() && it->second.started_ms == report.started_ms)
-    it->second.reports[host] = report;
+  if (it == seen_.end() || it->second.started_ms != report.started_ms)
+    return;
+  it->second.reports[host] = report;
+  it->second.judge.OnCounts(host, report.counts);
 }
 
 void MoveController::OnOrderEnded(const UpstreamId& upstream) {
@@ -105,7 +108,6 @@
   if (seen.share_permille != model.rollout->share_permille) {
     seen.share_permille = model.rollout->share_permille;
     seen.share_since_ms = unix_ms;
-    seen.requests_at_share = Requests(seen.reports);
   }
   return seen;
 }
@@ -119,19 +121,18 @@
   MoveView view;
   view.rollout = *model.rollout;
   view.requests = Requests(seen.reports);
-  view.verdict = Verdict(seen.reports);
+  view.verdict = Verdict(seen.reports, seen.judge);
   view.now_ms = unix_ms;
   view.share_since_ms = seen.share_since_ms;
-  view.requests_at_share = seen.requests_at_share;
   for (const KnownUpstream& upstream : upstreams) {
     if (upstream.model != model.id)
       continue;
     MoveUpstream entry;
     entry.id = upstream.id;
-    entry.has_new = std::find(upstream.versions.begin(),
-                              upstream.versions.end(),
-                              model.rollout->version) !=
-                    upstream.versions.end();
+    entry.domain = upstream.domain;
+    entry.has_new =
+        std::find(upstream.versions.begin(), upstream.versions.end(),
+                  model.rollout->version) != upstream.versions.end();
     entry.loading = !entry.has_new && ordered_.contains(upstream.id);
     entry.usable = !configuration.set.DomainIsOut(upstream.domain) &&
                    !configuration.set.UpstreamIsLeaving(upstream.id);
@@ -173,9 +174,9 @@
     const configuration::Model& model,
     const std::string& patch) {
   // The same step of the same revision always has the same id.
-  hooks_.propose("move-" + model.id.str() + "-" +
-                     std::to_string(configuration.revision),
-                 patch, configuration.revision);
+  hooks_.propose(
+      "move-" + model.id.str() + "-" + std::to_string(configuration.revision),
+      patch, configuration.revision);
 }
 
 void MoveController::RunMove(
@@ -212,7 +213,7 @@
   }
   MoveStep step;
   step.kind = MoveStepKind::kTakeBack;
-  step.reason = Verdict(seen->second.reports);
+  step.reason = Verdict(seen->second.reports, seen->second.judge);
   if (step.reason.empty())
     return;
   step.reason = "after promotion, " + step.reason;
--- a/src/endivecart/moves/move_controller.h
+++ b/src/endivecart/moves/move_controller.h
@@ -67,8 +67,8 @@
     std::int64_t started_ms = 0;
     int share_permille = -1;
     std::int64_t share_since_ms = 0;
-    std::uint64_t requests_at_share = 0;
     std::map<HostId, MoveReport> reports;
+    PooledJudge judge;
   };
 
   void RunMove(const configuration::ConfigurationSnapshot& configuration,
--- a/src/endivecart/moves/move_plan.cc
+++ b/src/endivecart/moves/move_plan.cc
@@ -1,6 +1,8 @@
 #include "endivecart/moves/move_plan.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace endivecart::moves {
 
@@ -8,33 +10,83 @@
 
 constexpr int kAllPermille = 1000;
 constexpr std::size_t kMaxLoads = 2;  // more slow down the weight store
-constexpr std::uint64_t kRequestsPerStep = 30;
 // The plan leaves this part of the time before the deadline unused.
 constexpr double kPlannedPart = 0.8;
-// With nobody asking, a step ends after this many times its planned length.
-constexpr int kIdlePatience = 2;
-constexpr std::int64_t kSoonestStepMs = 2000;
+constexpr std::int64_t kSoonestStepMs = 1000;
+// From this share on every domain takes part, so that a version that is bad in
+// one domain only shows while its share is still small.
+constexpr int kEveryDomainPermille = 10;
 
-std::size_t UpstreamsFor(int share_permille, std::size_t all) {
+struct ShareStep {
+  int permille;
+  double part;  // of the planned time
+};
+
+// Small shares get most of the time: what is found there costs little.
+constexpr ShareStep kSteps[] = {{10, 0.3},
+                                {50, 0.25},
+                                {150, 0.2},
+                                {400, 0.15},
+                                {kAllPermille, 0.1}};
+
+std::size_t Domains(const MoveView& view) {
+  std::set<DomainId> domains;
+  for (const MoveUpstream& upstream : view.upstreams) {
+    if (upstream.usable)
+      domains.insert(upstream.domain);
+  }
+  return domains.size();
+}
+
+std::size_t UpstreamsFor(const MoveView& view, int share_permille) {
   const std::size_t wanted =
-      (all * static_cast<std::size_t>(share_permille) + kAllPermille - 1) /
+      (view.upstreams.size() * static_cast<std::size_t>(share_permille) +
+       kAllPermille - 1) /
       kAllPermille;
-  return std::max<std::size_t>(wanted, 1);
+  return std::max(wanted,
+                  share_permille >= kEveryDomainPermille ? Domains(view) : 1);
 }
 
 int NextShare(int share_permille) {
-  for (const int step : ShareSteps()) {
-    if (step > share_permille)
-      return step;
+  for (const ShareStep& step : kSteps) {
+    if (step.permille > share_permille)
+      return step.permille;
   }
   return kAllPermille;
 }
 
-std::int64_t StepMillis(const configuration::Rollout& rollout) {
-  const auto planned = static_cast<std::int64_t>(
+// When the present share's time is over. The schedule counts from the move's
+// start, so that time lost at one step is made good at the next ones.
+std::int64_t StepEndMs(const MoveView& view) {
+  const configuration::Rollout& rollout = view.rollout;
+  const auto planned =
       static_cast<double>(rollout.deadline_ms - rollout.started_ms) *
-      kPlannedPart / static_cast<double>(ShareSteps().size()));
-  return std::max(kSoonestStepMs, planned);
+      kPlannedPart;
+  double part = 0;
+  for (const ShareStep& step : kSteps) {
+    part += step.part;
+    if (step.permille >= rollout.share_permille)
+      break;
+  }
+  return std::max(
+      view.share_since_ms + kSoonestStepMs,
+      rollout.started_ms + static_cast<std::int64_t>(planned * part));
+}
+
+// Upstreams in the order in which they load: the domains take turns.
+std::vector<const MoveUpstream*> LoadOrder(const MoveView& view) {
+  std::map<DomainId, int> turn;
+  std::vector<std::pair<int, const MoveUpstream*>> order;
+  for (const MoveUpstream& upstream : view.upstreams)
+    order.emplace_back(turn[upstream.domain]++, &upstream);
+  std::stable_sort(
+      order.begin(), order.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<const MoveUpstream*> upstreams;
+  upstreams.reserve(order.size());
+  for (const auto& [position, upstream] : order)
+    upstreams.push_back(upstream);
+  return upstreams;
 }
 
 std::vector<UpstreamId> ChooseLoads(const MoveView& view, int share_permille) {
@@ -45,14 +97,13 @@
     with_new += upstream.has_new && upstream.usable ? 1 : 0;
     loading += upstream.loading ? 1 : 0;
   }
-  const std::size_t wanted =
-      UpstreamsFor(share_permille, view.upstreams.size());
-  for (const MoveUpstream& upstream : view.upstreams) {
+  const std::size_t wanted = UpstreamsFor(view, share_permille);
+  for (const MoveUpstream* upstream : LoadOrder(view)) {
     if (with_new + loading >= wanted || loading >= kMaxLoads)
       break;
-    if (upstream.has_new || upstream.loading || !upstream.usable)
+    if (upstream->has_new || upstream->loading || !upstream->usable)
       continue;
-    load.push_back(upstream.id);
+    load.push_back(upstream->id);
     ++loading;
   }
   return load;
@@ -65,17 +116,12 @@
     usable += upstream.usable ? 1 : 0;
     ready += upstream.has_new && upstream.usable ? 1 : 0;
   }
-  return ready >= std::min(UpstreamsFor(share_permille, view.upstreams.size()),
+  return ready >= std::min(UpstreamsFor(view, share_permille),
                            std::max<std::size_t>(usable, 1));
 }
 
 }  // namespace
 
-const std::vector<int>& ShareSteps() {
-  static const std::vector<int> steps = {10, 50, 150, 400, kAllPermille};
-  return steps;
-}
-
 MoveStep PlanStep(const MoveView& view) {
   MoveStep step;
   if (!view.verdict.empty()) {
@@ -87,15 +133,10 @@
   const int share = rollout.share_permille;
   const int next = NextShare(share);
   // Loads run ahead of the share that needs them.
-  step.load = ChooseLoads(view, share == 0 ? next : NextShare(share));
-  const std::int64_t elapsed = view.now_ms - view.share_since_ms;
-  const bool tried =
-      share == 0 ||
-      view.requests - view.requests_at_share >= kRequestsPerStep ||
-      elapsed >= kIdlePatience * StepMillis(rollout);
-  const bool time_has_come = share == 0 || elapsed >= StepMillis(rollout);
+  step.load = ChooseLoads(view, share == 0 ? next : NextShare(next));
+  const bool time_has_come = share == 0 || view.now_ms >= StepEndMs(view);
   if (share == kAllPermille) {
-    if (tried && time_has_come) {
+    if (time_has_come) {
       step.kind = MoveStepKind::kFinish;
       step.reason = "all traffic was moved with nothing against the version";
     }
@@ -107,7 +148,7 @@
     step.load.clear();
     return step;
   }
-  if (tried && time_has_come && EnoughLoaded(view, next)) {
+  if (time_has_come && EnoughLoaded(view, next)) {
     step.kind = MoveStepKind::kRaiseShare;
     step.share_permille = next;
   }
--- a/src/endivecart/moves/move_plan.h
+++ b/src/endivecart/moves/move_plan.h
@@ -15,9 +15,10 @@
 // One upstream as a plan sees it.
 struct MoveUpstream {
   UpstreamId id;
+  DomainId domain;
   bool has_new = false;  // the new version is loaded
   bool loading = false;
-  bool usable = true;    // neither out nor leaving
+  bool usable = true;  // neither out nor leaving
 
   bool operator==(const MoveUpstream&) const = default;
 };
@@ -25,15 +26,15 @@
 enum class MoveStepKind {
   kWait,
   kRaiseShare,
-  kFinish,    // promote
+  kFinish,  // promote
   kTakeBack,
 };
 
 // What to do next in a move.
 struct MoveStep {
   MoveStepKind kind = MoveStepKind::kWait;
-  int share_permille = 0;       // for kRaiseShare
-  std::string reason;           // for the operator
+  int share_permille = 0;        // for kRaiseShare
+  std::string reason;            // for the operator
   std::vector<UpstreamId> load;  // upstreams that are to load the version
 
   bool operator==(const MoveStep&) const = default;
@@ -46,18 +47,13 @@
   std::string verdict;         // of any host
   std::int64_t now_ms = 0;     // Unix time
   std::int64_t share_since_ms = 0;  // when the present share came into force
-  std::uint64_t requests_at_share = 0;  // given by then
 };
 
 // Plans a move: the share rises by steps that are spread up to the deadline,
-// each only after the one before has seen enough requests; few upstreams carry
-// the small shares, so that each sees full load; at most two load at a time.
-// Pure.
+// small shares for longer; few upstreams carry them, so that each sees full
+// load, but some in every domain; at most two load at a time. Pure.
 MoveStep PlanStep(const MoveView& view);
 
-// The shares of a move, in order.
-const std::vector<int>& ShareSteps();
-
 }  // namespace endivecart::moves
 
 #endif  // ENDIVECART_MOVES_MOVE_PLAN_H_
--- a/src/endivecart/moves/version_gate.cc
+++ b/src/endivecart/moves/version_gate.cc
@@ -29,8 +29,7 @@
   }
   const bool on_route = rollout.route.empty() || rollout.route == route;
   const bool taken = rollout.state == RolloutState::kRunning && fresh &&
-                     !stopped_here && on_route &&
-                     draw < rollout.share_permille;
+                     !stopped_here && on_route && draw < rollout.share_permille;
   return taken ? rollout.version : model.version;
 }
 
@@ -66,7 +65,7 @@
   for (const auto& [model, watch] : watches_) {
     reports.push_back({model, watch.version, watch.started_ms,
                        watch.judge.candidates(), watch.judge.faults(),
-                       watch.judge.verdict()});
+                       watch.judge.verdict(), watch.judge.counts()});
   }
   return reports;
 }
--- a/src/endivecart/moves/version_gate.h
+++ b/src/endivecart/moves/version_gate.h
@@ -19,6 +19,7 @@
   std::uint64_t requests = 0;   // given to the new version here
   std::uint64_t faults = 0;
   std::string verdict;  // why this host has stopped the version; or empty
+  CountsByPart counts;
 
   bool operator==(const MoveReport&) const = default;
 };
--- a/src/endivecart/moves/version_judge.h
+++ b/src/endivecart/moves/version_judge.h
@@ -14,8 +14,9 @@
 
 // What one request showed of the version that served it.
 struct VersionOutcome {
-  std::string route;  // request class
-  bool failed = false;  // or an empty or short answer
+  std::string route;             // request class
+  DomainId domain;               // of the upstream
+  bool failed = false;           // or an empty or short answer
   double first_token_ratio = 1;  // observed over predicted
   double gap_ms = 0;             // longest between tokens
 
@@ -35,6 +36,48 @@
   std::deque<VersionOutcome> recent_;
 };
 
+// How many outcomes of a new version were bad, and in which way.
+struct OutcomeCounts {
+  std::uint64_t requests = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t slow_first_tokens = 0;
+  std::uint64_t slow_gaps = 0;
+
+  bool operator==(const OutcomeCounts&) const = default;
+};
+
+// By part of the traffic: "route R", "domain D" or "all routes".
+using CountsByPart = std::map<std::string, OutcomeCounts>;
+
+// The sequential tests of one part of the traffic.
+class PartTests {
+ public:
+  PartTests();
+
+  // Adds outcomes; the bad ones count as the latest.
+  void Add(const OutcomeCounts& counts);
+  // What is bad; empty while nothing is.
+  std::string_view verdict() const;
+
+ private:
+  std::vector<DriftTest> failures_;
+  std::vector<DriftTest> slow_first_tokens_;
+  std::vector<DriftTest> slow_gaps_;
+};
+
+// Judges a new version by what all hosts together have seen of it.
+class PooledJudge {
+ public:
+  // Takes a host's counts since the move began.
+  void OnCounts(const HostId& host, const CountsByPart& counts);
+  const std::string& verdict() const { return verdict_; }
+
+ private:
+  std::map<HostId, CountsByPart> seen_;
+  std::map<std::string, PartTests> tests_;
+  std::string verdict_;
+};
+
 // Judges a new version route by route against the promoted one in the same
 // window. A pure core.
 class VersionJudge {
@@ -46,22 +89,14 @@
   const std::string& verdict() const { return verdict_; }
   std::uint64_t candidates() const { return candidates_; }
   std::uint64_t faults() const { return faults_; }
+  const CountsByPart& counts() const { return counts_; }
 
  private:
-  struct Route {
-    RouteBaseline baseline;
-    std::vector<DriftTest> failures;
-    std::vector<DriftTest> slow_first_tokens;
-    std::vector<DriftTest> slow_gaps;
-  };
-
-  Route& RouteOf(const std::string& name);
-  void Test(const std::string& route,
-            std::vector<DriftTest>& tests,
-            bool bad,
-            std::string_view what);
-
-  std::map<std::string, Route> routes_;
+  void Count(const std::string& part, const OutcomeCounts& one);
+
+  std::map<std::string, RouteBaseline> baselines_;  // by route
+  std::map<std::string, PartTests> tests_;
+  CountsByPart counts_;
   std::string verdict_;
   std::uint64_t candidates_ = 0;
   std::uint64_t faults_ = 0;
