--- a/bench/moves_experiment.cc
+++ b/bench/moves_experiment.cc
@@ -30,13 +30,13 @@
 struct Behaviour {
   const char* name;
   bool bad = true;
-  double fail = 0;          // part of requests, while bad
-  double slow = 1;          // factor on first token and gaps, while bad
+  double fail = 0;           // part of requests, while bad
+  double slow = 1;           // factor on first token and gaps, while bad
   std::int64_t from_ms = 0;  // bad from then on
-  bool under_load = false;  // bad only where load is high
+  bool under_load = false;   // bad only where load is high
   bool one_route = false;
   bool one_domain = false;
-  double noise_fail = 0.003;  // of both versions
+  double noise_fail = 0.003;   // of both versions
   double noise_spread = 0.25;  // of both versions' latencies
   std::int64_t deadline_ms = 60000;
 };
@@ -61,8 +61,8 @@
 
 struct MoveResult {
   std::uint64_t requests = 0;
-  std::uint64_t met_bad = 0;   // given to the version while it was bad
-  std::uint64_t faults = 0;    // bad answers or slow ones
+  std::uint64_t met_bad = 0;  // given to the version while it was bad
+  std::uint64_t faults = 0;   // bad answers or slow ones
   std::int64_t first_fault_ms = -1;
   std::int64_t fifth_fault_ms = -1;
   std::int64_t last_given_ms = -1;
@@ -94,8 +94,10 @@
   void OneRequest();
   bool IsBad(const std::string& route, const Upstream& upstream) const;
   Upstream& PickUpstream(const VersionId& version);
-  void Serve(Host& host, const configuration::Model& model,
-             const VersionId& version, const std::string& route);
+  void Serve(Host& host,
+             const configuration::Model& model,
+             const VersionId& version,
+             const std::string& route);
   double Chance() {
     return std::uniform_real_distribution<double>(0, 1)(random_);
   }
@@ -118,8 +120,8 @@
   const auto document = configuration::ApplyMergePatch(before, patch);
   auto set = configuration::ParseConfiguration(*document);
   newest_ = std::make_shared<const configuration::ConfigurationSnapshot>(
-      configuration::ConfigurationSnapshot{
-          newest_ ? newest_->revision + 1 : 1, *document, std::move(*set)});
+      configuration::ConfigurationSnapshot{newest_ ? newest_->revision + 1 : 1,
+                                           *document, std::move(*set)});
   on_the_way_.emplace_back(now_ms_ + kPropagationMs, newest_);
 }
 
@@ -137,7 +139,8 @@
     if (upstream.loaded_at && now_ms_ >= *upstream.loaded_at &&
         upstream.known.versions.size() == 1) {
       upstream.known.versions.emplace_back("v2");
-      controller_->OnOrderEnded(upstream.known.id);
+      controller_->OnOrderEnded(upstream.known.id,
+                                TimePoint(Millis(100000 + now_ms_)));
     }
     known.push_back(upstream.known);
   }
@@ -174,8 +177,7 @@
                       const VersionId& version,
                       const std::string& route) {
   Upstream& upstream = PickUpstream(version);
-  while (!upstream.recent.empty() &&
-         upstream.recent.front() < now_ms_ - 1000) {
+  while (!upstream.recent.empty() && upstream.recent.front() < now_ms_ - 1000) {
     upstream.recent.pop_front();
   }
   upstream.recent.push_back(now_ms_);
@@ -185,8 +187,8 @@
   moves::VersionOutcome outcome;
   outcome.route = route;
   outcome.domain = upstream.known.domain;
-  outcome.failed = Chance() < behaviour_.noise_fail ||
-                   (bad && Chance() < behaviour_.fail);
+  outcome.failed =
+      Chance() < behaviour_.noise_fail || (bad && Chance() < behaviour_.fail);
   outcome.first_token_ratio = noise(random_) * (bad ? behaviour_.slow : 1);
   outcome.gap_ms = 15 * noise(random_) * (bad ? behaviour_.slow : 1);
   host.gate.OnOutcome(model, version, outcome);
@@ -206,17 +208,16 @@
 void MoveWorld::OneRequest() {
   Host& host = hosts_[random_() % hosts_.size()];
   ++result_.requests;
-  const auto& model =
-      host.configuration->set.models().at(ModelId("quill"));
+  const auto& model = host.configuration->set.models().at(ModelId("quill"));
   const std::string route = random_() % 2 == 0 ? "caption" : "quote";
-  VersionId version = host.gate.Choose(
-      model, route, static_cast<int>(random_() % 1000), true);
+  VersionId version =
+      host.gate.Choose(model, route, static_cast<int>(random_() % 1000), true);
   // Without an upstream that has it, the promoted version serves.
-  const bool loaded = version == model.version ||
-                      std::any_of(upstreams_.begin(), upstreams_.end(),
-                                  [&](const Upstream& u) {
-                                    return u.known.versions.size() > 1;
-                                  });
+  const bool loaded =
+      version == model.version ||
+      std::any_of(upstreams_.begin(), upstreams_.end(), [&](const Upstream& u) {
+        return u.known.versions.size() > 1;
+      });
   Serve(host, model, loaded ? version : model.version, route);
 }
 
@@ -277,7 +278,8 @@
   SetLogSinkForTest([](const std::string&) {});
   const int moves = site.concurrent;
   std::printf("%-22s %6s %10s %10s %12s %12s %12s\n", "kind", "moves",
-              "taken back", "in time", "met bad", "worst met", "stop after 5th");
+              "taken back", "in time", "met bad", "worst met",
+              "stop after 5th");
   for (const Behaviour& behaviour : kBehaviours) {
     int taken_back = 0;
     int in_time = 0;
--- a/daemons/command_line.cc
+++ b/daemons/command_line.cc
@@ -424,9 +424,12 @@
   rollout->set(
       "deadline_ms",
       now + std::strtoll(arguments.deadline.c_str(), nullptr, 10) * 1000);
-  rollout->set("route", arguments.route);
-  rollout->set("reason", "");
-  rollout->set("previous", "");
+  // Null removes what an earlier move left.
+  rollout->set("route", arguments.route.empty()
+                            ? Poco::Dynamic::Var()
+                            : Poco::Dynamic::Var(arguments.route));
+  rollout->set("reason", Poco::Dynamic::Var());
+  rollout->set("previous", Poco::Dynamic::Var());
   return SendChange(arguments, RolloutPatch(model, rollout));
 }
 
--- /dev/null
+++ b/src/endivecart/control/data_folder_unittest.cc
@@ -0,0 +1,151 @@
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+#include "endivecart/control/control.h"
+#include "endivecart/control/frame.h"
+
+namespace endivecart::control {
+namespace {
+
+namespace fs = std::filesystem;
+
+const HostId kHost("a1");
+
+// A folder that is removed with the test.
+class TemporaryFolder {
+ public:
+  TemporaryFolder()
+      : path_(fs::temp_directory_path() /
+              ("endivecart-test-" + std::to_string(counter_++) + "-" +
+               std::to_string(
+                   std::chrono::steady_clock::now().time_since_epoch().count()))) {
+  }
+  ~TemporaryFolder() { fs::remove_all(path_); }
+  std::string str() const { return path_; }
+
+ private:
+  static inline int counter_ = 0;
+  fs::path path_;
+};
+
+wire::DurableRecord EntryRecord(std::uint64_t index) {
+  wire::DurableRecord record;
+  record.mutable_entry()->set_index(index);
+  record.mutable_entry()->set_term(1);
+  record.mutable_entry()->set_command("command " + std::to_string(index));
+  return record;
+}
+
+fs::path LogFile(const TemporaryFolder& folder) {
+  for (const auto& entry : fs::directory_iterator(folder.str())) {
+    if (entry.path().filename().string().starts_with("log-"))
+      return entry.path();
+  }
+  return {};
+}
+
+std::unique_ptr<DataFolder> OpenSound(const TemporaryFolder& folder) {
+  auto opened = DataFolder::Open(folder.str(), kHost, true);
+  BOOST_REQUIRE(opened.has_value());
+  return std::move(*opened);
+}
+
+void WriteEntries(const TemporaryFolder& folder, std::uint64_t count) {
+  const auto data = OpenSound(folder);
+  for (std::uint64_t i = 1; i <= count; ++i)
+    BOOST_REQUIRE(data->Append({EntryRecord(i)}).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE(data_folder, *boost::unit_test::label("control"))
+
+BOOST_AUTO_TEST_CASE(what_was_appended_is_there_after_a_restart) {
+  const TemporaryFolder folder;
+  WriteEntries(folder, 3);
+  const auto data = OpenSound(folder);
+  BOOST_TEST(data->loaded().entries.size() == 3U);
+  BOOST_TEST(data->member().str() == "a1@founder");
+}
+
+BOOST_AUTO_TEST_CASE(a_torn_tail_is_cut_and_later_records_follow) {
+  const TemporaryFolder folder;
+  WriteEntries(folder, 3);
+  fs::resize_file(LogFile(folder), fs::file_size(LogFile(folder)) - 5);
+  {
+    const auto data = OpenSound(folder);
+    BOOST_TEST(data->loaded().entries.size() == 2U);
+    BOOST_REQUIRE(data->Append({EntryRecord(3)}).has_value());
+  }
+  BOOST_TEST(OpenSound(folder)->loaded().entries.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_damaged_middle_is_refused_with_its_place) {
+  const TemporaryFolder folder;
+  WriteEntries(folder, 3);
+  std::fstream file(LogFile(folder),
+                    std::ios::in | std::ios::out | std::ios::binary);
+  file.seekp(60);
+  file.put('\x7f');
+  file.close();
+  const auto opened = DataFolder::Open(folder.str(), kHost, true);
+  BOOST_REQUIRE(!opened.has_value());
+  BOOST_TEST((opened.error().code == StorageErrorCode::kDamaged));
+  BOOST_TEST(opened.error().detail.find("at byte") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(every_cut_of_the_log_leaves_a_prefix_of_whole_records) {
+  std::string log;
+  for (int i = 0; i < 4; ++i)
+    log += EncodeFrame("record " + std::to_string(i));
+  for (std::size_t length = 0; length <= log.size(); ++length) {
+    const FrameScan scan = ScanFrames(log.substr(0, length));
+    BOOST_TEST((scan.end != FrameScanEnd::kDamaged));
+    BOOST_TEST(scan.payloads.size() == length / (log.size() / 4));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_disk_comes_back_as_another_member) {
+  const TemporaryFolder folder;
+  WriteEntries(folder, 1);
+  fs::remove_all(folder.str());
+  const auto opened = DataFolder::Open(folder.str(), kHost, false);
+  BOOST_REQUIRE(opened.has_value());
+  BOOST_TEST((*opened)->member().str() != "a1@founder");
+  BOOST_TEST(!(*opened)->is_founder());
+}
+
+BOOST_AUTO_TEST_CASE(a_folder_of_another_host_is_refused) {
+  const TemporaryFolder folder;
+  WriteEntries(folder, 1);
+  const auto opened = DataFolder::Open(folder.str(), HostId("b1"), false);
+  BOOST_REQUIRE(!opened.has_value());
+  BOOST_TEST((opened.error().code == StorageErrorCode::kForeign));
+}
+
+BOOST_AUTO_TEST_CASE(a_log_without_its_identity_is_refused) {
+  const TemporaryFolder folder;
+  WriteEntries(folder, 1);
+  fs::remove(folder.str() + "/identity");
+  BOOST_TEST(!DataFolder::Open(folder.str(), kHost, true).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_with_entries_not_written_yet_holds_each_once) {
+  // Found by the random run, seeds 47 and 92.
+  const TemporaryFolder folder;
+  {
+    const auto data = OpenSound(folder);
+    wire::DurableSnapshot snapshot;
+    snapshot.set_last_index(1);
+    snapshot.set_last_term(1);
+    BOOST_REQUIRE(data->SaveSnapshot(snapshot, {}, {EntryRecord(2).entry()})
+                      .has_value());
+    BOOST_REQUIRE(data->Append({EntryRecord(2), EntryRecord(3)}).has_value());
+  }
+  BOOST_TEST(OpenSound(folder)->loaded().entries.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace endivecart::control
--- a/src/endivecart/entry/completion_handler.cc
+++ b/src/endivecart/entry/completion_handler.cc
@@ -1,7 +1,7 @@
 #include "endivecart/entry/completion_handler.h"
 
 #include <algorithm>
-#include <map>
+#include <set>
 #include <utility>
 
 namespace endivecart::entry {
@@ -47,7 +47,9 @@
 struct CompletionHandler::Progress {
   int attempts = 0;
   bool bytes_sent = false;  // some upstream may have got a byte
-  std::map<UpstreamId, int> failures;
+  // Upstreams that failed without giving a token. One that cut a stream may
+  // be asked to resume it.
+  std::set<UpstreamId> useless;
   AttemptReport last_report;
 };
 
@@ -107,12 +109,7 @@
       GiveUp(caller, result, progress, writer);
       return;
     }
-    wanted.excluded.clear();
-    for (const auto& [upstream, failures] : progress.failures) {
-      // A cut stream may be resumed where it was, once.
-      if (failures > 1 || result.end != AttemptEnd::kCut)
-        wanted.excluded.push_back(upstream);
-    }
+    wanted.excluded.assign(progress.useless.begin(), progress.useless.end());
     const auto next = dispatcher_.PlaceAgain(wanted);
     if (!next) {
       Refuse(caller, next.error(), progress.bytes_sent, writer);
@@ -152,8 +149,8 @@
       [&](std::string_view text) { return writer.OnToken(text); });
   progress.bytes_sent |= result.end != AttemptEnd::kNotSent;
   progress.last_report = result.report;
-  if (result.report.failed)
-    ++progress.failures[placement.upstream];
+  if (result.report.failed && result.report.tokens == 0)
+    progress.useless.insert(placement.upstream);
   dispatcher_.Finish(placement, caller.request_class.name, result.report);
   metrics_.Add("endivecart_attempts_total",
                "end=\"" + std::string(AttemptEndName(result.end)) + "\"");
--- a/src/endivecart/entry/dispatcher.cc
+++ b/src/endivecart/entry/dispatcher.cc
@@ -329,7 +329,8 @@
       return true;
     if (!TryServe(*it->second, now))
       return false;
-    drain_[it->second->request->model].OnServed(waiting.cost, now);
+    if (it->second->placement)
+      drain_[it->second->request->model].OnServed(waiting.cost, now);
     it->second->changed.notify_one();
     waiters_.erase(it);
     return true;
@@ -355,6 +356,11 @@
   }
   if (!decision) {
     waiter.last_error = decision.error().code;
+    if (waiter.last_error == routing::RoutingErrorCode::kExhausted) {
+      waiter.error =
+          PlacementError{PlacementErrorCode::kUnavailable, kShortestRetryAfter};
+      return true;
+    }
     // Full upstreams, and a site that has just started, are worth waiting for.
     return false;
   }
--- a/src/endivecart/host/move_runner.cc
+++ b/src/endivecart/host/move_runner.cc
@@ -85,8 +85,9 @@
         .Add("version", order.version.str())
         .Add("status", reply ? reply->status : 0)
         .Info();
-    control_.Post(
-        [this, order](TimePoint) { controller_.OnOrderEnded(order.upstream); });
+    control_.Post([this, order](TimePoint now) {
+      controller_.OnOrderEnded(order.upstream, now);
+    });
   }
 }
 
--- a/src/endivecart/http/server.cc
+++ b/src/endivecart/http/server.cc
@@ -19,6 +19,7 @@
 constexpr int kMaxWaitingConnections = 128;
 constexpr int kIdleThreadSeconds = 30;
 constexpr int kMinThreads = 8;
+constexpr std::size_t kMaxDrainedBytes = 64UL << 20;
 
 class FunctionHandler final : public Poco::Net::HTTPRequestHandler {
  public:
@@ -122,9 +123,13 @@
                                         std::size_t max_bytes,
                                         Millis max_time) {
   const auto length = request.getContentLength64();
-  if (length > static_cast<std::int64_t>(max_bytes))
-    return Fail(HttpError{HttpErrorCode::kTooLarge, "body too large"});
   const auto start = std::chrono::steady_clock::now();
+  if (length > static_cast<std::int64_t>(max_bytes)) {
+    // A caller that is still sending would not read the answer.
+    if (length <= static_cast<std::int64_t>(kMaxDrainedBytes))
+      request.stream().ignore(length);
+    return Fail(HttpError{HttpErrorCode::kTooLarge, "body too large"});
+  }
   std::string body;
   std::array<char, 16384> buffer;
   std::istream& in = request.stream();
--- a/src/endivecart/moves/move_controller.cc
+++ b/src/endivecart/moves/move_controller.cc
@@ -14,6 +14,7 @@
 // under way, are waited out.
 constexpr Millis kOldLeaderLease{1200};
 constexpr Millis kLongestOrder{10000};
+constexpr Millis kAnnouncementLag{3000};
 
 std::uint64_t Requests(const std::map<HostId, MoveReport>& reports) {
   std::uint64_t total = 0;
@@ -94,8 +95,8 @@
   it->second.judge.OnCounts(host, report.counts);
 }
 
-void MoveController::OnOrderEnded(const UpstreamId& upstream) {
-  ordered_.erase(upstream);
+void MoveController::OnOrderEnded(const UpstreamId& upstream, TimePoint now) {
+  ordered_[upstream] = now + kAnnouncementLag;
 }
 
 MoveController::Seen& MoveController::SeenOf(const configuration::Model& model,
@@ -159,7 +160,7 @@
                         rule->second.checks_fencing;
     if (!checks && now < leading_since_ + kOldLeaderLease + kLongestOrder)
       continue;
-    ordered_.insert(upstream.id);
+    ordered_[upstream.id] = now + kLongestOrder;
     LogLine("moves.order")
         .Add("upstream", upstream.id.str())
         .Add("version", version.str())
@@ -228,6 +229,8 @@
     const std::vector<KnownUpstream>& upstreams,
     std::int64_t unix_ms,
     TimePoint now) {
+  std::erase_if(ordered_,
+                [&](const auto& entry) { return entry.second <= now; });
   for (const auto& [id, model] : configuration.set.models()) {
     if (!model.rollout)
       continue;
--- a/src/endivecart/moves/move_controller.h
+++ b/src/endivecart/moves/move_controller.h
@@ -56,7 +56,7 @@
   // This host began to lead at `now`, with the fencing number `fence`.
   void OnLeading(std::uint64_t fence, TimePoint now);
   void OnReport(const HostId& host, const MoveReport& report);
-  void OnOrderEnded(const UpstreamId& upstream);
+  void OnOrderEnded(const UpstreamId& upstream, TimePoint now);
   void Tick(const configuration::ConfigurationSnapshot& configuration,
             const std::vector<KnownUpstream>& upstreams,
             std::int64_t unix_ms,
@@ -97,7 +97,9 @@
   std::uint64_t fence_ = 0;
   TimePoint leading_since_{};
   std::map<ModelId, Seen> seen_;
-  std::set<UpstreamId> ordered_;
+  // Orders under way, or ended so lately that the upstream's announcement
+  // may not tell of them yet.
+  std::map<UpstreamId, TimePoint> ordered_;
 };
 
 }  // namespace endivecart::moves
--- a/src/endivecart/routing/decide.cc
+++ b/src/endivecart/routing/decide.cc
@@ -13,7 +13,7 @@
 constexpr double kEqualPart = 0.05;
 constexpr double kRemoteDomainMillis = 1.0;
 
-enum class Eligibility { kOtherModel, kUnavailable, kFull, kEligible };
+enum class Eligibility { kOtherModel, kTried, kUnavailable, kFull, kEligible };
 
 Eligibility Judge(const RouteRequest& request, const UpstreamView& upstream) {
   if (upstream.model != request.model ||
@@ -26,9 +26,11 @@
   const bool tried = std::find(request.excluded.begin(), request.excluded.end(),
                                upstream.id) != request.excluded.end();
   if (upstream.leaving || upstream.domain_out || upstream.breaker_open ||
-      !reachable || tried) {
+      !reachable) {
     return Eligibility::kUnavailable;
   }
+  if (tried)
+    return Eligibility::kTried;
   return upstream.free_slots > 0 ? Eligibility::kEligible : Eligibility::kFull;
 }
 
@@ -36,17 +38,21 @@
 class Refusals {
  public:
   void Note(Eligibility eligibility) {
+    tried_ |= eligibility == Eligibility::kTried;
     unavailable_ |= eligibility == Eligibility::kUnavailable;
     full_ |= eligibility == Eligibility::kFull;
   }
   RoutingError Error() const {
     if (full_)
       return {RoutingErrorCode::kNoFreeSlot};
-    return {unavailable_ ? RoutingErrorCode::kUnavailable
-                         : RoutingErrorCode::kNoUpstream};
+    if (unavailable_)
+      return {RoutingErrorCode::kUnavailable};
+    return {tried_ ? RoutingErrorCode::kExhausted
+                   : RoutingErrorCode::kNoUpstream};
   }
 
  private:
+  bool tried_ = false;
   bool unavailable_ = false;
   bool full_ = false;
 };
@@ -187,6 +193,8 @@
       return "unavailable";
     case RoutingErrorCode::kNoFreeSlot:
       return "no-free-slot";
+    case RoutingErrorCode::kExhausted:
+      return "exhausted";
   }
   return "unknown";
 }
--- a/src/endivecart/routing/routing_values.h
+++ b/src/endivecart/routing/routing_values.h
@@ -84,6 +84,7 @@
   kNoUpstream,   // none serves this model and version
   kUnavailable,  // some serve it, but all are out, leaving or failing
   kNoFreeSlot,   // some could, but are full
+  kExhausted,    // all that could were tried before
 };
 
 struct RoutingError {
