Voters pass on news that reached them by either way; control experiments

Cause: a voter that learnt a revision from the leader's push before its own log did not push it to its followers; they had it only with their next poll.

Change: whatever is adopted is pushed on. Heartbeats every 250 ms instead of 150, elections after 0.8 to 1.5 s.

--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -13,6 +13,9 @@
   std::vector<std::string> upstreams;  // stand-ins' URLs
   std::vector<std::string> stores;     // stand-ins' URLs
   std::vector<std::string> keys;       // API keys, one a customer
+  std::vector<std::string> operators;  // operators' URLs
+  std::string operator_token;
+  std::string output = "/dev/null";  // file for accepted change ids
   std::string prompts = "docs";        // folder
   std::uint64_t seed = 1;
   double seconds = 10;
@@ -35,6 +38,11 @@
 // manual clock; `concurrent` is the number of moves of each kind. Needs no
 // site.
 int RunMoves(const SiteTargets& site);
+// Changes of the configuration one after the other: time until accepted and
+// until in force, and control traffic meanwhile.
+int RunChanges(const SiteTargets& site);
+// Calls that may not be repeated, with keys that come again.
+int RunCalls(const SiteTargets& site);
 
 }  // namespace bench
 
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -32,6 +32,10 @@
       "hosts", "callers' URLs, comma-separated", text())(
       "upstreams", "stand-in upstreams' URLs", text())(
       "stores", "stand-in stores' URLs", text())("keys", "API keys", text())(
+      "operators", "operators' URLs", text())(
+      "token", "operator token", text())(
+      "output", "file for the ids of accepted changes",
+      cxxopts::value<std::string>()->default_value("/dev/null"))(
       "prompts", "folder of texts to cut prompts from",
       cxxopts::value<std::string>()->default_value("docs"))(
       "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
@@ -50,7 +54,9 @@
                      {"overhead", bench::RunOverhead},
                      {"load", bench::RunLoad},
                      {"decide", bench::RunDecide},
-                     {"moves", bench::RunMoves}};
+                     {"moves", bench::RunMoves},
+                     {"changes", bench::RunChanges},
+                     {"calls", bench::RunCalls}};
   const auto it = experiments.find(args["experiment"].as<std::string>());
   if (it == experiments.end()) {
     std::cerr << "endivecart-bench: unknown experiment\n";
@@ -61,6 +67,9 @@
   site.upstreams = Split(args["upstreams"].as<std::string>());
   site.stores = Split(args["stores"].as<std::string>());
   site.keys = Split(args["keys"].as<std::string>());
+  site.operators = Split(args["operators"].as<std::string>());
+  site.operator_token = args["token"].as<std::string>();
+  site.output = args["output"].as<std::string>();
   site.prompts = args["prompts"].as<std::string>();
   site.seed = args["seed"].as<std::uint64_t>();
   site.seconds = args["seconds"].as<double>();
--- a/src/endivecart/control/control_node.cc
+++ b/src/endivecart/control/control_node.cc
@@ -659,6 +659,7 @@
   if (!reply.leader().empty())
     leader_hint_ = HostId(reply.leader());
   const bool news = AdoptConfiguration(reply);
+  news_to_push_ |= news;
   if (reply.down_epoch() > down_epoch_) {
     std::set<HostId> down;
     for (const std::string& host : reply.down_hosts())
--- a/src/endivecart/control/raft_core.h
+++ b/src/endivecart/control/raft_core.h
@@ -28,9 +28,9 @@
 
 struct RaftOptions {
   MemberId self;
-  Millis election_min{600};
-  Millis election_max{1200};
-  Millis heartbeat{150};
+  Millis election_min{800};
+  Millis election_max{1500};
+  Millis heartbeat{250};
   std::uint64_t seed = 1;  // of the election timeouts
 
   bool operator==(const RaftOptions&) const = default;
