--- a/bench/control_experiment.cc
+++ b/bench/control_experiment.cc
@@ -95,13 +95,12 @@
                    std::uint64_t revision,
                    Clock::time_point start) {
   std::string leader = LeaderUrl(site);
-  while (MillisSince(start) <
-         static_cast<double>(kInForcePatience.count())) {
-    const Json::Ptr force =
-        leader.empty()
-            ? nullptr
-            : OperatorGet(site, leader, "/v1/config/force?revision=" +
-                                            std::to_string(revision));
+  while (MillisSince(start) < static_cast<double>(kInForcePatience.count())) {
+    const Json::Ptr force = leader.empty()
+                                ? nullptr
+                                : OperatorGet(site, leader,
+                                              "/v1/config/force?revision=" +
+                                                  std::to_string(revision));
     if (!force.isNull() && force->optValue<bool>("in_force", false))
       return MillisSince(start);
     if (force.isNull())
@@ -146,8 +145,8 @@
                                     std::max(1.0, site.rate * site.seconds)));
   http::CallRequest request;
   request.method = "POST";
-  request.url = site.hosts[random() % site.hosts.size()] +
-                "/services/orders/order";
+  request.url =
+      site.hosts[random() % site.hosts.size()] + "/services/orders/order";
   request.body = "body of " + key;
   request.headers = {{"Authorization", "Bearer " + site.keys.front()},
                      {"Idempotency-Key", key}};
@@ -203,18 +202,18 @@
     std::this_thread::sleep_for(
         Millis(static_cast<int>(1000 / std::max(site.rate, 0.1))));
   }
-  std::printf("changes: %lu accepted, %d not; accepted p50 %.1f ms p99 %.1f "
-              "ms; in force p50 %.1f ms p99 %.1f ms\n",
-              accepted.Count(), failed, accepted.Quantile(0.5),
-              accepted.Quantile(0.99), in_force.Quantile(0.5),
-              in_force.Quantile(0.99));
+  std::printf(
+      "changes: %lu accepted, %d not; accepted p50 %.1f ms p99 %.1f "
+      "ms; in force p50 %.1f ms p99 %.1f ms\n",
+      accepted.Count(), failed, accepted.Quantile(0.5), accepted.Quantile(0.99),
+      in_force.Quantile(0.5), in_force.Quantile(0.99));
   const auto after = MarkTraffic(site);
   for (std::size_t i = 0; i < after.size(); ++i) {
     const double seconds =
         std::chrono::duration<double>(after[i].at - before[i].at).count();
-    std::printf("  host %zu sent %.0f bytes a second for control\n", i + 1,
-                static_cast<double>(after[i].bytes - before[i].bytes) /
-                    seconds);
+    std::printf(
+        "  host %zu sent %.0f bytes a second for control\n", i + 1,
+        static_cast<double>(after[i].bytes - before[i].bytes) / seconds);
   }
   return failed == 0 ? 0 : 1;
 }
@@ -223,25 +222,26 @@
   CallBook book;
   std::vector<std::thread> threads;
   constexpr int kThreads = 8;
-  const auto end = Clock::now() + std::chrono::microseconds(
-                                      static_cast<std::int64_t>(
-                                          site.seconds * 1e6));
+  const auto end =
+      Clock::now() +
+      std::chrono::microseconds(static_cast<std::int64_t>(site.seconds * 1e6));
   for (int t = 0; t < kThreads; ++t) {
     threads.emplace_back([&, t] {
       std::mt19937_64 random(site.seed * 100 + static_cast<std::uint64_t>(t));
       while (Clock::now() < end) {
         OneCall(site, random, book);
-        std::this_thread::sleep_for(Millis(static_cast<int>(
-            1000 * kThreads / std::max(site.rate, 0.1))));
+        std::this_thread::sleep_for(Millis(
+            static_cast<int>(1000 * kThreads / std::max(site.rate, 0.1))));
       }
     });
   }
   for (std::thread& thread : threads)
     thread.join();
-  std::printf("calls: first runs p50 %.1f ms p99 %.1f ms; keys answered %zu; "
-              "answers that differ %lu\n",
-              book.latency.Quantile(0.5), book.latency.Quantile(0.99),
-              book.answers.size(), book.differing);
+  std::printf(
+      "calls: first runs p50 %.1f ms p99 %.1f ms; keys answered %zu; "
+      "answers that differ %lu\n",
+      book.latency.Quantile(0.5), book.latency.Quantile(0.99),
+      book.answers.size(), book.differing);
   for (const auto& [name, count] : book.ends)
     std::printf("  %s: %lu\n", name.c_str(), count);
   return book.differing == 0 ? 0 : 1;
--- a/bench/experiments.cc
+++ b/bench/experiments.cc
@@ -62,6 +62,20 @@
                            static_cast<double>(prompt);
 }
 
+// When customer `c` sends; the last one's burst fills the middle third.
+std::vector<double> CustomerTimes(const SiteTargets& site, std::size_t c) {
+  const double rate = site.rate / static_cast<double>(site.keys.size());
+  std::vector<double> times = PoissonTimes(rate, site.seconds, site.seed + c);
+  if (site.burst <= 1 || c + 1 != site.keys.size())
+    return times;
+  const double third = (site.seconds - site.warmup) / 3;
+  for (const double at :
+       PoissonTimes(rate * (site.burst - 1), third, site.seed + 1000)) {
+    times.push_back(at + (site.warmup + third) * 1000);
+  }
+  return times;
+}
+
 int Violations(const SiteTargets& site) {
   double violations = 0;
   for (const std::string& url : site.upstreams)
@@ -146,12 +160,12 @@
     const auto prompts = CutPrompts(
         site.prompts, 24, kLongPromptBytes,
         "load " + std::to_string(site.seed) + " customer " + std::to_string(c));
-    for (const double at :
-         PoissonTimes(site.rate / static_cast<double>(site.keys.size()),
-                      site.seconds, site.seed + c)) {
+    for (const double at : CustomerTimes(site, c)) {
       Arrival arrival;
       arrival.at_ms = at;
-      arrival.group = "customer " + std::to_string(c + 1);
+      arrival.group = at < site.warmup * 1000
+                          ? "(warm-up)"
+                          : "customer " + std::to_string(c + 1);
       arrival.call.url = site.hosts[random() % site.hosts.size()];
       arrival.call.api_key = site.keys[c];
       arrival.call.prompt = prompts[random() % prompts.size()];
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -16,10 +16,12 @@
   std::vector<std::string> operators;  // operators' URLs
   std::string operator_token;
   std::string output = "/dev/null";  // file for accepted change ids
-  std::string prompts = "docs";        // folder
+  std::string prompts = "docs";      // folder
   std::uint64_t seed = 1;
   double seconds = 10;
-  double rate = 20;  // calls a second
+  double rate = 20;   // calls a second
+  double warmup = 0;  // seconds at the start that are shown apart
+  double burst = 1;   // factor on the last customer's rate in the middle third
   int concurrent = 200;
   bool json = false;
 };
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -32,8 +32,8 @@
       "hosts", "callers' URLs, comma-separated", text())(
       "upstreams", "stand-in upstreams' URLs", text())(
       "stores", "stand-in stores' URLs", text())("keys", "API keys", text())(
-      "operators", "operators' URLs", text())(
-      "token", "operator token", text())(
+      "operators", "operators' URLs", text())("token", "operator token",
+                                              text())(
       "output", "file for the ids of accepted changes",
       cxxopts::value<std::string>()->default_value("/dev/null"))(
       "prompts", "folder of texts to cut prompts from",
@@ -42,7 +42,11 @@
       "seconds", "length", cxxopts::value<double>()->default_value("10"))(
       "rate", "calls a second", cxxopts::value<double>()->default_value("20"))(
       "count", "moves of each kind",
-      cxxopts::value<int>()->default_value("40"))("json", "print JSON lines")(
+      cxxopts::value<int>()->default_value("40"))(
+      "warmup", "seconds at the start that are shown apart",
+      cxxopts::value<double>()->default_value("0"))(
+      "burst", "factor on the last customer's rate in the middle third",
+      cxxopts::value<double>()->default_value("1"))("json", "print JSON lines")(
       "help", "print this help");
   options.parse_positional({"experiment"});
   return options;
@@ -50,13 +54,11 @@
 
 int Run(const cxxopts::ParseResult& args) {
   const std::map<std::string, std::function<int(const bench::SiteTargets&)>>
-      experiments = {{"returns", bench::RunReturns},
-                     {"overhead", bench::RunOverhead},
-                     {"load", bench::RunLoad},
-                     {"decide", bench::RunDecide},
-                     {"moves", bench::RunMoves},
-                     {"changes", bench::RunChanges},
-                     {"calls", bench::RunCalls}};
+      experiments = {
+          {"returns", bench::RunReturns}, {"overhead", bench::RunOverhead},
+          {"load", bench::RunLoad},       {"decide", bench::RunDecide},
+          {"moves", bench::RunMoves},     {"changes", bench::RunChanges},
+          {"calls", bench::RunCalls}};
   const auto it = experiments.find(args["experiment"].as<std::string>());
   if (it == experiments.end()) {
     std::cerr << "endivecart-bench: unknown experiment\n";
@@ -75,6 +77,8 @@
   site.seconds = args["seconds"].as<double>();
   site.rate = args["rate"].as<double>();
   site.concurrent = args["count"].as<int>();
+  site.warmup = args["warmup"].as<double>();
+  site.burst = args["burst"].as<double>();
   site.json = args.count("json") > 0;
   const bool needs_site = it->first != "decide" && it->first != "moves";
   if (needs_site && (site.hosts.empty() || site.keys.empty())) {
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -8,18 +8,25 @@
 #
 # Before site_make: SITE_BIN (programs), SITE_PORT (first port), and, if need
 # be, SITE_DOMAINS, SITE_UPSTREAMS (a domain), SITE_CAPACITY, SITE_PREFILL,
-# SITE_TOKEN_MS, SITE_CACHE_PIECES, SITE_LINK, SITE_POLICY, SITE_LISTS.
+# SITE_TOKEN_MS, SITE_CACHE_PIECES, SITE_LINK, SITE_POLICY, SITE_LISTS, SITE_HOSTS (a domain).
 
 : "${SITE_DOMAINS:=a b c}" "${SITE_UPSTREAMS:=2}" "${SITE_CAPACITY:=8}"
 : "${SITE_PREFILL:=16000}" "${SITE_TOKEN_MS:=2}" "${SITE_CACHE_PIECES:=64}"
 : "${SITE_LINK:=20000000}" "${SITE_POLICY:=predicted}" "${SITE_PORT:=18000}"
-: "${SITE_LISTS:=}" "${SITE_STORES:=2}"
+: "${SITE_LISTS:=}" "${SITE_STORES:=2}" "${SITE_HOSTS:=2}"
 
 SITE_OPERATOR_TOKEN=operator-demo-token
 SITE_ANNOUNCE_TOKEN=announce-demo-token
 SITE_KEYS=key-one,key-two
 
-site_hosts() { for d in $SITE_DOMAINS; do echo "${d}1" "${d}2"; done | xargs; }
+site_hosts() {
+  local d i
+  for d in $SITE_DOMAINS; do
+    for i in $(seq 1 "$SITE_HOSTS"); do echo "$d$i"; done
+  done | xargs
+}
+site_domain() { echo "${1%%[0-9]*}"; }
+site_is_voter() { [ "${1#"$(site_domain "$1")"}" = 1 ]; } # one a domain
 site_index() { # host id -> 0, 1, 2 ...
   local i=0 h
   for h in $(site_hosts); do
@@ -82,8 +89,8 @@
     keys=$("$SITE_BIN/endivecart" keygen)
     echo "$keys" | sed -n 's/^secret //p' >"$dir/$h/secret.key"
     first=false
-    [ "${h%1}" != "$h" ] && first=true
-    entries+="${entries:+,}{\"id\": \"$h\", \"domain\": \"${h%?}\", \"control\": \"$(site_control "$h")\",
+    site_is_voter "$h" && first=true
+    entries+="${entries:+,}{\"id\": \"$h\", \"domain\": \"$(site_domain "$h")\", \"control\": \"$(site_control "$h")\",
  \"public_key\": \"$(echo "$keys" | sed -n 's/^public //p')\", \"voter\": $first}"
   done
   for d in $SITE_DOMAINS; do
@@ -94,9 +101,9 @@
   done
   for h in $(site_hosts); do
     first=""
-    [ "${h%1}" != "$h" ] && first="\"data_folder\": \"$dir/$h/data\","
+    site_is_voter "$h" && first="\"data_folder\": \"$dir/$h/data\","
     cat >"$dir/$h/settings.json" <<J
-{"host": "$h", "domain": "${h%?}",
+{"host": "$h", "domain": "$(site_domain "$h")",
  "listen": {"callers": "$(site_callers "$h")", "operators": "$(site_operators "$h")",
             "control": "$(site_control "$h")"},
  $first
@@ -121,14 +128,16 @@
 }
 
 site_standins() {
-  local dir=$1 d i=0 n
+  local dir=$1 d i=0 n announce
   : >"$dir/standins.pids"
   for d in $SITE_DOMAINS; do
+    announce=$(site_join $(for n in $(seq 1 "$SITE_HOSTS"); do
+      echo "http://$(site_operators "$d$n")"; done))
     for n in $(seq 1 "$SITE_UPSTREAMS"); do
       "$SITE_BIN/endivecart-standin" upstream --listen "127.0.0.1:$((SITE_PORT + 300 + i))" \
         --id "$d-u$n" --domain "$d" --capacity "$SITE_CAPACITY" --prefill-rate "$SITE_PREFILL" \
         --token-ms "$SITE_TOKEN_MS" --cache-pieces "$SITE_CACHE_PIECES" \
-        --announce "http://$(site_operators "${d}1"),http://$(site_operators "${d}2")" \
+        --announce "$announce" \
         --announce-token $SITE_ANNOUNCE_TOKEN >>"$dir/standins.txt" 2>&1 &
       echo $! >>"$dir/standins.pids"
       i=$((i + 1))
