--- a/bench/experiments.cc
+++ b/bench/experiments.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <random>
+#include <set>
 #include <thread>
 
 #include "endivecart/routing/routing.h"
@@ -160,15 +161,18 @@
     const auto prompts = CutPrompts(
         site.prompts, 24, kLongPromptBytes,
         "load " + std::to_string(site.seed) + " customer " + std::to_string(c));
+    std::set<std::size_t> seen;
     for (const double at : CustomerTimes(site, c)) {
       Arrival arrival;
       arrival.at_ms = at;
-      arrival.group = at < site.warmup * 1000
-                          ? "(warm-up)"
-                          : "customer " + std::to_string(c + 1);
       arrival.call.url = site.hosts[random() % site.hosts.size()];
       arrival.call.api_key = site.keys[c];
-      arrival.call.prompt = prompts[random() % prompts.size()];
+      const std::size_t prompt = random() % prompts.size();
+      const bool returned = !seen.insert(prompt).second;
+      arrival.group = at < site.warmup * 1000 ? "(warm-up)"
+                      : returned ? "customer " + std::to_string(c + 1)
+                                 : "(first time)";
+      arrival.call.prompt = prompts[prompt];
       arrivals.push_back(std::move(arrival));
     }
   }
--- /dev/null
+++ b/src/endivecart/base/base_unittest.cc
@@ -0,0 +1,69 @@
+#include <boost/test/unit_test.hpp>
+
+#include "endivecart/base/base.h"
+
+namespace endivecart {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(basics, *boost::unit_test::label("base"))
+
+BOOST_AUTO_TEST_CASE(manual_time_runs_callbacks_in_order_of_due_time) {
+  ManualTimerService timer;
+  std::string order;
+  const auto slow = timer.Every(Millis(30), [&](TimePoint) { order += 's'; });
+  auto fast = timer.Every(Millis(10), [&](TimePoint) { order += 'f'; });
+  timer.Advance(Millis(25));
+  BOOST_TEST(order == "ff");
+  timer.Advance(Millis(10));
+  BOOST_TEST(order.size() == 4U);
+  fast.reset();
+  timer.Advance(Millis(20));
+  BOOST_TEST(order.size() == 4U);
+  timer.Advance(Millis(10));
+  BOOST_TEST(order.size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(quantiles_lie_within_a_bucket_of_the_truth) {
+  LatencyHistogram histogram;
+  for (int i = 1; i <= 1000; ++i)
+    histogram.Record(i);
+  BOOST_TEST(histogram.Count() == 1000U);
+  BOOST_TEST(histogram.Quantile(0.5) >= 500);
+  BOOST_TEST(histogram.Quantile(0.5) <= 560);
+  BOOST_TEST(histogram.Quantile(0.99) >= 990);
+  BOOST_TEST(LatencyHistogram().Quantile(0.5) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(log_values_can_not_forge_fields_or_lines) {
+  std::string seen;
+  SetLogSinkForTest([&](const std::string& line) { seen = line; });
+  LogLine("event").Add("key", "a b\nlevel=ERROR \"x\"").Add("n", 3).Info();
+  SetLogSinkForTest(nullptr);
+  BOOST_TEST(seen == "event=event key=\"a b level=ERROR \\\"x\\\"\" n=3");
+}
+
+BOOST_AUTO_TEST_CASE(digests_of_lists_depend_on_where_fields_end) {
+  BOOST_TEST(Sha256HexOfFields({"ab", "c"}) != Sha256HexOfFields({"a", "bc"}));
+  BOOST_TEST(Sha256Hex("abc").substr(0, 8) == "ba7816bf");
+  BOOST_TEST(ConstantTimeEqual("abc", "abc"));
+  BOOST_TEST(!ConstantTimeEqual("abc", "abd"));
+  BOOST_TEST(!ConstantTimeEqual("abc", "ab"));
+}
+
+BOOST_AUTO_TEST_CASE(a_violation_is_counted_and_reported_once) {
+  const auto before =
+      InvariantMonitor::Get().Violations(Invariant::kGracefulStop);
+  int reports = 0;
+  InvariantMonitor::Get().SetHandler([&](auto...) { ++reports; });
+  BOOST_TEST(CheckInvariant(true, Invariant::kGracefulStop, "x"));
+  BOOST_TEST(!CheckInvariant(false, Invariant::kGracefulStop, "x"));
+  InvariantMonitor::Get().SetHandler(nullptr);
+  BOOST_TEST(reports == 1);
+  BOOST_TEST(InvariantMonitor::Get().Violations(Invariant::kGracefulStop) ==
+             before + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace endivecart
--- a/src/endivecart/cache/cache_unittest.cc
+++ b/src/endivecart/cache/cache_unittest.cc
@@ -23,7 +23,8 @@
 
 BOOST_AUTO_TEST_SUITE(cache_pieces, *boost::unit_test::label("cache"))
 
-BOOST_AUTO_TEST_CASE(names_differ_by_customer_model_version_and_all_text_before) {
+BOOST_AUTO_TEST_CASE(
+    names_differ_by_customer_model_version_and_all_text_before) {
   const PromptPieces base = CutPrompt(kOwner, kPrompt);
   BOOST_REQUIRE(base.pieces.size() == 2U);
   BOOST_TEST(base.tokens == 10000);
@@ -36,8 +37,7 @@
   }
   std::string changed = kPrompt;
   changed[0] = 'y';
-  BOOST_TEST(CutPrompt(kOwner, changed).pieces[1].name !=
-             base.pieces[1].name);
+  BOOST_TEST(CutPrompt(kOwner, changed).pieces[1].name != base.pieces[1].name);
 }
 
 BOOST_AUTO_TEST_CASE(an_index_entry_of_another_customer_is_never_returned) {
@@ -88,8 +88,7 @@
   const std::vector<KeptPiece> pieces = {Kept("cheap", "small", 1),
                                          Kept("dear", "large", 100),
                                          Kept("mid", "large", 10)};
-  const auto freed =
-      ChooseToFree(pieces, 100, {{CustomerId("small"), 100}});
+  const auto freed = ChooseToFree(pieces, 100, {{CustomerId("small"), 100}});
   BOOST_REQUIRE(freed.size() == 1U);
   BOOST_TEST(freed.front().name == "mid");
 }
--- a/src/endivecart/control/raft_core_unittest.cc
+++ b/src/endivecart/control/raft_core_unittest.cc
@@ -79,15 +79,15 @@
   RaftCore b = MakeCore(kB);
   RaftCore c = MakeCore(kC);
   const std::map<MemberId, RaftCore*> cores = {{kA, &a}, {kB, &b}, {kC, &c}};
-  a.Tick(At(1300));
-  Exchange(cores, At(1300));
+  a.Tick(At(1600));
+  Exchange(cores, At(1600));
   BOOST_REQUIRE((a.role() == RaftRole::kLeader));
-  BOOST_TEST(a.Propose("command", At(1300)).has_value());
-  a.Tick(At(1300));
-  Exchange(cores, At(1300));
+  BOOST_TEST(a.Propose("command", At(1600)).has_value());
+  a.Tick(At(1600));
+  Exchange(cores, At(1600));
   BOOST_TEST(a.commit_index() == 2U);  // the no-op and the command
   BOOST_TEST(b.log().last_index() == 2U);
-  BOOST_TEST(a.QuorumContact(At(1300)).has_value());
+  BOOST_TEST(a.QuorumContact(At(1600)).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_restarted_voter_does_not_vote_at_once) {
@@ -98,7 +98,7 @@
   vote.mutable_vote_request()->set_last_term(4);
   a.Step(vote, At(100));
   BOOST_TEST(a.TakeReady().messages.empty());
-  a.Step(vote, At(700));
+  a.Step(vote, At(900));
   BOOST_REQUIRE(a.TakeReady().messages.size() == 1U);
 }
 
@@ -107,7 +107,7 @@
   wire::RaftMessage vote = From(kB, kA, 5);
   vote.mutable_vote_request()->set_last_index(1);
   vote.mutable_vote_request()->set_last_term(1);
-  a.Step(vote, At(700));
+  a.Step(vote, At(900));
   const RaftReady ready = a.TakeReady();
   BOOST_REQUIRE(!ready.records.empty());
   BOOST_TEST(ready.records.back().vote().voted_for() == kB.str());
@@ -117,10 +117,10 @@
 BOOST_AUTO_TEST_CASE(a_leader_without_a_quorum_steps_down) {
   RaftCore a = MakeCore(kA);
   RaftCore b = MakeCore(kB);
-  a.Tick(At(1300));
-  Exchange({{kA, &a}, {kB, &b}}, At(1300));
+  a.Tick(At(1600));
+  Exchange({{kA, &a}, {kB, &b}}, At(1600));
   BOOST_REQUIRE((a.role() == RaftRole::kLeader));
-  a.Tick(At(1300 + 1300));
+  a.Tick(At(1600 + 1600));
   BOOST_TEST((a.role() == RaftRole::kFollower));
 }
 
@@ -143,13 +143,13 @@
   // Found by the random run, seed 65.
   RaftCore a = MakeCore(kA);
   RaftCore b = MakeCore(kB);
-  a.Tick(At(1300));
-  Exchange({{kA, &a}, {kB, &b}}, At(1300));
+  a.Tick(At(1600));
+  Exchange({{kA, &a}, {kB, &b}}, At(1600));
   wire::RaftMessage reject = From(kC, kA, a.term());
   reject.mutable_append_reply()->set_match_index(0);
-  a.Step(reject, At(1310));
-  a.Step(reject, At(1310));
-  a.Step(reject, At(1311));
+  a.Step(reject, At(1610));
+  a.Step(reject, At(1610));
+  a.Step(reject, At(1611));
   BOOST_TEST(a.TakeReady().messages.size() == 1U);
 }
 
@@ -158,15 +158,15 @@
   RaftCore b = MakeCore(kB);
   RaftCore c = MakeCore(kC);
   const std::map<MemberId, RaftCore*> cores = {{kA, &a}, {kB, &b}, {kC, &c}};
-  a.Tick(At(1300));
-  Exchange(cores, At(1300));
+  a.Tick(At(1600));
+  Exchange(cores, At(1600));
   const MemberId d("d1@x");
-  BOOST_TEST(a.AddLearner(d, At(1300)).has_value());
-  BOOST_TEST((a.Remove(kC, At(1300)).error().code ==
-              RaftErrorCode::kChangePending));
-  a.Tick(At(1300));
-  Exchange(cores, At(1300));
-  BOOST_TEST(a.Remove(kC, At(1301)).has_value());
+  BOOST_TEST(a.AddLearner(d, At(1600)).has_value());
+  BOOST_TEST(
+      (a.Remove(kC, At(1600)).error().code == RaftErrorCode::kChangePending));
+  a.Tick(At(1600));
+  Exchange(cores, At(1600));
+  BOOST_TEST(a.Remove(kC, At(1601)).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_follower_names_a_whole_term_that_can_not_match) {
@@ -221,7 +221,8 @@
   BOOST_TEST(machine.document() == R"({"x":1})");
 }
 
-BOOST_AUTO_TEST_CASE(a_change_sent_again_gets_the_same_answer_after_a_snapshot) {
+BOOST_AUTO_TEST_CASE(
+    a_change_sent_again_gets_the_same_answer_after_a_snapshot) {
   StateMachine machine = MakeMachine();
   Apply(machine, Change("1", 0, R"({"x":1})"));
   const auto faulty = Apply(machine, Change("2", 1, R"({"bad":1})"));
--- a/src/endivecart/entry/cache_keeper.cc
+++ b/src/endivecart/entry/cache_keeper.cc
@@ -21,11 +21,6 @@
 constexpr std::int64_t kExpectedPieceBytes = 64LL * 1024;
 constexpr Millis kExportTimeout{2000};
 
-TimePoint SteadyNow() {
-  return std::chrono::time_point_cast<std::chrono::microseconds>(
-      std::chrono::steady_clock::now());
-}
-
 std::string ExportJson(const cache::PromptPieces& pieces,
                        const std::string& store_url) {
   std::string names;
@@ -72,7 +67,7 @@
 }
 
 void CacheKeeper::Follow(Followed& store) {
-  const TimePoint now = SteadyNow();
+  const TimePoint now = hooks_.now();
   if (now < store.retry_at)
     return;
   const auto listing =
@@ -106,7 +101,7 @@
 
 void CacheKeeper::OnUnreachable(Followed& store,
                                 const cache::CacheError& error) {
-  store.retry_at = SteadyNow() + kRetryLostStore;
+  store.retry_at = hooks_.now() + kRetryLostStore;
   if (++store.failures != kFailuresToDrop)
     return;
   // A lost store costs a recompute, never an answer.
--- a/src/endivecart/entry/cache_keeper.h
+++ b/src/endivecart/entry/cache_keeper.h
@@ -24,6 +24,7 @@
 class CacheKeeper {
  public:
   struct Hooks {
+    std::function<TimePoint()> now;
     // Whether this host is the one that frees pieces of a store.
     std::function<bool(const settings::StoreEntry&)> frees;
   };
--- a/src/endivecart/entry/dispatcher.cc
+++ b/src/endivecart/entry/dispatcher.cc
@@ -56,6 +56,7 @@
   const PlacementRequest* request = nullptr;
   VersionId version;
   cache::PromptPieces pieces;
+  Revision chosen_at_revision = 0;  // when its version was chosen
   bool needs_customer_slot = false;
   routing::RoutingErrorCode last_error = routing::RoutingErrorCode::kNoFreeSlot;
   std::optional<Placement> placement;
@@ -286,6 +287,7 @@
     const auto model = configuration_->set.models().find(request.model);
     if (model == configuration_->set.models().end())
       return Refuse(PlacementErrorCode::kUnknownModel);
+    waiter.chosen_at_revision = configuration_->revision;
     const int draw =
         static_cast<int>(StableHash(request.id.str()) % kShareDraws);
     waiter.version =
@@ -475,7 +477,19 @@
                  Invariant::kLeavingGetsNoWork, placement.upstream.str());
   CheckInvariant(placement.pieces.owner.customer == waiter.request->customer,
                  Invariant::kCustomerIsolation, placement.upstream.str());
+  const auto model = set.models().find(waiter.request->model);
+  const bool version_allowed =
+      waiter.request->pinned_version || model == set.models().end() ||
+      placement.version == model->second.version ||
+      (model->second.rollout && model->second.rollout->state !=
+                                    configuration::RolloutState::kTakenBack) ||
+      // Chosen just before the configuration that took it back.
+      waiter.chosen_at_revision != configuration_->revision;
+  CheckInvariant(version_allowed, Invariant::kBadVersionShare,
+                 placement.version.str());
   for (const cache::StoredPiece& piece : placement.stored.pieces) {
+    CheckInvariant(piece.generation > 0 && !piece.checksum.empty(),
+                   Invariant::kCacheBlockSealed, piece.name);
     CheckInvariant(piece.owner.customer == waiter.request->customer,
                    Invariant::kCustomerIsolation, piece.name);
     CheckInvariant(piece.owner.version == placement.version,
--- a/src/endivecart/host/host.cc
+++ b/src/endivecart/host/host.cc
@@ -59,6 +59,24 @@
           outcome.conflict_author(), outcome.error()};
 }
 
+// A host that lost its disk is seen as its new member; the one to remove is
+// its other voter, which is seen no more. Without such a one it is the host's
+// only voter.
+control::MemberId MemberToRemove(const control::RaftCore& core,
+                                 const HostId& host,
+                                 const control::MemberId& seen) {
+  control::MemberId found = seen;
+  for (const std::string& voter : core.voters().voters()) {
+    const control::MemberId listed(voter);
+    if (control::HostOf(listed) != host)
+      continue;
+    if (listed != seen)
+      return listed;
+    found = listed;
+  }
+  return found;
+}
+
 operators::OperatorError NoQuorum() {
   return {operators::OperatorErrorCode::kNoQuorum,
           "no quorum answered; the outcome is not known: send the same change "
@@ -261,6 +279,7 @@
 
 void Host::Parts::MakeHandlers() {
   entry::CacheKeeper::Hooks keeper;
+  keeper.now = [this] { return timer_.Now(); };
   keeper.frees = [this](const settings::StoreEntry& store) {
     std::vector<HostId> hosts = options_.settings.HostsOfDomain(store.domain);
     return membership::HomeOf(store.id, hosts, {}) == options_.settings.host;
@@ -404,18 +423,8 @@
   const auto result = control_.Ask([&](TimePoint now) {
     control::ControlNode& node = control_.node();
     control::MemberId member = node.SeenMember(host);
-    // A host that lost its disk is seen as its new member, while the one to
-    // remove is the voter of that host which is not seen any more.
-    if (action == "remove" && node.core() != nullptr) {
-      for (const std::string& voter : node.core()->voters().voters()) {
-        const control::MemberId listed(voter);
-        if (control::HostOf(listed) == host &&
-            (listed != member || node.core()->voters().voters_size() > 1)) {
-          member = listed;
-          break;
-        }
-      }
-    }
+    if (action == "remove" && node.core() != nullptr)
+      member = MemberToRemove(*node.core(), host, member);
     return node.ChangeVoters(action, member, now);
   });
   if (!result) {
--- a/src/endivecart/ledger/ledger_unittest.cc
+++ b/src/endivecart/ledger/ledger_unittest.cc
@@ -18,8 +18,8 @@
   BOOST_TEST((ledger.Claim(Make("1"), 1).state == ClaimState::kGranted));
   BOOST_TEST((ledger.Claim(Make("1"), 1).state == ClaimState::kGranted));
   BOOST_TEST((ledger.Claim(Make("2"), 1).state == ClaimState::kRunning));
-  BOOST_TEST((ledger.Claim(Make("3", "other"), 1).state ==
-              ClaimState::kMismatch));
+  BOOST_TEST(
+      (ledger.Claim(Make("3", "other"), 1).state == ClaimState::kMismatch));
 }
 
 BOOST_AUTO_TEST_CASE(a_finished_call_gives_its_kept_answer) {
--- /dev/null
+++ b/src/endivecart/transport/message_bus_unittest.cc
@@ -0,0 +1,104 @@
+#include <boost/test/unit_test.hpp>
+
+#include "endivecart/transport/transport.h"
+
+namespace endivecart::transport {
+namespace {
+
+constexpr int kFirstPort = 22900;
+
+struct Peer {
+  settings::HostSettings settings;
+  std::unique_ptr<MessageBus> bus;
+};
+
+// Settings of hosts that know each other's keys.
+std::vector<Peer> MakePeers(int count, int port) {
+  std::vector<Peer> peers(static_cast<std::size_t>(count));
+  std::vector<settings::HostEntry> entries;
+  for (int i = 0; i < count; ++i) {
+    const CurveKeyPair keys = GenerateCurveKeyPair();
+    settings::HostSettings& settings =
+        peers[static_cast<std::size_t>(i)].settings;
+    settings.host = HostId("h" + std::to_string(i));
+    settings.domain = DomainId("a");
+    settings.control = {"127.0.0.1", port + i};
+    settings.secret_key = keys.secret_key;
+    entries.push_back({settings.host, settings.domain, settings.control,
+                       keys.public_key, false});
+  }
+  for (Peer& peer : peers)
+    peer.settings.hosts = entries;
+  return peers;
+}
+
+wire::Envelope Hello() {
+  wire::Envelope envelope;
+  envelope.mutable_share_ask()->set_sequence(7);
+  return envelope;
+}
+
+// Sends until `receiver` has got something from `sender`, or gives up.
+int Exchange(Peer& sender, Peer& receiver) {
+  int received = 0;
+  for (int i = 0; i < 100 && received == 0; ++i) {
+    sender.bus->Send(receiver.settings.host, Hello());
+    receiver.bus->Poll(Millis(20), [&](const wire::Envelope& envelope) {
+      received += envelope.from() == sender.settings.host.str() ? 1 : 0;
+    });
+  }
+  return received;
+}
+
+BOOST_AUTO_TEST_SUITE(message_bus, *boost::unit_test::label("transport"))
+
+BOOST_AUTO_TEST_CASE(listed_hosts_talk_and_are_known_by_their_keys) {
+  auto peers = MakePeers(2, kFirstPort);
+  for (Peer& peer : peers) {
+    auto bus = MessageBus::Open(peer.settings);
+    BOOST_REQUIRE(bus.has_value());
+    peer.bus = std::move(*bus);
+  }
+  BOOST_TEST(Exchange(peers[0], peers[1]) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_stranger_is_refused_and_logged) {
+  auto peers = MakePeers(2, kFirstPort + 10);
+  std::string log;
+  std::mutex mutex;
+  SetLogSinkForTest([&](const std::string& line) {
+    std::scoped_lock lock(mutex);
+    log += line;
+  });
+  peers[1].bus = std::move(*MessageBus::Open(peers[1].settings));
+  // The stranger has a key of its own, which peers[1] does not know.
+  Peer stranger;
+  const CurveKeyPair keys = GenerateCurveKeyPair();
+  stranger.settings = peers[0].settings;
+  stranger.settings.secret_key = keys.secret_key;
+  stranger.settings.hosts[0].public_key = keys.public_key;
+  stranger.bus = std::move(*MessageBus::Open(stranger.settings));
+  int received = 0;
+  for (int i = 0; i < 50; ++i) {
+    stranger.bus->Send(peers[1].settings.host, Hello());
+    peers[1].bus->Poll(Millis(10), [&](const wire::Envelope&) { ++received; });
+  }
+  stranger.bus.reset();
+  peers[1].bus.reset();
+  SetLogSinkForTest(nullptr);
+  BOOST_TEST(received == 0);
+  BOOST_TEST(log.find("transport.stranger") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_whose_keys_do_not_match_does_not_start) {
+  auto peers = MakePeers(1, kFirstPort + 20);
+  peers[0].settings.secret_key = GenerateCurveKeyPair().secret_key;
+  const auto bus = MessageBus::Open(peers[0].settings);
+  BOOST_REQUIRE(!bus.has_value());
+  BOOST_TEST((bus.error().code == TransportErrorCode::kBadKey));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace endivecart::transport
