--- a/src/endivecart/http/server.cc
+++ b/src/endivecart/http/server.cc
@@ -85,7 +85,7 @@
     Poco::Net::ServerSocket socket;
     socket.bind(Poco::Net::SocketAddress(
                     endpoint.address, static_cast<Poco::UInt16>(endpoint.port)),
-                true);
+                true, false);  // two processes must not share a port
     socket.listen(kListenBacklog);
     server->data_->pool = std::make_unique<Poco::ThreadPool>(
         std::min(kMinThreads, limits.max_connections),
