--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -187,10 +187,10 @@
   "$SITE_BIN/endivecart" --operators "$(site_operator_urls)" --token-file "$dir/token" "$@"
 }
 
-site_stop() {
+site_stop() { # works under `set -e`: a process that has ended is no error
   local dir=$1 h p
   for h in $(site_hosts); do
-    [ -f "$dir/$h/pid" ] && kill -TERM "$(cat "$dir/$h/pid")" 2>/dev/null
+    [ ! -f "$dir/$h/pid" ] || kill -TERM "$(cat "$dir/$h/pid")" 2>/dev/null || true
   done
   for h in $(site_hosts); do
     [ -f "$dir/$h/pid" ] || continue
@@ -199,9 +199,10 @@
       kill -0 "$p" 2>/dev/null || break
       sleep 0.1
     done
-    kill -KILL "$p" 2>/dev/null
+    kill -KILL "$p" 2>/dev/null || true
   done
-  for p in $(cat "$dir/standins.pids" 2>/dev/null); do kill -KILL "$p" 2>/dev/null; done
-  wait 2>/dev/null
-  return 0
+  for p in $(cat "$dir/standins.pids" 2>/dev/null); do
+    kill -KILL "$p" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
 }
