Idle shares cost little: customers' are not asked for, upstreams' every other time

Cause: every host asked each second for a share of every customer's limit and every upstream's slots, wanted or not: 15.4 KB a second at 430 customers, 62 bytes a second for each upstream.

Change: customers' shares are asked for only while wanted or held; idle upstreams with every other renewal; asks that can't wait name only what is wanted; customers' slots are not kept at hand.

--- a/soak/random_run.cc
+++ b/soak/random_run.cc
@@ -152,7 +152,7 @@
   share.send = [this, self](const HostId& to, wire::Envelope envelope) {
     network_.Send(self->entry.id, to, std::move(envelope), now_ms_);
   };
-  share.wishes = [this, self] {
+  share.wishes = [this, self](bool) {
     return std::vector<membership::ResourceWish>{
         {kUpstream, DomainId("a"),
          self->holder.Wish(kUpstream, self->Now(now_ms_))}};
--- a/src/endivecart/entry/dispatcher.cc
+++ b/src/endivecart/entry/dispatcher.cc
@@ -39,14 +39,18 @@
   state_->table_.Refresh(state_->slots_, state_->hooks_.now());
 }
 
-std::vector<membership::ResourceWish> Dispatcher::Wishes() {
+std::vector<membership::ResourceWish> Dispatcher::Wishes(bool idle_too) {
   std::scoped_lock lock(state_->mutex_);
   const TimePoint now = state_->hooks_.now();
-  auto wishes = state_->table_.Wishes(state_->slots_, now);
+  auto wishes = state_->table_.Wishes(state_->slots_, now, idle_too);
   for (const auto& [customer, state] : state_->customers_) {
     const std::string resource = membership::CustomerResource(customer);
-    wishes.push_back(
-        {resource, DomainId(), state_->slots_.Wish(resource, now)});
+    const membership::ShareWish wish = state_->slots_.Wish(resource, now);
+    // The host's own part needs no asking; what is held idle is given back.
+    if (wish != membership::ShareWish{} ||
+        state_->slots_.Granted(resource) > 0) {
+      wishes.push_back({resource, DomainId(), wish});
+    }
   }
   return wishes;
 }
--- a/src/endivecart/entry/dispatcher.h
+++ b/src/endivecart/entry/dispatcher.h
@@ -59,7 +59,8 @@
   void OnGrants(const std::vector<membership::ResourceGrant>& grants);
   void OnUpstreams(const HostId& home,
                    const std::vector<membership::Upstream>& upstreams);
-  std::vector<membership::ResourceWish> Wishes();
+  // With `idle_too` also for upstreams of which nothing is wanted now.
+  std::vector<membership::ResourceWish> Wishes(bool idle_too);
   std::vector<membership::UpstreamEvidence> TakeEvidence(const HostId& home);
   // Re-reads leases and serves who waits; call often.
   void Tick();
--- a/src/endivecart/entry/upstream_table.cc
+++ b/src/endivecart/entry/upstream_table.cc
@@ -118,13 +118,15 @@
 
 std::vector<membership::ResourceWish> UpstreamTable::Wishes(
     membership::ShareHolder& slots,
-    TimePoint now) const {
+    TimePoint now,
+    bool idle_too) const {
   std::vector<membership::ResourceWish> wishes;
   wishes.reserve(rows_.size());
   for (const Row& row : rows_) {
     const std::string resource = membership::UpstreamResource(row.upstream.id);
-    wishes.push_back(
-        {resource, row.upstream.domain, slots.Wish(resource, now)});
+    const membership::ShareWish wish = slots.Wish(resource, now);
+    if (idle_too || wish != membership::ShareWish{})
+      wishes.push_back({resource, row.upstream.domain, wish});
   }
   return wishes;
 }
--- a/src/endivecart/entry/upstream_table.h
+++ b/src/endivecart/entry/upstream_table.h
@@ -34,7 +34,8 @@
   }
   std::optional<std::size_t> Find(const UpstreamId& id) const;
   std::vector<membership::ResourceWish> Wishes(membership::ShareHolder& slots,
-                                               TimePoint now) const;
+                                               TimePoint now,
+                                               bool idle_too) const;
   std::vector<membership::UpstreamEvidence> TakeEvidence(const HostId& home);
 
   // An attempt was given to the upstream; `tokens` are to be recomputed.
--- a/src/endivecart/host/host.cc
+++ b/src/endivecart/host/host.cc
@@ -240,7 +240,9 @@
   hooks.send = [&bus](const HostId& to, wire::Envelope envelope) {
     bus.Send(to, std::move(envelope));
   };
-  hooks.wishes = [this] { return dispatcher_->Wishes(); };
+  hooks.wishes = [this](bool idle_too) {
+    return dispatcher_->Wishes(idle_too);
+  };
   hooks.take_evidence = [this](const HostId& home) {
     return dispatcher_->TakeEvidence(home);
   };
--- a/src/endivecart/membership/share_book.cc
+++ b/src/endivecart/membership/share_book.cc
@@ -14,9 +14,11 @@
 
 void ShareBook::SetCapacity(const std::string& resource,
                             int slots,
-                            int reserved) {
+                            int reserved,
+                            bool standby) {
   Resource& entry = resources_[resource];
   entry.capacity = slots;
+  entry.standby = standby;
   entry.reserved = std::min(reserved, slots);
 }
 
@@ -94,7 +96,7 @@
   const int lendable = resource.capacity - resource.reserved;
   const bool ample =
       2 * (DemandWithout(resource, asker, now) + hosts) <= lendable;
-  return wanted == 0 && ample ? 1 : wanted;
+  return wanted == 0 && ample && resource.standby ? 1 : wanted;
 }
 
 bool ShareBook::IsScarce(const std::string& resource, TimePoint now) const {
--- a/src/endivecart/membership/share_book.h
+++ b/src/endivecart/membership/share_book.h
@@ -27,7 +27,11 @@
 
   // Sets what the resource bears, and how much of that may not be lent because
   // other hosts own it without asking (see FixedPart).
-  void SetCapacity(const std::string& resource, int slots, int reserved = 0);
+  // `standby`: idle hosts may keep a slot while few are wanted.
+  void SetCapacity(const std::string& resource,
+                   int slots,
+                   int reserved = 0,
+                   bool standby = true);
   // No grants for this resource before `time`: an earlier home's may live.
   void BlockUntil(const std::string& resource, TimePoint time);
   // The resource itself reported how much work it does; reports lag.
@@ -56,6 +60,7 @@
   struct Resource {
     int capacity = 0;
     int reserved = 0;
+    bool standby = true;
     TimePoint blocked_until;
     int running = 0;
     TimePoint running_at{};
--- a/src/endivecart/membership/share_exchange.cc
+++ b/src/endivecart/membership/share_exchange.cc
@@ -231,7 +231,7 @@
   const int hosts = static_cast<int>(all_hosts_.size());
   for (const auto& [resource, limit] : limits_) {
     if (HomeOf(resource, all_hosts_, down_) == self_)
-      book_.SetCapacity(resource, limit - limit / 2 / hosts * hosts);
+      book_.SetCapacity(resource, limit - limit / 2 / hosts * hosts, 0, false);
   }
 }
 
@@ -248,27 +248,30 @@
   if (now < renewed_ + kRenewInterval)
     return;
   renewed_ = now;
-  AskAll(now);
+  ++renewals_;
+  AskAll(now, true);
 }
 
 void ShareExchange::OnDemand(TimePoint now) {
   if (now < urgent_ + kUrgentInterval)
     return;
   urgent_ = now;
-  AskAll(now);
+  AskAll(now, false);
 }
 
-void ShareExchange::AskAll(TimePoint now) {
+void ShareExchange::AskAll(TimePoint now, bool renewal) {
   RefreshCapacities(now);
   std::map<HostId, std::vector<ResourceWish>> by_home;
-  for (const ResourceWish& wish : hooks_.wishes()) {
+  // A lease outlasts two renewals: what is idle is renewed with every other.
+  const bool idle_too = renewal && renewals_ % 2 == 0;
+  for (const ResourceWish& wish : hooks_.wishes(idle_too)) {
     if (const auto home = HomeOfResource(wish.resource, wish.domain))
       by_home[*home].push_back(wish);
   }
   AskSelf(by_home[self_], now);
   for (const auto& [peer, state] : peers_) {
     // Between renewals only the homes of what is wanted are asked.
-    if (renewed_ == now || by_home.contains(peer))
+    if (renewal || by_home.contains(peer))
       AskPeer(peer, by_home[peer], now);
   }
 }
--- a/src/endivecart/membership/share_exchange.h
+++ b/src/endivecart/membership/share_exchange.h
@@ -51,7 +51,9 @@
  public:
   struct Hooks {
     std::function<void(const HostId& to, wire::Envelope)> send;
-    std::function<std::vector<ResourceWish>()> wishes;
+    // With `idle_too` also those of which nothing is wanted, so that a slot
+    // stays at hand.
+    std::function<std::vector<ResourceWish>(bool idle_too)> wishes;
     // Takes what is to be told about the upstreams that `home` is home to.
     std::function<std::vector<UpstreamEvidence>(const HostId& home)>
         take_evidence;
@@ -105,7 +107,7 @@
   void RefreshCapacities(TimePoint now);
   int ReservedFor(const Upstream& upstream) const;
   int UsableSlots(const Upstream& upstream, Authority authority) const;
-  void AskAll(TimePoint now);
+  void AskAll(TimePoint now, bool renewal);
   void AskPeer(const HostId& peer,
                const std::vector<ResourceWish>& wishes,
                TimePoint now);
@@ -127,6 +129,7 @@
   Authority last_authority_ = Authority::kFull;
   std::map<HostId, Peer> peers_;
   TimePoint renewed_{};
+  std::uint64_t renewals_ = 0;
   TimePoint urgent_{};
   TimePoint heard_domain_peer_{};
   TimePoint heard_fresh_domain_peer_{};
--- a/src/endivecart/membership/share_holder.cc
+++ b/src/endivecart/membership/share_holder.cc
@@ -54,6 +54,11 @@
   return it == holdings_.end() ? 0 : it->second.in_use;
 }
 
+int ShareHolder::Granted(const std::string& resource) const {
+  const auto it = holdings_.find(resource);
+  return it == holdings_.end() ? 0 : it->second.granted;
+}
+
 bool ShareHolder::TryTake(const std::string& resource, TimePoint now) {
   if (Free(resource, now) == 0)
     return false;
--- a/src/endivecart/membership/share_holder.h
+++ b/src/endivecart/membership/share_holder.h
@@ -26,6 +26,8 @@
   void Give(const std::string& resource, TimePoint now);
   int Free(const std::string& resource, TimePoint now) const;
   int InUse(const std::string& resource) const;
+  // Slots held by lease, whether it has run out or not.
+  int Granted(const std::string& resource) const;
   int Slots(const std::string& resource, TimePoint now) const;
 
   // Whether idle slots are held that others may be waiting for.
