--- a/bench/main.cc
+++ b/bench/main.cc
@@ -5,7 +5,6 @@
 #include <functional>
 #include <iostream>
 #include <map>
-#include <sstream>
 
 #include "endivecart/base/base.h"
 #include "experiments.h"
@@ -14,14 +13,6 @@
 
 constexpr int kUsageError = 2;
 
-std::vector<std::string> Split(const std::string& text) {
-  std::vector<std::string> parts;
-  std::istringstream in(text);
-  for (std::string part; std::getline(in, part, ',');)
-    parts.push_back(part);
-  return parts;
-}
-
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("endivecart-bench", "Load and experiments");
   const auto text = [] {
@@ -65,11 +56,13 @@
     return kUsageError;
   }
   bench::SiteTargets site;
-  site.hosts = Split(args["hosts"].as<std::string>());
-  site.upstreams = Split(args["upstreams"].as<std::string>());
-  site.stores = Split(args["stores"].as<std::string>());
-  site.keys = Split(args["keys"].as<std::string>());
-  site.operators = Split(args["operators"].as<std::string>());
+  site.hosts = endivecart::SplitAtCommas(args["hosts"].as<std::string>());
+  site.upstreams =
+      endivecart::SplitAtCommas(args["upstreams"].as<std::string>());
+  site.stores = endivecart::SplitAtCommas(args["stores"].as<std::string>());
+  site.keys = endivecart::SplitAtCommas(args["keys"].as<std::string>());
+  site.operators =
+      endivecart::SplitAtCommas(args["operators"].as<std::string>());
   site.operator_token = args["token"].as<std::string>();
   site.output = args["output"].as<std::string>();
   site.prompts = args["prompts"].as<std::string>();
--- a/daemons/endivecart.cc
+++ b/daemons/endivecart.cc
@@ -3,7 +3,6 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
-#include <sstream>
 
 #include "command_line.h"
 #include "endivecart/settings/settings.h"
@@ -34,14 +33,6 @@
 change, 4 outcome not known (send the same change id again).
 )";
 
-std::vector<std::string> Split(const std::string& text) {
-  std::vector<std::string> parts;
-  std::istringstream in(text);
-  for (std::string part; std::getline(in, part, ',');)
-    parts.push_back(part);
-  return parts;
-}
-
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("endivecart", "Operates an endivecart site");
   options.add_options()("operators", "operators' URLs, comma-separated",
@@ -70,7 +61,8 @@
 int Run(const cxxopts::ParseResult& args) {
   command_line::Arguments arguments;
   arguments.words = args["words"].as<std::vector<std::string>>();
-  arguments.operators = Split(args["operators"].as<std::string>());
+  arguments.operators =
+      endivecart::SplitAtCommas(args["operators"].as<std::string>());
   arguments.json = args.count("json") > 0;
   arguments.wait = args.count("wait") > 0;
   arguments.timeout_s = args["timeout"].as<int>();
--- a/src/endivecart/base/base.h
+++ b/src/endivecart/base/base.h
@@ -12,6 +12,7 @@
 #include "endivecart/base/metrics.h"               // IWYU pragma: export
 #include "endivecart/base/real_timer_service.h"    // IWYU pragma: export
 #include "endivecart/base/result.h"                // IWYU pragma: export
+#include "endivecart/base/text.h"                  // IWYU pragma: export
 #include "endivecart/base/timer_service.h"         // IWYU pragma: export
 
 #endif  // ENDIVECART_BASE_BASE_H_
--- a/src/endivecart/base/base_unittest.cc
+++ b/src/endivecart/base/base_unittest.cc
@@ -50,6 +50,11 @@
   BOOST_TEST(!ConstantTimeEqual("abc", "ab"));
 }
 
+BOOST_AUTO_TEST_CASE(a_list_is_split_at_its_commas) {
+  BOOST_TEST(SplitAtCommas("").empty());
+  BOOST_TEST((SplitAtCommas("a,b") == std::vector<std::string>{"a", "b"}));
+}
+
 BOOST_AUTO_TEST_CASE(a_violation_is_counted_and_reported_once) {
   const auto before =
       InvariantMonitor::Get().Violations(Invariant::kGracefulStop);
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -4,7 +4,6 @@
 #include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
-#include <sstream>
 
 #include "service_standin.h"
 #include "store_standin.h"
@@ -17,14 +16,6 @@
 
 constexpr int kUsageError = 2;
 
-std::vector<std::string> Split(const std::string& text) {
-  std::vector<std::string> parts;
-  std::istringstream in(text);
-  for (std::string part; std::getline(in, part, ',');)
-    parts.push_back(part);
-  return parts;
-}
-
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("endivecart-standin",
                            "Stand-ins for upstreams, stores and services");
@@ -68,13 +59,15 @@
   options.id = args["id"].as<std::string>();
   options.domain = args["domain"].as<std::string>();
   options.model = args["model"].as<std::string>();
-  options.versions = Split(args["versions"].as<std::string>());
+  options.versions =
+      endivecart::SplitAtCommas(args["versions"].as<std::string>());
   options.capacity = args["capacity"].as<int>();
   options.prefill_tokens_per_s = args["prefill-rate"].as<int>();
   options.token_ms = args["token-ms"].as<int>();
   options.cache_pieces =
       static_cast<std::size_t>(args["cache-pieces"].as<int>());
-  options.announce_to = Split(args["announce"].as<std::string>());
+  options.announce_to =
+      endivecart::SplitAtCommas(args["announce"].as<std::string>());
   options.announce_token = args["announce-token"].as<std::string>();
   options.checks_fencing = args.count("checks-fencing") > 0;
   return options;
