One place reads a caller's body or refuses it

Cause: the same eight lines stood in two handlers of the callers' server.

Change: ReadBodyOrRefuse.

--- a/src/endivecart/entry/caller_server.cc
+++ b/src/endivecart/entry/caller_server.cc
@@ -230,18 +230,26 @@
   }
 }
 
+std::optional<std::string> CallerServer::ReadBodyOrRefuse(
+    http::ServerRequest& request,
+    http::ServerResponse& response) {
+  auto body = http::ReadBody(
+      request, static_cast<std::size_t>(settings_.limits.max_body_bytes),
+      kBodyReadTimeout);
+  if (body)
+    return std::move(*body);
+  response.setKeepAlive(false);
+  Refuse(response, FromBodyError(body.error()));
+  return std::nullopt;
+}
+
 void CallerServer::HandleInference(InferenceKind kind,
                                    const CallerContext& caller,
                                    http::ServerRequest& request,
                                    http::ServerResponse& response) {
-  const auto body = http::ReadBody(
-      request, static_cast<std::size_t>(settings_.limits.max_body_bytes),
-      kBodyReadTimeout);
-  if (!body) {
-    response.setKeepAlive(false);
-    Refuse(response, FromBodyError(body.error()));
+  const auto body = ReadBodyOrRefuse(request, response);
+  if (!body)
     return;
-  }
   const auto parsed = ParseInferenceRequest(kind, *body);
   if (!parsed) {
     Refuse(response, parsed.error());
@@ -280,14 +288,9 @@
                                  const std::string& path,
                                  http::ServerRequest& request,
                                  http::ServerResponse& response) {
-  const auto body = http::ReadBody(
-      request, static_cast<std::size_t>(settings_.limits.max_body_bytes),
-      kBodyReadTimeout);
-  if (!body) {
-    response.setKeepAlive(false);
-    Refuse(response, FromBodyError(body.error()));
+  const auto body = ReadBodyOrRefuse(request, response);
+  if (!body)
     return;
-  }
   const std::string rest = path.substr(sizeof(kServicePrefix) - 1);
   const std::size_t slash = rest.find('/');
   const std::string uri = request.getURI();
--- a/src/endivecart/entry/caller_server.h
+++ b/src/endivecart/entry/caller_server.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "endivecart/base/base.h"
@@ -56,6 +57,9 @@
       const http::ServerRequest& request,
       const configuration::ConfigurationSet& set,
       const configuration::Plan& plan) const;
+  // The request's body; without one the caller has been told why.
+  std::optional<std::string> ReadBodyOrRefuse(http::ServerRequest& request,
+                                              http::ServerResponse& response);
   void HandleInference(InferenceKind kind,
                        const CallerContext& caller,
                        http::ServerRequest& request,
