--- a/daemons/endivecartd.cc
+++ b/daemons/endivecartd.cc
@@ -1,10 +1,12 @@
 // One host of the system; its role follows from its settings.
 
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 
 #include "endivecart/endivecart.h"
+#include "fleet_programs.h"
 
 namespace {
 
@@ -17,7 +19,14 @@
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("endivecartd",
                            "Runs one host of an endivecart site");
-  options.add_options()("settings", "settings file of this host",
+  options.add_options()(
+      "role",
+      "site (default): a host whose settings list all others; entry or "
+      "control: a process of a fleet whose members find each other",
+      cxxopts::value<std::string>()->default_value("site"))(
+      "settings",
+      "settings file; for entry and control the variable "
+      "ENDIVECART_SETTINGS may name it",
                         cxxopts::value<std::string>())(
       "found-site",
       "create this voter's data folder for a new site; only at the very first "
@@ -74,10 +83,24 @@
   return clean ? 0 : kFailure;
 }
 
+int ServeFleet(const std::string& role, std::string file) {
+  if (file.empty() && std::getenv("ENDIVECART_SETTINGS") != nullptr)
+    file = std::getenv("ENDIVECART_SETTINGS");
+  if (file.empty())
+    return Fail("--settings is required", kUsageError);
+  if (role == "entry")
+    return RunEntry(file);
+  if (role == "control")
+    return RunControl(file);
+  return Fail("unknown role '" + role + "'", kUsageError);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   auto options = MakeOptions();
+  options.parse_positional({"role"});
+  options.positional_help("[site|entry|control]");
   try {
     const auto args = options.parse(argc, argv);
     if (args.count("help") > 0) {
@@ -88,6 +111,12 @@
       std::cout << "endivecartd " << kVersion << '\n';
       return 0;
     }
+    const auto role = args["role"].as<std::string>();
+    if (role != "site") {
+      return ServeFleet(role, args.count("settings") > 0
+                                  ? args["settings"].as<std::string>()
+                                  : "");
+    }
     if (args.count("settings") == 0)
       return Fail("--settings is required", kUsageError);
     return Serve(args);
--- /dev/null
+++ b/daemons/fleet_programs.cc
@@ -0,0 +1,71 @@
+#include "fleet_programs.h"
+
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <memory>
+
+#include "endivecart/node/node.h"
+#include "platform.h"
+
+namespace {
+
+using namespace endivecart;  // NOLINT(google-build-using-namespace)
+
+constexpr int kFailure = 1;
+constexpr int kUsageError = 2;
+
+int Fail(const std::string& message, int code) {
+  LogLine("node.start_failed").Add("reason", message).Error();
+  std::cerr << "endivecartd: " << message << '\n';
+  return code;
+}
+
+// Starts a node, connects the signals with it and runs it to its end.
+template <class Node, class Hooks>
+int RunNode(const std::string& settings_file, Hooks hooks) {
+  auto settings = settings::LoadNodeSettings(settings_file);
+  if (!settings)
+    return Fail(settings::JoinErrors(settings.error()), kUsageError);
+  std::signal(SIGPIPE, SIG_IGN);
+  SetUpLogging(settings->log);
+  net::EventLoop loop;
+  auto node = Node::Start(loop, *settings, std::move(hooks));
+  if (!node)
+    return Fail(node.error().detail, kFailure);
+  const auto stop = [&node] { (*node)->Stop(); };
+  loop.OnSignal(SIGTERM, stop);
+  loop.OnSignal(SIGINT, stop);
+  loop.OnSignal(SIGHUP, [&node, &settings_file] {
+    const auto changed = settings::LoadNodeSettings(settings_file);
+    if (changed) {
+      (*node)->Reload(*changed);
+    } else {
+      LogLine("node.reload_refused")
+          .Add("reason", settings::JoinErrors(changed.error()))
+          .Error();
+    }
+  });
+  loop.Run();
+  return 0;
+}
+
+}  // namespace
+
+int RunEntry(const std::string& settings_file) {
+  return RunNode<node::EntryNode>(
+      settings_file,
+      node::EntryNodeHooks{platform::MakeCallerDialect(),
+                           platform::DecodeRouting,
+                           platform::IsReadinessCheck});
+}
+
+int RunControl(const std::string& settings_file) {
+  return RunNode<node::VoterNode>(
+      settings_file,
+      node::VoterNodeHooks{
+          platform::DecodeOperatorCall, platform::EncodeOperatorReply,
+          platform::NoSuchCall, platform::EncodeWeightsOrder,
+          platform::DecodeWeightsOrderEnd, platform::EncodeWeightsCheck,
+          platform::DecodeWeightsCheck});
+}
--- a/src/endivecart/base/log.cc
+++ b/src/endivecart/base/log.cc
@@ -77,7 +77,9 @@
   log4cxx::AppenderPtr appender;
   if (options.file.empty()) {
     appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, options.to_standard_output
+                    ? log4cxx::ConsoleAppender::getSystemOut()
+                    : log4cxx::ConsoleAppender::getSystemErr());
   } else {
     appender = std::make_shared<log4cxx::FileAppender>(layout, options.file);
   }
--- a/src/endivecart/base/log.h
+++ b/src/endivecart/base/log.h
@@ -12,8 +12,11 @@
 
 struct LogOptions {
   LogFormat format = LogFormat::kKeyValue;
-  std::string file;            // empty: standard error
+  std::string file;            // empty: standard error, or output
+  bool to_standard_output = false;
   std::string level = "info";  // debug, info, warn or error
+
+  bool operator==(const LogOptions&) const = default;
 };
 
 // Configures log4cxx for this process.
--- a/src/endivecart/base/manual_timer_service.cc
+++ b/src/endivecart/base/manual_timer_service.cc
@@ -7,6 +7,7 @@
 struct ManualTimerService::Entry {
   TimePoint due;
   Millis interval;
+  bool once = false;
   Callback callback;
 };
 
@@ -42,7 +43,16 @@
     Callback callback) {
   const std::uint64_t id = state_->next_id++;
   state_->entries.emplace(
-      id, Entry{state_->now + interval, interval, std::move(callback)});
+      id, Entry{state_->now + interval, interval, false, std::move(callback)});
+  return std::make_unique<Handle>(state_, id);
+}
+
+std::unique_ptr<TimerSubscription> ManualTimerService::After(
+    Millis delay,
+    Callback callback) {
+  const std::uint64_t id = state_->next_id++;
+  state_->entries.emplace(
+      id, Entry{state_->now + delay, delay, true, std::move(callback)});
   return std::make_unique<Handle>(state_, id);
 }
 
@@ -61,6 +71,8 @@
     state_->now = next->second.due;
     next->second.due += next->second.interval;
     const Callback callback = next->second.callback;
+    if (next->second.once)
+      state_->entries.erase(next);
     callback(state_->now);
   }
   state_->now = end;
--- a/src/endivecart/base/manual_timer_service.h
+++ b/src/endivecart/base/manual_timer_service.h
@@ -17,6 +17,8 @@
   TimePoint Now() const override;
   std::unique_ptr<TimerSubscription> Every(Millis interval,
                                            Callback callback) override;
+  std::unique_ptr<TimerSubscription> After(Millis delay,
+                                           Callback callback) override;
 
   // Moves time on and runs what falls due, in order of due time.
   void Advance(Millis step);
--- a/src/endivecart/base/real_timer_service.cc
+++ b/src/endivecart/base/real_timer_service.cc
@@ -25,6 +25,7 @@
   struct Entry {
     TimePoint due;
     Millis interval;
+    bool once = false;
     Callback callback;
   };
 
@@ -38,6 +39,7 @@
 
   void Run();
   TimePoint EarliestDue() const;
+  std::uint64_t Add(Entry entry);
   void RunDue(std::unique_lock<std::mutex>& lock, TimePoint now);
 };
 
@@ -48,6 +50,14 @@
   return due;
 }
 
+std::uint64_t RealTimerService::State::Add(Entry entry) {
+  std::scoped_lock lock(mutex);
+  const std::uint64_t id = next_id++;
+  entries.emplace(id, std::move(entry));
+  changed.notify_all();
+  return id;
+}
+
 void RealTimerService::State::RunDue(std::unique_lock<std::mutex>& lock,
                                      TimePoint now) {
   std::uint64_t after = 0;
@@ -60,6 +70,8 @@
     after = running_id = it->first;
     it->second.due = now + it->second.interval;
     const Callback callback = it->second.callback;
+    if (it->second.once)
+      entries.erase(it);
     lock.unlock();
     callback(SteadyNow());
     lock.lock();
@@ -112,12 +124,16 @@
 
 std::unique_ptr<TimerSubscription> RealTimerService::Every(Millis interval,
                                                            Callback callback) {
-  std::scoped_lock lock(state_->mutex);
-  const std::uint64_t id = state_->next_id++;
-  state_->entries.emplace(
-      id, State::Entry{SteadyNow() + interval, interval, std::move(callback)});
-  state_->changed.notify_all();
-  return std::make_unique<Handle>(state_, id);
+  return std::make_unique<Handle>(
+      state_, state_->Add({SteadyNow() + interval, interval, false,
+                           std::move(callback)}));
+}
+
+std::unique_ptr<TimerSubscription> RealTimerService::After(Millis delay,
+                                                           Callback callback) {
+  return std::make_unique<Handle>(
+      state_,
+      state_->Add({SteadyNow() + delay, delay, true, std::move(callback)}));
 }
 
 }  // namespace endivecart
--- a/src/endivecart/base/real_timer_service.h
+++ b/src/endivecart/base/real_timer_service.h
@@ -16,6 +16,8 @@
   TimePoint Now() const override;
   std::unique_ptr<TimerSubscription> Every(Millis interval,
                                            Callback callback) override;
+  std::unique_ptr<TimerSubscription> After(Millis delay,
+                                           Callback callback) override;
 
  private:
   struct State;
--- a/src/endivecart/base/timer_service.h
+++ b/src/endivecart/base/timer_service.h
@@ -24,7 +24,7 @@
   virtual ~TimerSubscription() = default;
 };
 
-// The clock, and periodic callbacks from it. Parts subscribe to this service
+// The clock, and callbacks from it. Parts subscribe to this service
 // rather than keep threads or read clocks of their own.
 class TimerService {
  public:
@@ -38,6 +38,12 @@
   [[nodiscard]] virtual std::unique_ptr<TimerSubscription> Every(
       Millis interval,
       Callback callback) = 0;
+
+  // Calls `callback` once after `delay` (0 ms: as soon as possible), unless the
+  // returned subscription is destroyed before.
+  [[nodiscard]] virtual std::unique_ptr<TimerSubscription> After(
+      Millis delay,
+      Callback callback) = 0;
 };
 
 }  // namespace endivecart
--- /dev/null
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -0,0 +1,120 @@
+#include "endivecart/fleet/fleet_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivecart::fleet {
+
+FleetFeed::FleetFeed(std::uint64_t incarnation,
+                     const upstreams::AnnouncedRoster* roster,
+                     Hooks hooks)
+    : incarnation_(incarnation), roster_(roster), hooks_(std::move(hooks)) {}
+
+void FleetFeed::OnPoll(const HostId& from, const wire::FleetPoll& poll) {
+  Follower& follower = followers_[from];
+  follower.polled_at = hooks_.now();
+  follower.poll = poll;
+  // What was pushed since may have been lost: the poll counts.
+  follower.sent_cursor =
+      poll.feed_incarnation() == incarnation_ ? poll.feed_cursor() : 0;
+  follower.sent_decisions = poll.decisions_index();
+  Send(from, follower, true);
+}
+
+void FleetFeed::PushDecisions(const Decisions& decisions) {
+  decisions_ = decisions;
+  for (auto& [host, follower] : followers_)
+    Send(host, follower, false);
+}
+
+void FleetFeed::PushAnnouncements() {
+  for (auto& [host, follower] : followers_)
+    Send(host, follower, false);
+}
+
+void FleetFeed::Expire() {
+  const TimePoint now = hooks_.now();
+  std::erase_if(followers_, [&](const auto& entry) {
+    if (now - entry.second.polled_at <= kForgetFollower)
+      return false;
+    LogLine("fleet.follower_lost").Add("host", entry.first.str()).Info();
+    return true;
+  });
+}
+
+void FleetFeed::Send(const HostId& to, Follower& follower, bool with_loads) {
+  const TimePoint now = hooks_.now();
+  wire::Envelope envelope;
+  wire::FleetNews& news = *envelope.mutable_fleet_news();
+  news.set_feed_incarnation(incarnation_);
+  news.set_feed_cursor(roster_->newest_change());
+  for (const auto* upstream : roster_->ChangedSince(follower.sent_cursor)) {
+    *news.add_announcements() = upstreams::ToRecord(
+        upstream->last,
+        std::chrono::duration_cast<Millis>(now - upstream->heard_at));
+  }
+  follower.sent_cursor = roster_->newest_change();
+  if (decisions_.index > follower.sent_decisions) {
+    *news.mutable_decisions() = ToWire(
+        decisions_, follower.poll.routing_version() != decisions_.routing_version);
+    follower.sent_decisions = decisions_.index;
+  }
+  for (const HostId& voter : hooks_.voter_hosts())
+    news.add_voter_hosts(voter.str());
+  news.set_leader_host(hooks_.leader_host().str());
+  news.set_caller_hosts(static_cast<std::uint32_t>(CallerHosts()));
+  if (with_loads)
+    AddLoadsOfOthers(to, news);
+  hooks_.send(to, std::move(envelope));
+}
+
+void FleetFeed::AddLoadsOfOthers(const HostId& receiver,
+                                 wire::FleetNews& news) const {
+  if (!followers_.at(receiver).poll.serves_callers())
+    return;
+  std::map<std::string, wire::UpstreamLoad> sums;
+  for (const auto& [host, follower] : followers_) {
+    if (host == receiver)
+      continue;
+    for (const wire::UpstreamLoad& load : follower.poll.loads()) {
+      wire::UpstreamLoad& sum = sums[load.upstream()];
+      sum.set_requests(sum.requests() + load.requests());
+      sum.set_prompt_tokens(sum.prompt_tokens() + load.prompt_tokens());
+    }
+  }
+  for (auto& [upstream, sum] : sums) {
+    sum.set_upstream(upstream);
+    *news.add_loads() = std::move(sum);
+  }
+}
+
+int FleetFeed::CallerHosts() const {
+  return static_cast<int>(
+      std::count_if(followers_.begin(), followers_.end(), [](const auto& f) {
+        return f.second.poll.serves_callers();
+      }));
+}
+
+std::vector<wire::MoveCounts> FleetFeed::MoveCountsOf(
+    const routes::ServiceId& service) const {
+  std::map<std::string, wire::MoveCounts> sums;
+  for (const auto& [host, follower] : followers_) {
+    for (const wire::MoveCounts& counts : follower.poll.move_counts()) {
+      if (counts.service() != service.str())
+        continue;
+      wire::MoveCounts& sum = sums[counts.software_version()];
+      sum.set_service(counts.service());
+      sum.set_software_version(counts.software_version());
+      sum.set_requests(sum.requests() + counts.requests());
+      sum.set_failures(sum.failures() + counts.failures());
+      sum.set_slow(sum.slow() + counts.slow());
+      sum.set_latency_sum_ms(sum.latency_sum_ms() + counts.latency_sum_ms());
+    }
+  }
+  std::vector<wire::MoveCounts> result;
+  for (auto& [version, sum] : sums)
+    result.push_back(std::move(sum));
+  return result;
+}
+
+}  // namespace endivecart::fleet
--- /dev/null
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -0,0 +1,66 @@
+#ifndef ENDIVECART_FLEET_FLEET_FEED_H_
+#define ENDIVECART_FLEET_FLEET_FEED_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "endivecart/fleet/decisions.h"
+#include "endivecart/upstreams/upstreams.h"
+
+namespace endivecart::fleet {
+
+// Tells followers, from one voter, what was decided and what upstreams said.
+// Followers poll; what changes is sent to them at once.
+class FleetFeed {
+ public:
+  struct Hooks {
+    std::function<void(const HostId&, wire::Envelope)> send;
+    std::function<TimePoint()> now;
+    std::function<std::vector<HostId>()> voter_hosts;
+    std::function<HostId()> leader_host;
+  };
+
+  // A follower that doesn't poll for this long gets nothing more.
+  static constexpr Millis kForgetFollower{5000};
+
+  // `incarnation` tells this process from earlier ones on its host. `roster`
+  // must outlive the feed.
+  FleetFeed(std::uint64_t incarnation,
+            const upstreams::AnnouncedRoster* roster,
+            Hooks hooks);
+
+  void OnPoll(const HostId& from, const wire::FleetPoll& poll);
+  // Sends to all followers what they have not been sent yet.
+  void PushDecisions(const Decisions& decisions);
+  void PushAnnouncements();
+  void Expire();
+
+  // Processes that serve callers and polled lately.
+  int CallerHosts() const;
+  // What followers have reported of a service's versions, summed up.
+  std::vector<wire::MoveCounts> MoveCountsOf(
+      const routes::ServiceId& service) const;
+
+ private:
+  struct Follower {
+    TimePoint polled_at;
+    wire::FleetPoll poll;
+    std::uint64_t sent_cursor = 0;
+    std::uint64_t sent_decisions = 0;
+  };
+
+  void Send(const HostId& to, Follower& follower, bool with_loads);
+  void AddLoadsOfOthers(const HostId& receiver, wire::FleetNews& news) const;
+
+  const std::uint64_t incarnation_;
+  const upstreams::AnnouncedRoster* const roster_;
+  const Hooks hooks_;
+  Decisions decisions_;
+  std::map<HostId, Follower> followers_;
+};
+
+}  // namespace endivecart::fleet
+
+#endif  // ENDIVECART_FLEET_FLEET_FEED_H_
--- /dev/null
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -0,0 +1,171 @@
+#include "endivecart/fleet/fleet_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivecart::fleet {
+
+FleetFollower::FleetFollower(FleetFollowerOptions options, Hooks hooks)
+    : options_(std::move(options)), hooks_(std::move(hooks)) {
+  for (const HostId& contact : options_.contacts) {
+    if (contact != options_.self)
+      voters_[contact].named_at = hooks_.now();
+  }
+}
+
+void FleetFollower::Tick() {
+  NoteLostContacts();
+  if (hooks_.now() >= poll_due_)
+    Poll();
+}
+
+void FleetFollower::Poll() {
+  poll_due_ = hooks_.now() + options_.poll_interval;
+  wire::FleetPoll poll;
+  poll.set_incarnation(options_.incarnation);
+  poll.set_member(options_.member);
+  poll.set_serves_callers(options_.serves_callers);
+  if (decisions_) {
+    poll.set_decisions_index(decisions_->index);
+    poll.set_routing_version(decisions_->routing_version);
+  }
+  if (options_.serves_callers) {
+    for (const OwnLoad& own : hooks_.own_loads()) {
+      wire::UpstreamLoad& load = *poll.add_loads();
+      load.set_upstream(own.upstream.str());
+      load.set_requests(static_cast<std::uint32_t>(own.requests));
+      load.set_prompt_tokens(static_cast<std::uint32_t>(own.prompt_tokens));
+    }
+    for (wire::MoveCounts& counts : hooks_.move_counts())
+      *poll.add_move_counts() = std::move(counts);
+  }
+  for (const auto& [host, voter] : voters_) {
+    wire::Envelope envelope;
+    *envelope.mutable_fleet_poll() = poll;
+    envelope.mutable_fleet_poll()->set_feed_incarnation(voter.feed_incarnation);
+    envelope.mutable_fleet_poll()->set_feed_cursor(voter.feed_cursor);
+    hooks_.send(host, std::move(envelope));
+  }
+}
+
+void FleetFollower::OnNews(const HostId& from, const wire::FleetNews& news) {
+  const auto it = voters_.find(from);
+  if (it == voters_.end())
+    return;  // no longer a voter
+  Voter& voter = it->second;
+  const TimePoint now = hooks_.now();
+  if (!std::exchange(voter.in_contact, true))
+    LogLine("fleet.contact").Add("voter", from.str()).Info();
+  voter.heard_at = now;
+  voter.heard = true;
+  voter.caller_hosts = static_cast<int>(news.caller_hosts());
+  for (const wire::AnnouncementRecord& record : news.announcements()) {
+    if (const auto announcement = upstreams::FromRecord(record)) {
+      hooks_.on_announcement(*announcement, now - Millis(record.age_ms()));
+    } else {
+      LogLine("fleet.announcement_unusable").Add("voter", from.str()).Warn();
+    }
+  }
+  voter.feed_incarnation = news.feed_incarnation();
+  voter.feed_cursor = news.feed_cursor();
+  if (news.loads_size() > 0) {
+    loads_.clear();
+    for (const wire::UpstreamLoad& load : news.loads())
+      loads_[UpstreamId(load.upstream())] = load;
+  }
+  if (news.has_decisions())
+    TakeDecisions(news.decisions());
+  TakeVoters(news);
+}
+
+void FleetFollower::TakeDecisions(const wire::FleetDecisions& message) {
+  if (decisions_ && message.index() <= decisions_->index)
+    return;
+  const bool needs_document = message.routing_omitted() &&
+                              message.routing_version() != 0 &&
+                              (!decisions_ || decisions_->routing_version !=
+                                                  message.routing_version());
+  if (needs_document) {
+    poll_due_ = hooks_.now();  // asks for the document
+    return;
+  }
+  decisions_ =
+      std::make_shared<const Decisions>(FromWire(message, decisions_.get()));
+  hooks_.on_decisions(decisions_);
+}
+
+void FleetFollower::TakeVoters(const wire::FleetNews& news) {
+  const TimePoint now = hooks_.now();
+  bool is_new = false;
+  for (const std::string& name : news.voter_hosts()) {
+    const HostId host(name);
+    if (host == options_.self)
+      continue;
+    const auto [it, added] = voters_.try_emplace(host);
+    it->second.named_at = now;
+    is_new = is_new || added;
+  }
+  const auto forgotten = std::erase_if(voters_, [&](const auto& entry) {
+    const bool is_contact =
+        std::find(options_.contacts.begin(), options_.contacts.end(),
+                  entry.first) != options_.contacts.end();
+    return !is_contact && now - entry.second.named_at > kForgetVoter;
+  });
+  if (!is_new && forgotten == 0)
+    return;
+  TellVoters();
+  if (is_new)
+    poll_due_ = now;
+}
+
+void FleetFollower::TellVoters() const {
+  std::vector<HostId> hosts;
+  for (const auto& [host, voter] : voters_)
+    hosts.push_back(host);
+  hooks_.on_voters(hosts);
+}
+
+void FleetFollower::AddContacts(const std::vector<HostId>& contacts) {
+  bool is_new = false;
+  for (const HostId& contact : contacts) {
+    if (contact == options_.self)
+      continue;
+    const auto [it, added] = voters_.try_emplace(contact);
+    it->second.named_at = hooks_.now();
+    is_new = is_new || added;
+  }
+  options_.contacts = contacts;
+  if (is_new)
+    TellVoters();
+}
+
+void FleetFollower::NoteLostContacts() {
+  const TimePoint now = hooks_.now();
+  for (auto& [host, voter] : voters_) {
+    if (voter.in_contact && now - voter.heard_at > kContactLost) {
+      voter.in_contact = false;
+      LogLine("fleet.contact_lost").Add("voter", host.str()).Warn();
+    }
+  }
+}
+
+bool FleetFollower::InContact() const {
+  return CallerHosts() > 0;
+}
+
+int FleetFollower::CallerHosts() const {
+  int hosts = 0;
+  for (const auto& [host, voter] : voters_) {
+    if (voter.heard && hooks_.now() - voter.heard_at <= kContactLost)
+      hosts = std::max(hosts, voter.caller_hosts);
+  }
+  return hosts;
+}
+
+const wire::UpstreamLoad* FleetFollower::LoadOfOthers(
+    const UpstreamId& upstream) const {
+  const auto it = loads_.find(upstream);
+  return it == loads_.end() ? nullptr : &it->second;
+}
+
+}  // namespace endivecart::fleet
--- /dev/null
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -0,0 +1,100 @@
+#ifndef ENDIVECART_FLEET_FLEET_FOLLOWER_H_
+#define ENDIVECART_FLEET_FLEET_FOLLOWER_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "endivecart/fleet/decisions.h"
+#include "endivecart/upstreams/upstreams.h"
+
+namespace endivecart::fleet {
+
+struct FleetFollowerOptions {
+  HostId self;
+  std::uint64_t incarnation = 0;  // of this process
+  std::string member;             // of a process that can vote; else empty
+  bool serves_callers = false;
+  std::vector<HostId> contacts;  // where to begin
+  Millis poll_interval{400};
+
+  bool operator==(const FleetFollowerOptions&) const = default;
+};
+
+// Work of this process at one upstream, for the others to know.
+struct OwnLoad {
+  UpstreamId upstream;
+  int requests = 0;
+  std::int64_t prompt_tokens = 0;
+
+  bool operator==(const OwnLoad&) const = default;
+};
+
+// Follows all voters: a decision, or an upstream's word, that reaches one of
+// them reaches this process. Goes on with what it knows while none answers.
+class FleetFollower {
+ public:
+  struct Hooks {
+    std::function<void(const HostId&, wire::Envelope)> send;
+    // Voters to be reachable from now on, this process left out.
+    std::function<void(const std::vector<HostId>&)> on_voters;
+    std::function<void(DecisionsPtr)> on_decisions;
+    std::function<void(const upstreams::Announcement&, TimePoint received_at)>
+        on_announcement;
+    std::function<std::vector<OwnLoad>()> own_loads;
+    std::function<std::vector<wire::MoveCounts>()> move_counts;
+    std::function<TimePoint()> now;
+  };
+
+  // A voter that is silent for longer counts as out of reach.
+  static constexpr Millis kContactLost{2000};
+  // A voter that nobody names any more is polled for this long still.
+  static constexpr Millis kForgetVoter{30000};
+
+  FleetFollower(FleetFollowerOptions options, Hooks hooks);
+
+  void Tick();
+  void OnNews(const HostId& from, const wire::FleetNews& news);
+  // More hosts that may be voters.
+  void AddContacts(const std::vector<HostId>& contacts);
+
+  // Null until the first news.
+  const DecisionsPtr& decisions() const { return decisions_; }
+  // Whether any voter was heard lately.
+  bool InContact() const;
+  // Processes that serve callers, this one included, by the newest news; 0 if
+  // no voter was heard lately.
+  int CallerHosts() const;
+  // Work of all other processes at an upstream, lately.
+  const wire::UpstreamLoad* LoadOfOthers(const UpstreamId& upstream) const;
+
+ private:
+  struct Voter {
+    TimePoint named_at;
+    TimePoint heard_at{};
+    bool heard = false;
+    bool in_contact = false;
+    std::uint64_t feed_incarnation = 0;
+    std::uint64_t feed_cursor = 0;
+    int caller_hosts = 0;
+  };
+
+  void Poll();
+  void TakeDecisions(const wire::FleetDecisions& message);
+  void TakeVoters(const wire::FleetNews& news);
+  void TellVoters() const;
+  void NoteLostContacts();
+
+  FleetFollowerOptions options_;
+  const Hooks hooks_;
+  DecisionsPtr decisions_;
+  std::map<HostId, Voter> voters_;
+  TimePoint poll_due_{};
+  std::map<UpstreamId, wire::UpstreamLoad> loads_;
+};
+
+}  // namespace endivecart::fleet
+
+#endif  // ENDIVECART_FLEET_FLEET_FOLLOWER_H_
--- /dev/null
+++ b/src/endivecart/fleet/fleet_voter.cc
@@ -0,0 +1,356 @@
+#include "endivecart/fleet/fleet_voter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivecart::fleet {
+
+using control::MemberId;
+using control::RaftRole;
+
+namespace {
+
+// A full disk is tried again this often.
+constexpr Millis kDiskRetry{200};
+// A leader acts on its office only this long after a quorum answered.
+constexpr Millis kOfficeLease{700};
+// Voters are one or two network delays apart.
+constexpr Millis kHeartbeat{150};
+constexpr Millis kElectionMin{500};
+constexpr Millis kElectionMax{1000};
+
+wire::DurableVote VoteOf(const control::RaftCore& core) {
+  wire::DurableVote vote;
+  vote.set_term(core.term());
+  vote.set_voted_for(core.voted_for().str());
+  return vote;
+}
+
+}  // namespace
+
+FleetVoter::FleetVoter(FleetVoterOptions options,
+                       control::Storage* storage,
+                       Hooks hooks)
+    : options_(std::move(options)),
+      storage_(storage),
+      hooks_(std::move(hooks)),
+      keeper_(options_.member, options_.replace_after) {
+  LoadState();
+}
+
+void FleetVoter::LoadState() {
+  control::RaftDurableState state = storage_->loaded();
+  const bool is_new = state.snapshot.last_index() == 0 &&
+                      state.snapshot.voters().voters().empty();
+  if (options_.is_founder && is_new) {
+    for (const HostId& host : options_.founders) {
+      state.snapshot.mutable_voters()->add_voters(
+          control::MakeMemberId(host, control::kFounderIdentity).str());
+    }
+    wire::DurableVote vote;
+    vote.set_term(state.term);
+    vote.set_voted_for(state.voted_for.str());
+    const auto saved =
+        storage_->SaveSnapshot(state.snapshot, vote, state.entries);
+    if (!saved)
+      hooks_.on_disk_failure(saved.error());
+  }
+  control::RaftOptions raft;
+  raft.self = options_.member;
+  raft.election_min = kElectionMin;
+  raft.election_max = kElectionMax;
+  raft.heartbeat = kHeartbeat;
+  raft.seed = options_.seed;
+  snapshot_state_ = state.snapshot.state();
+  if (!log_.Restore(snapshot_state_))
+    LogLine("fleet.snapshot_unreadable").Error();
+  core_.emplace(raft, state, hooks_.now());
+}
+
+void FleetVoter::Tick() {
+  core_->Tick(hooks_.now());
+  Pump();
+  if (core_->role() != last_role_ || LeaderHost() != last_leader_)
+    OnRoleChange();
+  if (IsLeader())
+    KeepVoters();
+  SettleConfirmations();
+  ExpireProposals();
+}
+
+void FleetVoter::OnRaft(const HostId& from, const wire::RaftMessage& message) {
+  const MemberId member(message.member());
+  if (control::HostOf(member) != from) {
+    LogLine("fleet.foreign_member")
+        .Add("host", from.str())
+        .Add("member", member.str())
+        .Warn();
+    return;
+  }
+  keeper_.Heard(member, hooks_.now());
+  core_->Step(message, hooks_.now());
+  Tick();
+}
+
+void FleetVoter::OnMember(const MemberId& member) {
+  keeper_.Heard(member, hooks_.now());
+}
+
+void FleetVoter::Pump() {
+  while (!disk_busy_) {
+    if (persisting_) {
+      if (hooks_.now() < retry_disk_at_)
+        return;
+    } else {
+      control::RaftReady ready = core_->TakeReady();
+      if (ready.empty()) {
+        CompactIfLong();
+        return;
+      }
+      if (ready.records.empty() && !ready.snapshot) {
+        core_->OnPersisted(hooks_.now());
+        HandOut(ready);
+        continue;
+      }
+      persisting_ = std::move(ready);
+    }
+    disk_busy_ = true;
+    hooks_.run_on_disk(
+        [storage = storage_, records = persisting_->records,
+         snapshot = persisting_->snapshot, vote = VoteOf(*core_)]() {
+          DiskResult result = true;
+          if (snapshot)
+            result = storage->SaveSnapshot(*snapshot, vote, {});
+          if (result && !records.empty())
+            result = storage->Append(records);
+          return result;
+        },
+        [this](const DiskResult& result) { OnReadyPersisted(result); });
+  }
+}
+
+void FleetVoter::OnReadyPersisted(const DiskResult& result) {
+  disk_busy_ = false;
+  if (!result) {
+    LogLine("fleet.disk_refused").Add("detail", result.error().detail).Error();
+    retry_disk_at_ = hooks_.now() + kDiskRetry;
+    if (result.error().code != control::StorageErrorCode::kFull)
+      hooks_.on_disk_failure(result.error());
+    return;
+  }
+  const control::RaftReady ready = std::move(*persisting_);
+  persisting_.reset();
+  core_->OnPersisted(hooks_.now());
+  HandOut(ready);
+  Pump();
+}
+
+void FleetVoter::HandOut(const control::RaftReady& ready) {
+  if (ready.snapshot) {
+    snapshot_state_ = ready.snapshot->state();
+    if (!log_.Restore(snapshot_state_))
+      LogLine("fleet.snapshot_unreadable").Error();
+    hooks_.on_decisions(log_.decisions());
+  }
+  for (const wire::RaftMessage& message : ready.messages)
+    SendRaft(message);
+  for (const wire::LogEntry& entry : ready.committed)
+    Apply(entry);
+}
+
+void FleetVoter::SendRaft(wire::RaftMessage message) {
+  if (message.has_snapshot_request())
+    message.mutable_snapshot_request()->set_state(snapshot_state_);
+  const HostId to = control::HostOf(MemberId(message.to()));
+  wire::Envelope envelope;
+  *envelope.mutable_raft() = std::move(message);
+  hooks_.send(to, std::move(envelope));
+}
+
+void FleetVoter::Apply(const wire::LogEntry& entry) {
+  bytes_since_snapshot_ += entry.ByteSizeLong();
+  if (entry.has_command() && log_.Apply(entry.command(), entry.index())) {
+    hooks_.on_decisions(log_.decisions());
+    if (IsLeader())
+      core_->Nudge(hooks_.now());
+  }
+  const auto it = proposals_.find(entry.index());
+  if (it == proposals_.end())
+    return;
+  const Proposal proposal = std::move(it->second);
+  proposals_.erase(it);
+  proposal.callback(proposal.term == entry.term() ? ProposalEnd::kDecided
+                                                  : ProposalEnd::kUnknown);
+}
+
+void FleetVoter::CompactIfLong() {
+  const std::uint64_t applied = core_->handed_out_index();
+  const bool is_long =
+      bytes_since_snapshot_ > options_.compact_bytes ||
+      applied > core_->log().snapshot_index() + options_.compact_entries;
+  if (!is_long || applied <= core_->log().snapshot_index() ||
+      hooks_.now() < retry_disk_at_) {
+    return;
+  }
+  wire::DurableSnapshot snapshot;
+  snapshot.set_last_index(applied);
+  snapshot.set_last_term(core_->log().TermAt(applied));
+  *snapshot.mutable_voters() = core_->VotersAt(applied);
+  snapshot.set_state(log_.Snapshot());
+  std::vector<wire::LogEntry> rest;
+  for (std::uint64_t i = applied + 1; i <= core_->log().last_index(); ++i)
+    rest.push_back(core_->log().At(i));
+  bytes_since_snapshot_ = 0;
+  disk_busy_ = true;
+  hooks_.run_on_disk(
+      [storage = storage_, snapshot, rest = std::move(rest),
+       vote = VoteOf(*core_)]() {
+        return storage->SaveSnapshot(snapshot, vote, rest);
+      },
+      [this, snapshot](const DiskResult& result) {
+        disk_busy_ = false;
+        if (result) {
+          snapshot_state_ = snapshot.state();
+          core_->CompactTo(snapshot);
+          Pump();
+          return;
+        }
+        // The log stays long; there will be another occasion.
+        LogLine("fleet.snapshot_failed")
+            .Add("detail", result.error().detail)
+            .Error();
+        bytes_since_snapshot_ = options_.compact_bytes + 1;
+        retry_disk_at_ = hooks_.now() + kDiskRetry;
+        if (result.error().code != control::StorageErrorCode::kFull)
+          hooks_.on_disk_failure(result.error());
+      });
+}
+
+void FleetVoter::OnRoleChange() {
+  if (core_->role() == RaftRole::kLeader && last_role_ != RaftRole::kLeader)
+    keeper_.StartOffice(hooks_.now());
+  if (core_->role() != RaftRole::kLeader && last_role_ == RaftRole::kLeader) {
+    // Whether the entries will be committed isn't known here any more.
+    auto proposals = std::exchange(proposals_, {});
+    for (auto& [index, proposal] : proposals)
+      proposal.callback(ProposalEnd::kUnknown);
+  }
+  last_role_ = core_->role();
+  last_leader_ = LeaderHost();
+  LogLine("fleet.role")
+      .Add("role", control::RaftRoleName(last_role_))
+      .Add("term", core_->term())
+      .Add("leader", last_leader_.str())
+      .Info();
+}
+
+void FleetVoter::KeepVoters() {
+  const TimePoint now = hooks_.now();
+  const auto change = keeper_.Next(
+      core_->voters(),
+      [this](const MemberId& member) {
+        return core_->MatchOf(member) >= core_->commit_index() &&
+               core_->commit_index() > 0;
+      },
+      now);
+  if (!change)
+    return;
+  Result<std::uint64_t, control::RaftError> made =
+      Fail(control::RaftError{control::RaftErrorCode::kBadMember});
+  switch (change->kind) {
+    case VoterChangeKind::kAddLearner:
+      made = core_->AddLearner(change->member, now);
+      break;
+    case VoterChangeKind::kPromote:
+      made = core_->Promote(change->member, now);
+      break;
+    case VoterChangeKind::kRemove:
+      made = core_->Remove(change->member, now);
+      break;
+  }
+  if (!made)
+    return;  // another change is pending; it is tried again with the next tick
+  LogLine("fleet.voters_change")
+      .Add("change", VoterChangeName(change->kind))
+      .Add("member", change->member.str())
+      .Info();
+  Pump();
+}
+
+void FleetVoter::Propose(const wire::FleetCommand& command,
+                         Millis patience,
+                         ProposalCallback callback) {
+  const TimePoint now = hooks_.now();
+  const auto index = core_->Propose(command.SerializeAsString(), now);
+  if (!index) {
+    callback(ProposalEnd::kNotLeader);
+    return;
+  }
+  proposals_[*index] = {core_->term(), now + patience, std::move(callback)};
+  Tick();
+}
+
+void FleetVoter::Confirm(Millis patience, ConfirmCallback callback) {
+  if (!IsLeader()) {
+    callback(false);
+    return;
+  }
+  const TimePoint now = hooks_.now();
+  confirmations_.push_back(
+      {now, now + patience, core_->commit_index(), std::move(callback)});
+  core_->Nudge(now);
+  Tick();
+}
+
+void FleetVoter::SettleConfirmations() {
+  const TimePoint now = hooks_.now();
+  const auto contact = core_->QuorumContact(now);
+  std::vector<std::pair<ConfirmCallback, bool>> settled;
+  std::erase_if(confirmations_, [&](Confirmation& confirmation) {
+    const bool confirmed =
+        contact && *contact >= confirmation.asked_at &&
+        core_->handed_out_index() >= confirmation.commit_index;
+    if (!confirmed && IsLeader() && now < confirmation.deadline)
+      return false;
+    settled.emplace_back(std::move(confirmation.callback), confirmed);
+    return true;
+  });
+  for (const auto& [callback, confirmed] : settled)
+    callback(confirmed);
+}
+
+void FleetVoter::ExpireProposals() {
+  const TimePoint now = hooks_.now();
+  std::vector<ProposalCallback> expired;
+  std::erase_if(proposals_, [&](auto& entry) {
+    if (now < entry.second.deadline)
+      return false;
+    expired.push_back(std::move(entry.second.callback));
+    return true;
+  });
+  for (const ProposalCallback& callback : expired)
+    callback(ProposalEnd::kUnknown);
+}
+
+bool FleetVoter::IsLeader() const {
+  return core_->role() == RaftRole::kLeader;
+}
+
+bool FleetVoter::HasOffice() const {
+  const TimePoint now = hooks_.now();
+  const auto contact = core_->QuorumContact(now);
+  return IsLeader() && contact && now - *contact < kOfficeLease;
+}
+
+HostId FleetVoter::LeaderHost() const {
+  return core_->leader().empty() ? HostId() : control::HostOf(core_->leader());
+}
+
+std::vector<HostId> FleetVoter::VoterHosts() const {
+  std::vector<HostId> hosts;
+  for (const std::string& voter : core_->voters().voters())
+    hosts.push_back(control::HostOf(MemberId(voter)));
+  return hosts;
+}
+
+}  // namespace endivecart::fleet
--- /dev/null
+++ b/src/endivecart/gateway/event_splitter.cc
@@ -0,0 +1,66 @@
+#include "endivecart/gateway/event_splitter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace endivecart::gateway {
+
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+std::optional<std::uint64_t> ParseId(std::string_view line) {
+  line.remove_prefix(kIdField.size());
+  while (!line.empty() && line.front() == ' ')
+    line.remove_prefix(1);
+  while (!line.empty() && line.back() == '\r')
+    line.remove_suffix(1);
+  std::uint64_t id = 0;
+  const auto parsed =
+      std::from_chars(line.data(), line.data() + line.size(), id);
+  if (parsed.ec != std::errc() || parsed.ptr != line.data() + line.size())
+    return std::nullopt;
+  return id;
+}
+
+std::optional<std::uint64_t> FindId(std::string_view event) {
+  std::size_t at = 0;
+  while (at < event.size()) {
+    const std::size_t end = std::min(event.find('\n', at), event.size());
+    const std::string_view line = event.substr(at, end - at);
+    if (line.starts_with(kIdField))
+      return ParseId(line);
+    at = end + 1;
+  }
+  return std::nullopt;
+}
+
+// Where the first event of `text` ends, its empty line included; npos if it
+// hasn't ended.
+std::size_t EndOfEvent(std::string_view text) {
+  const std::size_t bare = text.find("\n\n");
+  const std::size_t with_returns = text.find("\n\r\n");
+  if (bare == std::string_view::npos &&
+      with_returns == std::string_view::npos) {
+    return std::string_view::npos;
+  }
+  return bare < with_returns ? bare + 2 : with_returns + 3;
+}
+
+}  // namespace
+
+std::optional<StreamEvent> EventSplitter::Next() {
+  const std::string_view rest = std::string_view(pending_).substr(taken_);
+  const std::size_t end = EndOfEvent(rest);
+  if (end == std::string_view::npos) {
+    pending_.erase(0, taken_);
+    taken_ = 0;
+    return std::nullopt;
+  }
+  StreamEvent event{std::string(rest.substr(0, end)), std::nullopt};
+  event.id = FindId(event.text);
+  taken_ += end;
+  return event;
+}
+
+}  // namespace endivecart::gateway
--- /dev/null
+++ b/src/endivecart/gateway/forwarding.cc
@@ -0,0 +1,485 @@
+#include "endivecart/gateway/forwarding.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivecart::gateway {
+
+namespace {
+
+// A whole answer is held until it is complete, so that a broken one can be
+// asked for again; one that is larger is refused.
+constexpr std::size_t kMaxAnswerBytes = 4UL << 20;
+// An event of a stream is never larger.
+constexpr std::size_t kMaxEventBytes = 1UL << 20;
+// Beyond this a stream is read on only as fast as the caller takes it.
+constexpr std::size_t kMaxUnsentBytes = 256UL << 10;
+// A connection that isn't there after this long won't be in time either.
+constexpr Millis kConnectTimeout{400};
+// A connection that was idle for longer may end just when it is used; what must
+// not run twice could then not be sent again.
+constexpr Millis kMaxIdleNonIdempotent{2000};
+constexpr Millis kMaxIdle{10000};
+// Refused or unreachable upstreams that one request is sent to beyond the
+// attempts of its route: none of them has run it.
+constexpr int kMaxSpareSends = 3;
+// With less time left than this, sending again leads nowhere.
+constexpr Millis kLeastUsefulTime{20};
+constexpr Millis kDefaultRetryAfter{300};
+
+// Whether a status promises that the request was not run.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+Forwarding::Forwarding(Gateway& gateway,
+                       net::HttpExchangePtr exchange,
+                       CallerRequest request,
+                       routes::RouteTablePtr routes,
+                       const routes::Route& route,
+                       const routes::Customer* customer)
+    : gateway_(gateway),
+      exchange_(std::move(exchange)),
+      request_(std::move(request)),
+      routes_(std::move(routes)),
+      route_(route),
+      customer_(customer),
+      accepted_at_(exchange_->received_at()) {}
+
+Forwarding::~Forwarding() = default;
+
+void Forwarding::Start() {
+  const Millis limit =
+      std::min(request_.patience.value_or(route_.time_limit), route_.time_limit);
+  deadline_ = accepted_at_ + limit;
+  const auto weak = weak_from_this();
+  deadline_timer_ = gateway_.loop_.After(
+      std::max(TimeLeft(), Millis(0)), [weak](TimePoint) {
+        if (const auto self = weak.lock())
+          self->OnDeadline();
+      });
+  exchange_->OnCallerGone([weak] {
+    if (const auto self = weak.lock())
+      self->OnCallerGone();
+  });
+  exchange_->OnDrained([weak] {
+    if (const auto self = weak.lock(); self && self->call_)
+      self->call_->SetPaused(false);
+  });
+  service_ = gateway_.ChooseService(route_);
+  gateway_.retries_.CountRequest(service_, gateway_.loop_.Now());
+  Send();
+}
+
+Millis Forwarding::TimeLeft() const {
+  return std::chrono::duration_cast<Millis>(deadline_ - gateway_.loop_.Now());
+}
+
+std::int64_t Forwarding::PromptTokens() const {
+  return request_.prompt ? request_.prompt->input_tokens : 0;
+}
+
+bool Forwarding::MayRepeat() const {
+  return route_.kind == routes::RequestKind::kIdempotent ||
+         (IsStream() && route_.resumable);
+}
+
+void Forwarding::Send() {
+  const auto upstream = ChooseUpstream();
+  if (!upstream) {
+    GiveUp("no_upstream");
+    return;
+  }
+  StartCall(*upstream);
+}
+
+std::optional<UpstreamId> Forwarding::ChooseUpstream() {
+  UpstreamBook::Query query;
+  query.service = service_;
+  query.excluded = tried_;
+  if (request_.prompt) {
+    query.model = request_.prompt->model;
+    query.weights_version = gateway_.WantedWeights(query.model);
+  }
+  UpstreamCensus census;
+  auto candidates =
+      gateway_.book_.Candidates(query, gateway_.follower_, &census);
+  if (candidates.empty() && !tried_.empty()) {
+    query.excluded.clear();
+    candidates = gateway_.book_.Candidates(query, gateway_.follower_, &census);
+  }
+  const routes::Service* service =
+      routes_->configuration().FindService(service_);
+  const int hosts = gateway_.follower_ ? gateway_.follower_->CallerHosts() : 0;
+  while (!candidates.empty()) {
+    const auto choice =
+        request_.prompt
+            ? PlacePrompt(candidates, *request_.prompt,
+                          customer_ && customer_->isolated ? customer_->id.str()
+                                                           : "",
+                          gateway_.speed_)
+            : PlaceByLoad(candidates, gateway_.random_());
+    const UpstreamId id = candidates[choice->index].id;
+    if (gateway_.book_.IsCold(id) &&
+        !gateway_.cold_.Take(id, service ? service->cold_requests_per_s : 0,
+                             hosts, gateway_.loop_.Now())) {
+      candidates.erase(candidates.begin() +
+                       static_cast<std::ptrdiff_t>(choice->index));
+      continue;
+    }
+    unread_tokens_ = PromptTokens();
+    if (request_.prompt && !choice->home)
+      unread_tokens_ -= SharedTokensOf(*request_.prompt);
+    LogLine("gateway.send")
+        .Add("request", request_.id.str())
+        .Add("route", route_.name)
+        .Add("upstream", id.str())
+        .Add("send", sends_ + 1)
+        .Add("away_from_home", choice->home ? "yes" : "no")
+        .Add("expected_ms", choice->expected_wait_ms)
+        .Add("requests_there", candidates[choice->index].requests)
+        .Add("upstreams", census.ToString())
+        .Add("left_ms", TimeLeft().count())
+        .Info();
+    return id;
+  }
+  LogLine("gateway.no_upstream")
+      .Add("request", request_.id.str())
+      .Add("route", route_.name)
+      .Add("service", service_.str())
+      .Add("upstreams", census.ToString())
+      .Add("caller_hosts", hosts)
+      .Warn();
+  return std::nullopt;
+}
+
+UpstreamRequest Forwarding::MakeUpstreamRequest(
+    const UpstreamId& upstream) const {
+  UpstreamRequest out;
+  out.caller = &request_;
+  out.upstream = upstream;
+  out.time_left = TimeLeft();
+  out.urgency =
+      customer_ ? customer_->priority.value_or(route_.priority) : route_.priority;
+  if (customer_ != nullptr)
+    out.customer = customer_->id;
+  out.last_event_id =
+      last_event_id_ ? std::to_string(*last_event_id_) : request_.last_event_id;
+  if (request_.prompt && weights_version_ != 0) {
+    out.weights_version = weights_version_;
+    out.cache_label = "w" + std::to_string(weights_version_);
+    if (customer_ && customer_->isolated)
+      out.cache_label += "." + customer_->id.str();
+  }
+  return out;
+}
+
+void Forwarding::StartCall(const UpstreamId& id) {
+  const auto* upstream = gateway_.book_.Find(id);
+  upstream_ = id;
+  tried_.insert(id);
+  ++sends_;
+  sent_at_ = gateway_.loop_.Now();
+  head_ = {};
+  head_seen_ = false;
+  passes_on_ = false;
+  body_.clear();
+  splitter_ = EventSplitter();
+  weights_version_ =
+      request_.prompt ? gateway_.book_.WeightsOf(*upstream, request_.prompt->model)
+                      : 0;
+  gateway_.book_.StartWork(id, unread_tokens_);
+  net::CallOptions options;
+  options.connect_timeout = std::min(
+      kConnectTimeout, std::max(TimeLeft(), Millis(1)));
+  options.max_idle = MayRepeat() ? kMaxIdle : kMaxIdleNonIdempotent;
+  const auto weak = weak_from_this();
+  call_ = gateway_.client_.Start(
+      upstream->last.address, gateway_.dialect_.encode(MakeUpstreamRequest(id)),
+      options,
+      {[weak](const net::HttpResponseHead& head) {
+         if (const auto self = weak.lock())
+           self->OnHead(head);
+       },
+       [weak](std::string_view bytes) {
+         if (const auto self = weak.lock())
+           self->OnBody(bytes);
+       },
+       [weak](net::CallEnd end) {
+         if (const auto self = weak.lock())
+           self->OnEnd(end);
+       }});
+}
+
+void Forwarding::OnHead(const net::HttpResponseHead& head) {
+  const AnswerFacts facts = gateway_.dialect_.read_answer(head);
+  if (facts.request_id != request_.id) {
+    OnBadAnswer("answers_another_request");
+    return;
+  }
+  head_ = head;
+  head_seen_ = true;
+  if (facts.weights_version && request_.prompt) {
+    gateway_.book_.NoteWeights(upstream_, request_.prompt->model,
+                               *facts.weights_version);
+  }
+  const bool success = head.status >= 200 && head.status < 300;
+  if (success && (!facts.is_signed || facts.has_unasked_coding)) {
+    OnBadAnswer("unsigned_or_coded");
+    return;
+  }
+  passes_on_ = success && IsStream();
+}
+
+void Forwarding::OnBody(std::string_view bytes) {
+  if (!head_seen_ || !call_)
+    return;
+  if (!passes_on_) {
+    if (body_.size() + bytes.size() > kMaxAnswerBytes) {
+      OnBadAnswer("too_large");
+      return;
+    }
+    body_ += bytes;
+    return;
+  }
+  splitter_.Add(bytes);
+  OnEvents();
+}
+
+void Forwarding::OnEvents() {
+  while (call_) {
+    const auto event = splitter_.Next();
+    if (!event)
+      break;
+    if (event->id && last_event_id_ && *event->id != *last_event_id_ + 1) {
+      OnBadAnswer("event_out_of_order");
+      return;
+    }
+    PassOnEvent(*event);
+  }
+  if (call_ && splitter_.pending_bytes() > kMaxEventBytes) {
+    OnBadAnswer("event_too_large");
+    return;
+  }
+  if (call_ && exchange_->unsent_bytes() > kMaxUnsentBytes)
+    call_->SetPaused(true);
+}
+
+void Forwarding::PassOnEvent(const StreamEvent& event) {
+  if (unread_tokens_ > 0) {
+    gateway_.book_.PromptRead(upstream_, unread_tokens_);
+    unread_tokens_ = 0;
+  }
+  if (!started_) {
+    started_ = true;
+    first_event_at_ = gateway_.loop_.Now();
+    exchange_->StartAnswer(
+        {head_.status, gateway_.dialect_.fields_for_caller(head_.fields)});
+  }
+  if (event.id)
+    last_event_id_ = event.id;
+  ++events_;
+  exchange_->Write(event.text);
+}
+
+void Forwarding::OnEnd(net::CallEnd end) {
+  const bool sent = call_->may_have_been_sent();
+  call_.reset();
+  switch (end) {
+    case net::CallEnd::kNotSent:
+      EndSend(SendResult::kUnreachable);
+      SendAgainOrGiveUp("unreachable");
+      return;
+    case net::CallEnd::kBroken:
+    case net::CallEnd::kBadAnswer:
+      if (!sent) {
+        EndSend(SendResult::kUnreachable);
+        SendAgainOrGiveUp("unreachable");
+        return;
+      }
+      OnBrokenRun(SendResult::kBroken, net::CallEndName(end).data());
+      return;
+    case net::CallEnd::kComplete:
+      break;
+  }
+  if (!head_seen_) {
+    OnBrokenRun(SendResult::kBroken, "no_head");
+  } else if (passes_on_ && splitter_.HasPartial()) {
+    OnBrokenRun(SendResult::kBroken, "event_cut");
+  } else if (passes_on_) {
+    if (!started_) {
+      exchange_->StartAnswer(
+          {head_.status, gateway_.dialect_.fields_for_caller(head_.fields)});
+    }
+    EndSend(SendResult::kAnswered);
+    exchange_->FinishAnswer();
+    Finish(head_.status, "answered");
+  } else {
+    OnWholeAnswer();
+  }
+}
+
+void Forwarding::OnWholeAnswer() {
+  if (gateway_.dialect_.read_answer(head_).not_run) {
+    OnNotRun(head_);
+    return;
+  }
+  run_state_ = RunState::kMayHaveRun;
+  const bool server_error = head_.status >= 500;
+  if (PromisesNotRun(head_.status)) {
+    // The upstream doesn't say so: the promise would not be true.
+    OnBrokenRun(SendResult::kFailed, "unproven_refusal");
+    return;
+  }
+  ++runs_;
+  if (server_error && head_.status != 504 && MaySendAgain(true)) {
+    EndSend(SendResult::kFailed);
+    Send();
+    return;
+  }
+  EndSend(server_error ? SendResult::kFailed : SendResult::kAnswered);
+  if (started_) {
+    exchange_->Abort();
+    Finish(head_.status, "resume_failed");
+    return;
+  }
+  exchange_->Answer({{head_.status,
+                      gateway_.dialect_.fields_for_caller(head_.fields)},
+                     body_});
+  Finish(head_.status, "answered");
+}
+
+void Forwarding::OnNotRun(const net::HttpResponseHead& head) {
+  LogLine("gateway.not_run")
+      .Add("request", request_.id.str())
+      .Add("upstream", upstream_.str())
+      .Add("status", head.status)
+      .Info();
+  EndSend(SendResult::kRefused);
+  SendAgainOrGiveUp("refused");
+}
+
+void Forwarding::OnBadAnswer(const char* reason) {
+  call_.reset();
+  OnBrokenRun(SendResult::kBroken, reason);
+}
+
+void Forwarding::OnBrokenRun(SendResult result, const char* reason) {
+  run_state_ = RunState::kMayHaveRun;
+  ++runs_;
+  LogLine("gateway.broken")
+      .Add("request", request_.id.str())
+      .Add("upstream", upstream_.str())
+      .Add("reason", reason)
+      .Add("events", std::uint64_t{events_})
+      .Warn();
+  EndSend(result);
+  if (MaySendAgain(true)) {
+    Send();
+  } else {
+    GiveUp(reason);
+  }
+}
+
+bool Forwarding::MaySendAgain(bool was_run) const {
+  if (TimeLeft() < kLeastUsefulTime)
+    return false;
+  if (was_run && (!MayRepeat() || runs_ >= route_.max_attempts))
+    return false;
+  if (!was_run && sends_ >= route_.max_attempts + kMaxSpareSends)
+    return false;
+  return gateway_.retries_.Take(service_, gateway_.loop_.Now());
+}
+
+void Forwarding::SendAgainOrGiveUp(const char* reason) {
+  if (MaySendAgain(false)) {
+    Send();
+  } else {
+    GiveUp(reason);
+  }
+}
+
+void Forwarding::EndSend(SendResult result) {
+  call_.reset();
+  if (upstream_.empty())
+    return;
+  if (unread_tokens_ > 0)
+    gateway_.book_.PromptRead(upstream_, unread_tokens_);
+  unread_tokens_ = 0;
+  gateway_.book_.EndWork(upstream_, result,
+                         MillisBetween(sent_at_, gateway_.loop_.Now()));
+  upstream_ = UpstreamId();
+}
+
+void Forwarding::GiveUp(const char* reason) {
+  if (started_) {
+    exchange_->Abort();
+    Finish(0, reason);
+    return;
+  }
+  if (run_state_ == RunState::kNotRun) {
+    Refuse(503, reason, kDefaultRetryAfter);
+  } else {
+    Refuse(502, reason, std::nullopt);
+  }
+}
+
+void Forwarding::Refuse(int status,
+                        const std::string& reason,
+                        std::optional<Millis> retry_after) {
+  CheckInvariant(run_state_ == RunState::kNotRun || !PromisesNotRun(status),
+                 Invariant::kNotRunIsTrue, request_.id.str());
+  exchange_->Answer(
+      gateway_.dialect_.refusal(status, reason, retry_after, request_.id));
+  Finish(status, reason.c_str());
+}
+
+void Forwarding::OnDeadline() {
+  const bool reached = call_ && call_->may_have_been_sent();
+  if (reached)
+    run_state_ = RunState::kMayHaveRun;
+  EndSend(reached && !started_ ? SendResult::kSilent : SendResult::kAbandoned);
+  if (started_) {
+    exchange_->Abort();
+    Finish(0, "time_limit");
+  } else if (run_state_ == RunState::kNotRun) {
+    Refuse(503, "time_limit", kDefaultRetryAfter);
+  } else {
+    Refuse(504, "time_limit", std::nullopt);
+  }
+}
+
+void Forwarding::OnCallerGone() {
+  EndSend(SendResult::kAbandoned);
+  Finish(0, "caller_gone");
+}
+
+void Forwarding::Finish(int status, const char* outcome) {
+  if (std::exchange(finished_, true))
+    return;
+  deadline_timer_.reset();
+  const double elapsed = MillisBetween(accepted_at_, gateway_.loop_.Now());
+  LogLine line("gateway.done");
+  line.Add("request", request_.id.str())
+      .Add("route", route_.name)
+      .Add("customer", customer_ ? customer_->id.str() : "")
+      .Add("status", status)
+      .Add("outcome", outcome)
+      .Add("sends", sends_)
+      .Add("ms", elapsed);
+  if (IsStream()) {
+    line.Add("events", std::uint64_t{events_})
+        .Add("first_event_ms",
+             started_ ? MillisBetween(accepted_at_, first_event_at_) : 0.0);
+  }
+  line.Info();
+  gateway_.metrics_.Add("endivecart_requests_total",
+                        "outcome=\"" + std::string(outcome) + "\"");
+  gateway_.metrics_.Observe("endivecart_request_ms",
+                            "route=\"" + route_.name + "\"", elapsed);
+  gateway_.Remove(shared_from_this());
+}
+
+}  // namespace endivecart::gateway
--- /dev/null
+++ b/src/endivecart/gateway/forwarding.h
@@ -0,0 +1,103 @@
+#ifndef ENDIVECART_GATEWAY_FORWARDING_H_
+#define ENDIVECART_GATEWAY_FORWARDING_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "endivecart/gateway/event_splitter.h"
+#include "endivecart/gateway/gateway.h"
+
+namespace endivecart::gateway {
+
+// Internal. One accepted request: is sent to an upstream, again to others where
+// that is allowed, and answered once.
+class Forwarding final : public std::enable_shared_from_this<Forwarding> {
+ public:
+  Forwarding(Gateway& gateway,
+             net::HttpExchangePtr exchange,
+             CallerRequest request,
+             routes::RouteTablePtr routes,  // keeps route and customer alive
+             const routes::Route& route,
+             const routes::Customer* customer);
+  ~Forwarding();
+
+  void Start();
+
+ private:
+  // What may be said of a request that has got no answer.
+  enum class RunState { kNotRun, kMayHaveRun };
+
+  void Send();
+  std::optional<UpstreamId> ChooseUpstream();
+  void StartCall(const UpstreamId& upstream);
+  UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
+
+  void OnHead(const net::HttpResponseHead& head);
+  void OnBody(std::string_view bytes);
+  void OnEnd(net::CallEnd end);
+  void OnEvents();
+  void PassOnEvent(const StreamEvent& event);
+  void OnWholeAnswer();
+  void OnBadAnswer(const char* reason);
+  void OnNotRun(const net::HttpResponseHead& head);
+  void OnBrokenRun(SendResult result, const char* reason);
+  void OnDeadline();
+  void OnCallerGone();
+
+  // Ends the send that is under way.
+  void EndSend(SendResult result);
+  bool MaySendAgain(bool was_run) const;
+  void SendAgainOrGiveUp(const char* reason);
+  void GiveUp(const char* reason);
+  void Refuse(int status,
+              const std::string& reason,
+              std::optional<Millis> retry_after);
+  void Finish(int status, const char* outcome);
+
+  bool IsStream() const { return route_.kind == routes::RequestKind::kStream; }
+  bool MayRepeat() const;
+  Millis TimeLeft() const;
+  std::int64_t PromptTokens() const;
+
+  Gateway& gateway_;
+  net::HttpExchangePtr exchange_;
+  const CallerRequest request_;
+  const routes::RouteTablePtr routes_;
+  const routes::Route& route_;
+  const routes::Customer* const customer_;
+  routes::ServiceId service_;
+  const TimePoint accepted_at_;
+  TimePoint deadline_;
+  std::unique_ptr<TimerSubscription> deadline_timer_;
+  std::unique_ptr<TimerSubscription> wait_timer_;
+
+  std::set<UpstreamId> tried_;
+  int sends_ = 0;  // of which the request may have reached an upstream
+  int runs_ = 0;   // of which it may have been run
+  RunState run_state_ = RunState::kNotRun;
+  bool finished_ = false;
+
+  // Of the send under way:
+  net::HttpCallPtr call_;
+  UpstreamId upstream_;
+  std::uint64_t weights_version_ = 0;
+  TimePoint sent_at_;
+  std::int64_t unread_tokens_ = 0;
+  net::HttpResponseHead head_;
+  bool head_seen_ = false;
+  bool passes_on_ = false;  // a stream's events go to the caller
+  std::string body_;
+  EventSplitter splitter_;
+
+  // Of the answer to the caller:
+  bool started_ = false;
+  std::optional<std::uint64_t> last_event_id_;
+  std::size_t events_ = 0;
+  TimePoint first_event_at_;
+};
+
+}  // namespace endivecart::gateway
+
+#endif  // ENDIVECART_GATEWAY_FORWARDING_H_
--- /dev/null
+++ b/src/endivecart/gateway/gateway.cc
@@ -0,0 +1,123 @@
+#include "endivecart/gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "endivecart/gateway/forwarding.h"
+
+namespace endivecart::gateway {
+
+namespace {
+
+constexpr Millis kRetryAfterStart{500};
+
+}  // namespace
+
+Gateway::Gateway(GatewayOptions options,
+                 Dialect dialect,
+                 net::EventLoop& loop,
+                 net::HttpClient& client,
+                 MetricsRegistry& metrics)
+    : options_(std::move(options)),
+      dialect_(std::move(dialect)),
+      loop_(loop),
+      client_(client),
+      metrics_(metrics),
+      book_(options_.domain, [&loop] { return loop.Now(); }),
+      retries_(options_.retry_ratio, options_.retry_window),
+      random_(options_.seed) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::SetDecisions(fleet::DecisionsPtr decisions,
+                           routes::RouteTablePtr routes) {
+  const TimePoint now = loop_.Now();
+  for (const auto& [model, version] : decisions->weights) {
+    auto& learned = weights_learned_[model];
+    if (learned.first != version)
+      learned = {version, now};
+  }
+  decisions_ = decisions;
+  book_.SetDecisions(std::move(decisions));
+  if (routes)
+    routes_ = std::move(routes);
+}
+
+std::uint64_t Gateway::WantedWeights(const ModelId& model) const {
+  const auto it = weights_learned_.find(model);
+  if (it == weights_learned_.end())
+    return 0;
+  const bool in_grace =
+      loop_.Now() - it->second.second < options_.old_weights_grace;
+  return in_grace ? 0 : it->second.first;
+}
+
+void Gateway::Refuse(const net::HttpExchangePtr& exchange,
+                     int status,
+                     const std::string& reason,
+                     std::optional<Millis> retry_after,
+                     const RequestId& id) {
+  LogLine("gateway.refused")
+      .Add("request", id.str())
+      .Add("status", status)
+      .Add("reason", reason)
+      .Add("routing_version", decisions_ ? decisions_->routing_version : 0)
+      .Info();
+  metrics_.Add("endivecart_requests_total", "outcome=\"" + reason + "\"");
+  exchange->Answer(dialect_.refusal(status, reason, retry_after, id));
+}
+
+void Gateway::Handle(net::HttpExchangePtr exchange) {
+  auto request = dialect_.decode(exchange->request());
+  if (!request) {
+    Refuse(exchange, 400, "malformed", std::nullopt, RequestId());
+    return;
+  }
+  if (!routes_) {
+    Refuse(exchange, 503, "no_configuration", kRetryAfterStart, request->id);
+    return;
+  }
+  const routes::Route* route = routes_->Match(request->host, request->path);
+  if (route == nullptr) {
+    Refuse(exchange, 404, "no_route", std::nullopt, request->id);
+    return;
+  }
+  const routes::Customer* customer = nullptr;
+  if (routes_->NeedsKey(*route)) {
+    customer = routes_->FindCustomer(request->key);
+    if (customer == nullptr) {
+      Refuse(exchange, 401, "unknown_key", std::nullopt, request->id);
+      return;
+    }
+  }
+  const auto forwarding =
+      std::make_shared<Forwarding>(*this, std::move(exchange),
+                                   std::move(*request), routes_, *route,
+                                   customer);
+  active_.insert(forwarding);
+  forwarding->Start();
+}
+
+routes::ServiceId Gateway::ChooseService(const routes::Route& route) {
+  int total = 0;
+  for (const routes::WeightedService& target : route.services)
+    total += target.weight;
+  std::uniform_int_distribution<int> pick(0, std::max(total - 1, 0));
+  int at = pick(random_);
+  for (const routes::WeightedService& target : route.services) {
+    at -= target.weight;
+    if (at < 0)
+      return target.service;
+  }
+  return route.services.front().service;
+}
+
+void Gateway::Remove(const std::shared_ptr<Forwarding>& forwarding) {
+  active_.erase(forwarding);
+}
+
+void Gateway::Expire() {
+  book_.Expire();
+}
+
+}  // namespace endivecart::gateway
--- /dev/null
+++ b/src/endivecart/gateway/gateway.h
@@ -0,0 +1,98 @@
+#ifndef ENDIVECART_GATEWAY_GATEWAY_H_
+#define ENDIVECART_GATEWAY_GATEWAY_H_
+
+// Public header of the gateway library: callers' requests are matched with a
+// route and sent to upstreams.
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "endivecart/fleet/fleet.h"
+#include "endivecart/gateway/caller_request.h"
+#include "endivecart/gateway/cold_allowance.h"
+#include "endivecart/gateway/retry_allowance.h"
+#include "endivecart/gateway/upstream_book.h"
+#include "endivecart/net/net.h"
+#include "endivecart/routes/routes.h"
+
+namespace endivecart::gateway {
+
+struct GatewayOptions {
+  HostId host;
+  DomainId domain;
+  double retry_ratio = 0.2;
+  Millis retry_window{10000};
+  // After newer weights were named, older ones may serve for this long.
+  Millis old_weights_grace{8000};
+  std::uint64_t seed = 1;
+
+  bool operator==(const GatewayOptions&) const = default;
+};
+
+class Forwarding;
+
+// One host's data path. Belongs to the event loop's thread.
+class Gateway {
+ public:
+  // `loop`, `client` and `metrics` must outlive the gateway.
+  Gateway(GatewayOptions options,
+          Dialect dialect,
+          net::EventLoop& loop,
+          net::HttpClient& client,
+          MetricsRegistry& metrics);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Handles one request that was read from a caller.
+  void Handle(net::HttpExchangePtr exchange);
+
+  // What is in force from now on; `routes` null: nothing is known yet.
+  void SetDecisions(fleet::DecisionsPtr decisions, routes::RouteTablePtr routes);
+  void SetFollower(const fleet::FleetFollower* follower) {
+    follower_ = follower;
+  }
+  UpstreamBook& book() { return book_; }
+  bool HasRoutes() const { return routes_ != nullptr; }
+  // Requests that were accepted and aren't answered yet.
+  std::size_t active() const { return active_.size(); }
+  // Forgets upstreams that are gone. To be called every second or so.
+  void Expire();
+
+ private:
+  friend class Forwarding;
+
+  void Refuse(const net::HttpExchangePtr& exchange,
+              int status,
+              const std::string& reason,
+              std::optional<Millis> retry_after,
+              const RequestId& id);
+  routes::ServiceId ChooseService(const routes::Route& route);
+  // The weights that a request may run with: the newest named ones, or 0 for
+  // any while upstreams still load them.
+  std::uint64_t WantedWeights(const ModelId& model) const;
+  void Remove(const std::shared_ptr<Forwarding>& forwarding);
+
+  const GatewayOptions options_;
+  const Dialect dialect_;
+  net::EventLoop& loop_;
+  net::HttpClient& client_;
+  MetricsRegistry& metrics_;
+  UpstreamBook book_;
+  RetryAllowance retries_;
+  ColdAllowance cold_;
+  SpeedEstimate speed_;
+  std::mt19937_64 random_;
+  const fleet::FleetFollower* follower_ = nullptr;
+  fleet::DecisionsPtr decisions_;
+  routes::RouteTablePtr routes_;
+  std::map<ModelId, std::pair<std::uint64_t, TimePoint>> weights_learned_;
+  std::set<std::shared_ptr<Forwarding>> active_;
+};
+
+}  // namespace endivecart::gateway
+
+#endif  // ENDIVECART_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/endivecart/gateway/placement.h
@@ -0,0 +1,71 @@
+#ifndef ENDIVECART_GATEWAY_PLACEMENT_H_
+#define ENDIVECART_GATEWAY_PLACEMENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "endivecart/gateway/caller_request.h"
+
+namespace endivecart::gateway {
+
+// An upstream that a request may go to, with what is known of its load.
+struct Candidate {
+  UpstreamId id;
+  bool is_near = false;   // in this host's failure domain
+  bool is_doubtful = false;  // silent, or failed lately
+  int slots = 1;
+  int requests = 0;                 // at work there, of all hosts
+  std::int64_t prompt_tokens = 0;   // that it has still to read, of all hosts
+  double latency_ms = 0;            // lately, of requests without a prompt
+
+  bool operator==(const Candidate&) const = default;
+};
+
+// How fast upstreams work, as learned from their answers.
+struct SpeedEstimate {
+  double prompt_tokens_per_ms = 20;  // until the first answers tell
+  double ms_per_request = 8;         // that one more request costs each other
+
+  bool operator==(const SpeedEstimate&) const = default;
+};
+
+struct PlacementChoice {
+  std::size_t index = 0;  // of the candidate
+  // Cached parts are likely to lie there; nothing if it is the choice itself.
+  std::optional<std::size_t> home;
+  double expected_wait_ms = 0;
+
+  bool operator==(const PlacementChoice&) const = default;
+};
+
+// The order of all candidates for one key that every host computes alike: the
+// first is the key's home. Few keys move when a candidate comes or goes.
+std::vector<std::size_t> RankByKey(const std::vector<Candidate>& candidates,
+                                   const std::string& key);
+
+// The name under which a prompt's shared beginning is placed: its last part
+// that other prompts may have too.
+std::string SharedKeyOf(const Prompt& prompt);
+// Tokens of the parts up to and including that one.
+std::int64_t SharedTokensOf(const Prompt& prompt);
+
+// For returning prompts: to the home of the shared beginning, which has it in
+// its cache, unless it is so busy that reading the prompt anew elsewhere is
+// sooner done. Nothing if there are no candidates.
+std::optional<PlacementChoice> PlacePrompt(
+    const std::vector<Candidate>& candidates,
+    const Prompt& prompt,
+    const std::string& cache_label,
+    const SpeedEstimate& speed);
+
+// For requests without a prompt: of those with the fewest requests a slot, the
+// nearest. `random` breaks ties.
+std::optional<PlacementChoice> PlaceByLoad(
+    const std::vector<Candidate>& candidates,
+    std::uint64_t random);
+
+}  // namespace endivecart::gateway
+
+#endif  // ENDIVECART_GATEWAY_PLACEMENT_H_
--- /dev/null
+++ b/src/endivecart/gateway/upstream_book.h
@@ -0,0 +1,117 @@
+#ifndef ENDIVECART_GATEWAY_UPSTREAM_BOOK_H_
+#define ENDIVECART_GATEWAY_UPSTREAM_BOOK_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "endivecart/fleet/fleet.h"
+#include "endivecart/gateway/placement.h"
+#include "endivecart/upstreams/upstreams.h"
+
+namespace endivecart::gateway {
+
+// How one send to an upstream ended, for judging the upstream.
+enum class SendResult {
+  kAnswered,     // whole, whatever its status
+  kFailed,       // answered with a server's error
+  kRefused,      // stated that it didn't run it: full, leaving or another one
+  kUnreachable,  // no connection
+  kBroken,       // the connection ended, or what came was no answer
+  kSilent,       // nothing came for too long
+  kAbandoned,    // the caller left, or the time was up: tells nothing
+};
+
+std::string_view SendResultName(SendResult result);
+
+// Why upstreams of a service can't be used, for logs.
+struct UpstreamCensus {
+  int known = 0;
+  int usable = 0;
+  int leaving = 0;
+  int domain_out = 0;
+  int distrusted = 0;
+  int old_weights = 0;
+  int excluded = 0;
+
+  bool operator==(const UpstreamCensus&) const = default;
+  std::string ToString() const;
+};
+
+// What one host knows of all upstreams: their announcements, its own work
+// there, and how that went.
+class UpstreamBook {
+ public:
+  // An upstream that isn't heard of for this long is doubtful.
+  static constexpr Millis kSilentAfter{4000};
+
+  struct Query {
+    routes::ServiceId service;
+    ModelId model;  // empty: any
+    // Only upstreams that have this version of the model's weights; 0: any.
+    std::uint64_t weights_version = 0;
+    std::set<UpstreamId> excluded;  // were tried before
+    std::optional<VersionId> software_version;
+  };
+
+  UpstreamBook(DomainId own_domain, std::function<TimePoint()> now);
+
+  upstreams::AnnouncementEffect Apply(
+      const upstreams::Announcement& announcement,
+      TimePoint received_at);
+  void SetDecisions(fleet::DecisionsPtr decisions);
+  // An answer of the upstream told which weights it has.
+  void NoteWeights(const UpstreamId& id,
+                   const ModelId& model,
+                   std::uint64_t version);
+
+  // Version of the model's weights there, as last heard; 0 if unknown.
+  std::uint64_t WeightsOf(const upstreams::AnnouncedUpstream& upstream,
+                          const ModelId& model) const;
+
+  std::vector<Candidate> Candidates(const Query& query,
+                                    const fleet::FleetFollower* others,
+                                    UpstreamCensus* census) const;
+  const upstreams::AnnouncedUpstream* Find(const UpstreamId& id) const;
+  bool IsCold(const UpstreamId& id) const;
+
+  // Work begins and ends; `prompt_tokens` count until the first event.
+  void StartWork(const UpstreamId& id, std::int64_t prompt_tokens);
+  void PromptRead(const UpstreamId& id, std::int64_t prompt_tokens);
+  void EndWork(const UpstreamId& id, SendResult result, double latency_ms);
+  std::vector<fleet::OwnLoad> OwnLoads() const;
+
+  void Expire();
+  const upstreams::AnnouncedRoster& roster() const { return roster_; }
+
+ private:
+  struct Record {
+    int requests = 0;
+    std::int64_t prompt_tokens = 0;
+    double latency_ms = 0;
+    int failures_in_row = 0;
+    // Not used until then, and not before it announces itself again.
+    TimePoint distrusted_until{};
+    TimePoint distrusted_since{};
+    std::map<ModelId, std::uint64_t> weights;  // as its answers told
+    std::uint64_t weights_born_ms = 0;
+    TimePoint weights_seen{};
+  };
+
+  bool IsDistrusted(const upstreams::AnnouncedUpstream& upstream,
+                    const Record& record) const;
+  const Record& RecordOf(const UpstreamId& id) const;
+
+  const DomainId own_domain_;
+  const std::function<TimePoint()> now_;
+  upstreams::AnnouncedRoster roster_;
+  fleet::DecisionsPtr decisions_;
+  std::map<UpstreamId, Record> records_;
+};
+
+}  // namespace endivecart::gateway
+
+#endif  // ENDIVECART_GATEWAY_UPSTREAM_BOOK_H_
--- /dev/null
+++ b/src/endivecart/net/event_loop.cc
@@ -0,0 +1,171 @@
+#include "endivecart/net/event_loop.h"
+
+#include <time.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+#include <vector>
+
+namespace endivecart::net {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int kOneThread = 1;
+
+}  // namespace
+
+// Shared by the subscription and the pending wait, so that either may end
+// first.
+class EventLoop::Timer final : public TimerSubscription {
+ public:
+  struct State {
+    State(EventLoop& owner, Millis every, bool once_only, Callback function)
+        : loop(owner),
+          timer(owner.context_),
+          interval(every),
+          once(once_only),
+          callback(std::move(function)) {}
+
+    EventLoop& loop;
+    asio::steady_timer timer;
+    Millis interval;
+    bool once;
+    bool cancelled = false;
+    Callback callback;
+  };
+
+  explicit Timer(std::shared_ptr<State> state) : state_(std::move(state)) {
+    Arm(state_);
+  }
+  ~Timer() override {
+    state_->cancelled = true;
+    state_->timer.cancel();
+  }
+
+ private:
+  static void Arm(const std::shared_ptr<State>& state) {
+    state->timer.expires_after(state->interval);
+    state->timer.async_wait([state](const boost::system::error_code&) {
+      if (state->cancelled)
+        return;
+      state->callback(state->loop.Now());
+      if (!state->once && !state->cancelled)
+        Arm(state);
+    });
+  }
+
+  std::shared_ptr<State> state_;
+};
+
+class EventLoop::Watch final : public TimerSubscription {
+ public:
+  struct State {
+    State(EventLoop& loop, int fd, std::function<void()> function)
+        : descriptor(loop.context_, fd), handler(std::move(function)) {}
+
+    asio::posix::stream_descriptor descriptor;
+    std::function<void()> handler;
+    bool cancelled = false;
+  };
+
+  explicit Watch(std::shared_ptr<State> state) : state_(std::move(state)) {
+    Arm(state_);
+  }
+  ~Watch() override {
+    state_->cancelled = true;
+    state_->descriptor.release();
+  }
+
+ private:
+  static void Arm(const std::shared_ptr<State>& state) {
+    state->descriptor.async_wait(
+        asio::posix::stream_descriptor::wait_read,
+        [state](const boost::system::error_code& error) {
+          if (state->cancelled || error)
+            return;
+          state->handler();
+          if (!state->cancelled)
+            Arm(state);
+        });
+  }
+
+  std::shared_ptr<State> state_;
+};
+
+class EventLoop::Signals {
+ public:
+  Signals(EventLoop& loop, int signal, std::function<void()> handler)
+      : set_(loop.context_, signal), handler_(std::move(handler)) {
+    Arm();
+  }
+
+ private:
+  void Arm() {
+    set_.async_wait([this](const boost::system::error_code& error, int) {
+      if (error)
+        return;
+      handler_();
+      Arm();
+    });
+  }
+
+  asio::signal_set set_;
+  std::function<void()> handler_;
+};
+
+EventLoop::EventLoop() : context_(kOneThread) {}
+
+EventLoop::~EventLoop() = default;
+
+void EventLoop::Run() {
+  const auto guard = asio::make_work_guard(context_);
+  context_.run();
+}
+
+void EventLoop::Stop() {
+  context_.stop();
+}
+
+void EventLoop::Post(std::function<void()> task) {
+  asio::post(context_, std::move(task));
+}
+
+TimePoint EventLoop::Now() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+std::unique_ptr<TimerSubscription> EventLoop::Every(Millis interval,
+                                                    Callback callback) {
+  return std::make_unique<Timer>(std::make_shared<Timer::State>(
+      *this, interval, false, std::move(callback)));
+}
+
+std::unique_ptr<TimerSubscription> EventLoop::After(Millis delay,
+                                                    Callback callback) {
+  return std::make_unique<Timer>(std::make_shared<Timer::State>(
+      *this, delay, true, std::move(callback)));
+}
+
+void EventLoop::OnSignal(int signal, std::function<void()> handler) {
+  signals_.push_back(
+      std::make_unique<Signals>(*this, signal, std::move(handler)));
+}
+
+std::unique_ptr<TimerSubscription> EventLoop::WatchReadable(
+    int descriptor,
+    std::function<void()> handler) {
+  return std::make_unique<Watch>(
+      std::make_shared<Watch::State>(*this, descriptor, std::move(handler)));
+}
+
+}  // namespace endivecart::net
--- /dev/null
+++ b/src/endivecart/net/http_parser.h
@@ -0,0 +1,109 @@
+#ifndef ENDIVECART_NET_HTTP_PARSER_H_
+#define ENDIVECART_NET_HTTP_PARSER_H_
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "endivecart/net/http_message.h"
+
+namespace endivecart::net {
+
+// Internal. Parses one request into an HttpRequest. Refuses what could be read
+// in two ways: a length beside chunks, two lengths, codings other than chunked.
+class RequestParser final : public boost::beast::http::basic_parser<true> {
+ public:
+  RequestParser(std::size_t max_header_bytes, std::size_t max_body_bytes);
+
+  HttpRequest& request() { return request_; }
+  // Whether the caller waits for an interim answer before it sends its body.
+  bool expects_continue() const { return expects_continue_; }
+
+ private:
+  using Error = boost::beast::error_code;
+  using View = boost::beast::string_view;
+
+  void on_request_impl(boost::beast::http::verb method,
+                       View method_text,
+                       View target,
+                       int version,
+                       Error& error) override;
+  void on_response_impl(int, View, int, Error&) override {}
+  void on_field_impl(boost::beast::http::field name,
+                     View name_text,
+                     View value,
+                     Error& error) override;
+  void on_header_impl(Error& error) override;
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                         Error& error) override;
+  std::size_t on_body_impl(View body, Error& error) override;
+  void on_chunk_header_impl(std::uint64_t, View, Error&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t remaining,
+                                 View body,
+                                 Error& error) override;
+  void on_finish_impl(Error&) override {}
+
+  std::size_t TakeBody(View body, Error& error);
+
+  const std::size_t max_body_bytes_;
+  HttpRequest request_;
+  bool header_done_ = false;
+  bool expects_continue_ = false;
+};
+
+// Internal. Parses one answer; hands its body on as it comes.
+class AnswerParser final : public boost::beast::http::basic_parser<false> {
+ public:
+  using HeadHook = std::function<void(const HttpResponseHead&)>;
+  using BodyHook = std::function<void(std::string_view)>;
+
+  // `is_head`: the answer to a HEAD request, which has no body.
+  AnswerParser(bool is_head,
+               std::size_t max_header_bytes,
+               HeadHook on_head,
+               BodyHook on_body);
+
+  HttpResponseHead& head() { return head_; }
+
+ private:
+  using Error = boost::beast::error_code;
+  using View = boost::beast::string_view;
+
+  void on_request_impl(boost::beast::http::verb, View, View, int, Error&)
+      override {}
+  void on_response_impl(int status, View reason, int version, Error&) override;
+  void on_field_impl(boost::beast::http::field name,
+                     View name_text,
+                     View value,
+                     Error& error) override;
+  void on_header_impl(Error&) override;
+  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                         Error&) override {}
+  std::size_t on_body_impl(View body, Error& error) override;
+  void on_chunk_header_impl(std::uint64_t, View, Error&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t remaining,
+                                 View body,
+                                 Error& error) override;
+  void on_finish_impl(Error&) override {}
+
+  HttpResponseHead head_;
+  HeadHook on_head_;
+  BodyHook on_body_;
+  bool header_done_ = false;
+};
+
+// The wire forms of heads and chunks.
+std::string RequestHeadText(const HttpRequest& request);
+enum class BodyFraming { kLength, kChunked, kNone };
+std::string AnswerHeadText(const HttpResponseHead& head,
+                           BodyFraming framing,
+                           std::size_t length,
+                           bool close);
+std::string ChunkText(std::string_view bytes);
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+}  // namespace endivecart::net
+
+#endif  // ENDIVECART_NET_HTTP_PARSER_H_
--- /dev/null
+++ b/src/endivecart/net/net.h
@@ -0,0 +1,13 @@
+#ifndef ENDIVECART_NET_NET_H_
+#define ENDIVECART_NET_NET_H_
+
+// Public header of the net library: one event loop for a process, and an HTTP
+// server and client that never block it.
+
+#include "endivecart/net/event_loop.h"    // IWYU pragma: export
+#include "endivecart/net/http_client.h"   // IWYU pragma: export
+#include "endivecart/net/http_message.h"  // IWYU pragma: export
+#include "endivecart/net/http_server.h"   // IWYU pragma: export
+#include "endivecart/net/net_error.h"     // IWYU pragma: export
+
+#endif  // ENDIVECART_NET_NET_H_
--- /dev/null
+++ b/src/endivecart/node/disk_thread.cc
@@ -0,0 +1,42 @@
+#include "endivecart/node/disk_thread.h"
+
+#include <utility>
+
+namespace endivecart::node {
+
+DiskThread::DiskThread(net::EventLoop& loop)
+    : loop_(loop), thread_([this] { Work(); }) {}
+
+DiskThread::~DiskThread() {
+  {
+    std::scoped_lock lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  thread_.join();
+}
+
+void DiskThread::Run(Job job, Done done) {
+  {
+    std::scoped_lock lock(mutex_);
+    items_.push_back({std::move(job), std::move(done)});
+  }
+  changed_.notify_all();
+}
+
+void DiskThread::Work() {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    changed_.wait(lock, [this] { return stopping_ || !items_.empty(); });
+    if (stopping_)
+      return;
+    const Item item = std::move(items_.front());
+    items_.pop_front();
+    lock.unlock();
+    const fleet::DiskResult result = item.job();
+    loop_.Post([done = item.done, result] { done(result); });
+    lock.lock();
+  }
+}
+
+}  // namespace endivecart::node
--- /dev/null
+++ b/src/endivecart/node/entry_node.cc
@@ -0,0 +1,239 @@
+#include "endivecart/node/entry_node.h"
+
+#include <utility>
+
+#include "endivecart/node/side_server.h"
+
+namespace endivecart::node {
+
+namespace {
+
+constexpr Millis kFollowTick{50};
+constexpr Millis kExpireInterval{1000};
+constexpr Millis kStopTick{50};
+// The balancer notices within two of its questions, a second apart.
+constexpr Millis kStillSentTo{2500};
+// Before the platform's kill.
+constexpr Millis kStopMargin{700};
+constexpr std::size_t kMaxCallerConnections = 2500;
+
+net::HttpServerLimits ServerLimits(const routes::CallerLimits& limits) {
+  net::HttpServerLimits out;
+  out.max_connections = kMaxCallerConnections;
+  out.max_header_bytes = limits.max_header_bytes;
+  out.max_body_bytes = limits.max_body_bytes;
+  out.header_timeout = limits.header_timeout;
+  out.idle_timeout = limits.idle_timeout;
+  return out;
+}
+
+std::uint64_t SeedOf(const HostId& host, TimePoint now) {
+  return StableHash(host.str(), static_cast<std::uint64_t>(
+                                    now.time_since_epoch().count()));
+}
+
+gateway::GatewayOptions OptionsFor(const settings::NodeSettings& settings,
+                                   std::uint64_t seed) {
+  gateway::GatewayOptions options;
+  options.host = settings.host;
+  options.domain = settings.domain;
+  options.retry_ratio = settings.bounds.retry_ratio;
+  options.retry_window = settings.bounds.retry_window;
+  // The last fifth of the deadline is for what is under way.
+  options.old_weights_grace = settings.bounds.weights_deadline * 4 / 5;
+  options.seed = seed;
+  return options;
+}
+
+}  // namespace
+
+struct EntryNode::Parts {
+  Parts(net::EventLoop& event_loop,
+        settings::NodeSettings node_settings,
+        EntryNodeHooks node_hooks)
+      : loop(event_loop),
+        settings(std::move(node_settings)),
+        hooks(std::move(node_hooks)),
+        incarnation(SeedOf(settings.host, loop.Now())),
+        client(loop),
+        gateway(OptionsFor(settings, incarnation), hooks.dialect, loop, client,
+                metrics) {}
+
+  Result<bool, NodeError> Open();
+  void OpenFollower();
+  void TakeDecisions(const fleet::DecisionsPtr& decisions);
+  bool IsReady() const { return gateway.HasRoutes() && !stopping; }
+  void StopTick(TimePoint now);
+
+  net::EventLoop& loop;
+  settings::NodeSettings settings;
+  const EntryNodeHooks hooks;
+  const std::uint64_t incarnation;
+  MetricsRegistry metrics;
+  net::HttpClient client;
+  gateway::Gateway gateway;
+  std::unique_ptr<fleet::FleetBus> bus;
+  std::optional<fleet::FleetFollower> follower;
+  std::unique_ptr<net::HttpServer> callers;
+  std::unique_ptr<net::HttpServer> ready;
+  std::unique_ptr<net::HttpServer> metrics_server;
+  std::vector<std::unique_ptr<TimerSubscription>> timers;
+  bool stopping = false;
+  TimePoint stop_began;
+  std::unique_ptr<TimerSubscription> stop_timer;
+};
+
+void EntryNode::Parts::OpenFollower() {
+  fleet::FleetFollowerOptions options;
+  options.self = settings.host;
+  options.incarnation = incarnation;
+  options.serves_callers = true;
+  options.contacts = settings.contacts;
+  fleet::FleetFollower::Hooks follow;
+  follow.send = [this](const HostId& to, wire::Envelope envelope) {
+    bus->Send(to, std::move(envelope));
+  };
+  follow.on_voters = [this](const std::vector<HostId>& voters) {
+    bus->ConnectTo(voters);
+  };
+  follow.on_decisions = [this](const fleet::DecisionsPtr& decisions) {
+    TakeDecisions(decisions);
+  };
+  follow.on_announcement = [this](const upstreams::Announcement& announcement,
+                                  TimePoint received_at) {
+    gateway.book().Apply(announcement, received_at);
+  };
+  follow.own_loads = [this] { return gateway.book().OwnLoads(); };
+  follow.move_counts = [] { return std::vector<wire::MoveCounts>(); };
+  follow.now = [this] { return loop.Now(); };
+  follower.emplace(options, std::move(follow));
+  gateway.SetFollower(&*follower);
+}
+
+Result<bool, NodeError> EntryNode::Parts::Open() {
+  if (!settings.callers || !settings.ready) {
+    return Fail(NodeError{NodeErrorCode::kSettings,
+                          "listen.callers and listen.ready are needed"});
+  }
+  auto opened = fleet::FleetBus::Open(
+      loop, settings.host, settings.peer_port, false,
+      [this](const wire::Envelope& envelope) {
+        if (envelope.has_fleet_news())
+          follower->OnNews(HostId(envelope.from()), envelope.fleet_news());
+      });
+  if (!opened)
+    return Fail(NodeError{NodeErrorCode::kTransport, opened.error().detail});
+  bus = std::move(*opened);
+  OpenFollower();
+  bus->ConnectTo(settings.contacts);
+  auto listening = net::HttpServer::Listen(
+      loop, *settings.callers, ServerLimits({}),
+      [this](net::HttpExchangePtr exchange) {
+        gateway.Handle(std::move(exchange));
+      });
+  if (!listening)
+    return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
+  callers = std::move(*listening);
+  listening = ListenForChecks(loop, *settings.ready, hooks.is_readiness_check,
+                              [this] { return IsReady(); });
+  if (!listening)
+    return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
+  ready = std::move(*listening);
+  if (settings.metrics) {
+    listening = ListenForMetrics(loop, *settings.metrics, metrics);
+    if (!listening)
+      return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
+    metrics_server = std::move(*listening);
+  }
+  timers.push_back(
+      loop.Every(kFollowTick, [this](TimePoint) { follower->Tick(); }));
+  timers.push_back(
+      loop.Every(kExpireInterval, [this](TimePoint) { gateway.Expire(); }));
+  follower->Tick();
+  return true;
+}
+
+void EntryNode::Parts::TakeDecisions(const fleet::DecisionsPtr& decisions) {
+  routes::RouteTablePtr table;
+  if (decisions->routing_version != 0) {
+    auto decoded = hooks.decode_routing(decisions->routing_document);
+    if (decoded) {
+      auto configuration =
+          std::make_shared<const routes::RoutingConfiguration>(
+              std::move(*decoded));
+      callers->SetLimits(ServerLimits(configuration->limits));
+      table = std::make_shared<const routes::RouteTable>(configuration);
+    } else {
+      LogLine("node.configuration_unreadable")
+          .Add("version", decisions->routing_version)
+          .Add("reason", decoded.error().detail)
+          .Error();
+    }
+  }
+  LogLine("node.decisions")
+      .Add("index", decisions->index)
+      .Add("routing_version", decisions->routing_version)
+      .Info();
+  gateway.SetDecisions(decisions, std::move(table));
+}
+
+void EntryNode::Parts::StopTick(TimePoint now) {
+  const Millis elapsed = std::chrono::duration_cast<Millis>(now - stop_began);
+  if (elapsed < kStillSentTo)
+    return;
+  callers->StopAccepting();
+  callers->CloseIdle();
+  const bool done = gateway.active() == 0 && callers->connections() == 0;
+  if (!done && elapsed < settings.bounds.stop_time - kStopMargin)
+    return;
+  CheckInvariant(gateway.active() == 0, Invariant::kGracefulStop,
+                 "requests are cut by a planned stop");
+  LogLine("node.stopped")
+      .Add("ms", elapsed.count())
+      .Add("cut_requests", std::uint64_t{gateway.active()})
+      .Info();
+  loop.Stop();
+}
+
+EntryNode::EntryNode() = default;
+EntryNode::~EntryNode() = default;
+
+Result<std::unique_ptr<EntryNode>, NodeError> EntryNode::Start(
+    net::EventLoop& loop,
+    settings::NodeSettings settings,
+    EntryNodeHooks hooks) {
+  std::unique_ptr<EntryNode> node(new EntryNode);
+  node->parts_ =
+      std::make_unique<Parts>(loop, std::move(settings), std::move(hooks));
+  if (auto opened = node->parts_->Open(); !opened)
+    return Fail(opened.error());
+  LogLine("node.started")
+      .Add("role", "entry")
+      .Add("host", node->parts_->settings.host.str())
+      .Add("domain", node->parts_->settings.domain.str())
+      .Info();
+  return node;
+}
+
+void EntryNode::Stop() {
+  if (parts_->stopping)
+    return;
+  LogLine("node.stopping")
+      .Add("active", std::uint64_t{parts_->gateway.active()})
+      .Info();
+  parts_->stopping = true;
+  parts_->stop_began = parts_->loop.Now();
+  parts_->callers->AnnounceClose();
+  parts_->stop_timer = parts_->loop.Every(
+      kStopTick, [this](TimePoint now) { parts_->StopTick(now); });
+}
+
+void EntryNode::Reload(const settings::NodeSettings& settings) {
+  LogLine("node.reloaded")
+      .Add("contacts", std::uint64_t{settings.contacts.size()})
+      .Info();
+  parts_->settings.bounds = settings.bounds;
+  parts_->follower->AddContacts(settings.contacts);
+}
+
+}  // namespace endivecart::node
--- /dev/null
+++ b/src/endivecart/routes/route_table.h
@@ -0,0 +1,39 @@
+#ifndef ENDIVECART_ROUTES_ROUTE_TABLE_H_
+#define ENDIVECART_ROUTES_ROUTE_TABLE_H_
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "endivecart/routes/routing_configuration.h"
+
+namespace endivecart::routes {
+
+// Looks up routes and customers of one configuration.
+class RouteTable {
+ public:
+  explicit RouteTable(RoutingConfigurationPtr configuration);
+
+  // The route with the longest prefix of `path` among those of `host`; null if
+  // there is none.
+  const Route* Match(std::string_view host, std::string_view path) const;
+  // The customer who holds `key`; null if nobody does.
+  const Customer* FindCustomer(std::string_view key) const;
+  // Whether requests on this route need a customer's key.
+  bool NeedsKey(const Route& route) const;
+
+  const RoutingConfiguration& configuration() const { return *configuration_; }
+
+ private:
+  RoutingConfigurationPtr configuration_;
+  // By lower-case host; the longest prefix first.
+  std::unordered_map<std::string, std::vector<const Route*>> by_host_;
+  std::unordered_map<std::string_view, const Customer*> by_key_;
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+}  // namespace endivecart::routes
+
+#endif  // ENDIVECART_ROUTES_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/endivecart/routes/routing_configuration.cc
@@ -0,0 +1,83 @@
+#include "endivecart/routes/routing_configuration.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace endivecart::routes {
+
+std::string_view RequestKindName(RequestKind kind) {
+  switch (kind) {
+    case RequestKind::kIdempotent:
+      return "idempotent";
+    case RequestKind::kNonIdempotent:
+      return "non_idempotent";
+    case RequestKind::kStream:
+      return "stream";
+  }
+  return "";
+}
+
+const Service* RoutingConfiguration::FindService(const ServiceId& id) const {
+  const auto it = std::find_if(services.begin(), services.end(),
+                               [&](const Service& s) { return s.id == id; });
+  return it == services.end() ? nullptr : &*it;
+}
+
+namespace {
+
+std::optional<RoutingError> CheckRoute(const RoutingConfiguration& all,
+                                       const Route& route) {
+  int total = 0;
+  for (const WeightedService& target : route.services) {
+    if (all.FindService(target.service) == nullptr) {
+      return RoutingError{RoutingErrorCode::kUnknownService,
+                          "route '" + route.name + "' names service '" +
+                              target.service.str() + "', which is not listed"};
+    }
+    if (target.weight < 0) {
+      return RoutingError{RoutingErrorCode::kNoWeight,
+                          "route '" + route.name + "' has a negative weight"};
+    }
+    total += target.weight;
+  }
+  if (total <= 0) {
+    return RoutingError{RoutingErrorCode::kNoWeight,
+                        "the weights of route '" + route.name + "' add up to 0"};
+  }
+  if (route.time_limit <= Millis(0)) {
+    return RoutingError{RoutingErrorCode::kNoTimeLimit,
+                        "route '" + route.name + "' has no time limit"};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<RoutingError> CheckConfiguration(
+    const RoutingConfiguration& configuration) {
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : configuration.routes) {
+    if (auto error = CheckRoute(configuration, route))
+      return error;
+    if (!places.emplace(route.host, route.path_prefix).second) {
+      return RoutingError{RoutingErrorCode::kDoubleRoute,
+                          "two routes have host '" + route.host +
+                              "' and prefix '" + route.path_prefix + "'"};
+    }
+  }
+  std::set<std::string> keys;
+  for (const Customer& customer : configuration.customers) {
+    std::set<std::string> own(customer.keys.begin(), customer.keys.end());
+    for (const std::string& key : own) {
+      if (!keys.insert(key).second) {
+        return RoutingError{RoutingErrorCode::kSharedKey,
+                            "customer '" + customer.id.str() +
+                                "' shares a key with another"};
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace endivecart::routes
--- a/src/endivecart/settings/json_reader.cc
+++ b/src/endivecart/settings/json_reader.cc
@@ -41,13 +41,13 @@
 }
 
 bool JsonReader::Has(const std::string& key) const {
-  return object_->has(key);
+  return object_->has(key) && !object_->isNull(key);
 }
 
 std::optional<Poco::Dynamic::Var> JsonReader::Take(const std::string& key,
                                                    bool required) {
   known_.insert(key);
-  if (!object_->has(key)) {
+  if (!Has(key)) {
     if (required)
       AddError(key, "is missing");
     return std::nullopt;
@@ -102,6 +102,22 @@
   return Has(key) ? Int(key, min, max) : fallback;
 }
 
+double JsonReader::NumberOr(const std::string& key, double fallback) {
+  const auto value = Take(key, false);
+  if (!value)
+    return fallback;
+  if (!value->isNumeric() || value->isBoolean()) {
+    AddError(key, "must be a number");
+    return fallback;
+  }
+  const auto number = value->convert<double>();
+  if (!(number >= 0)) {
+    AddError(key, "must not be negative");
+    return fallback;
+  }
+  return number;
+}
+
 bool JsonReader::BoolOr(const std::string& key, bool fallback) {
   const auto value = Take(key, false);
   if (!value)
--- a/src/endivecart/settings/json_reader.h
+++ b/src/endivecart/settings/json_reader.h
@@ -13,7 +13,7 @@
 
 namespace endivecart::settings {
 
-// Reads one JSON object key by key. Faults are collected, not thrown: the
+// Reads one JSON object key by key; null counts as missing. Faults are collected, not thrown: the
 // caller reads everything, calls RefuseUnknownKeys() and looks at the errors
 // once. After a fault the returned value is only a placeholder.
 class JsonReader {
@@ -32,6 +32,8 @@
                      std::int64_t fallback,
                      std::int64_t min,
                      std::int64_t max);
+  // Any number that isn't negative.
+  double NumberOr(const std::string& key, double fallback);
   bool BoolOr(const std::string& key, bool fallback);
   // One of `choices`, compared exactly.
   std::string ChoiceOr(const std::string& key,
--- a/src/endivecart/settings/json_text.cc
+++ b/src/endivecart/settings/json_text.cc
@@ -146,20 +146,31 @@
   return out;
 }
 
-Result<JsonText, SettingsErrors> ParseJsonText(std::string_view text) {
-  const std::string json = BlankComments(text);
-  if (Depth(json) > kMaxDepth)
+Result<Poco::JSON::Object::Ptr, SettingsErrors> ParseJsonObject(
+    std::string_view text) {
+  if (Depth(text) > kMaxDepth)
     return Fail(OneError("", "nested too deeply"));
-  JsonText result;
+  const std::size_t end = text.find_last_not_of(" \t\r\n");
+  if (end == std::string_view::npos || text[end] != '}')
+    return Fail(OneError("", "must be a JSON object and nothing more"));
   try {
     Poco::JSON::Parser parser;
-    const Poco::Dynamic::Var value = parser.parse(json);
+    const Poco::Dynamic::Var value = parser.parse(std::string(text));
     if (value.type() != typeid(Poco::JSON::Object::Ptr))
       return Fail(OneError("", "must be a JSON object"));
-    result.root = value.extract<Poco::JSON::Object::Ptr>();
+    return value.extract<Poco::JSON::Object::Ptr>();
   } catch (const Poco::Exception& e) {
     return Fail(OneError("", "not valid JSON: " + e.message()));
   }
+}
+
+Result<JsonText, SettingsErrors> ParseJsonText(std::string_view text) {
+  const std::string json = BlankComments(text);
+  const auto root = ParseJsonObject(json);
+  if (!root)
+    return Fail(root.error());
+  JsonText result;
+  result.root = *root;
   if (const auto twice = KeyLocator(json).Run(result.lines))
     return Fail(OneError(*twice, "this key stands twice"));
   return result;
--- a/src/endivecart/settings/json_text.h
+++ b/src/endivecart/settings/json_text.h
@@ -25,6 +25,10 @@
 // in an object once only.
 Result<JsonText, SettingsErrors> ParseJsonText(std::string_view text);
 
+// Parses a message's JSON: no comments, nothing after the object.
+Result<Poco::JSON::Object::Ptr, SettingsErrors> ParseJsonObject(
+    std::string_view text);
+
 // Joins a path and a key: "a" + "b" -> "a.b".
 std::string JoinPath(std::string_view path, std::string_view key);
 
--- a/src/endivecart/transport/message_bus.cc
+++ b/src/endivecart/transport/message_bus.cc
@@ -1,9 +1,9 @@
 #include "endivecart/transport/message_bus.h"
 
+#include <algorithm>
+#include <cerrno>
 #include <map>
 #include <mutex>
-#include <optional>
-#include <thread>
 #include <utility>
 #include <zmq.hpp>
 
@@ -18,6 +18,10 @@
 constexpr int kReconnectMillis = 100;
 constexpr int kReconnectMaxMillis = 1000;
 constexpr int kHandshakeMillis = 2000;
+// A connection that went silent is given up after three beats.
+constexpr int kHeartbeatMillis = 1000;
+constexpr int kHeartbeatTimeoutMillis = 3000;
+constexpr int kConnectTimeoutMillis = 2000;
 constexpr std::int64_t kMaxMessageBytes = 64LL << 20;
 constexpr char kWakeAddress[] = "inproc://wake";
 
@@ -27,82 +31,172 @@
   socket.set(zmq::sockopt::rcvhwm, kQueuedMessagesPerPeer);
   socket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   socket.set(zmq::sockopt::handshake_ivl, kHandshakeMillis);
+  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMillis);
+  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMillis);
+}
+
+std::string Address(const settings::Endpoint& endpoint) {
+  return "tcp://" + endpoint.ToString();
 }
 
 }  // namespace
 
 struct MessageBus::Data {
-  explicit Data(const settings::HostSettings& settings)
-      : self(settings.host),
+  explicit Data(const BusOptions& bus_options)
+      : options(bus_options),
         context(1),
-        authenticator(context, settings.hosts),
         inbound(context, zmq::socket_type::router),
         wake_receiver(context, zmq::socket_type::pull),
-        wake_sender(context, zmq::socket_type::push) {}
+        wake_sender(context, zmq::socket_type::push) {
+    if (has_keys())
+      authenticator.emplace(context, options.known_hosts);
+  }
 
-  void Bind(const settings::HostSettings& settings);
-  void Connect(const settings::HostSettings& settings,
-               const settings::HostEntry& peer);
-  bool ReceiveOne(const Receiver& receiver);
+  struct Outbound {
+    BusPeer peer;
+    zmq::socket_t socket;
+  };
+
+  bool has_keys() const { return !options.secret_key.empty(); }
+  void Bind();
+  void Connect(const BusPeer& peer);
+  void ReceiveInbound(const Receiver& receiver);
+  void ReceiveAnswers(const Receiver& receiver);
+  void PassOn(zmq::message_t& body,
+              const std::string& sender,
+              const Receiver& receiver);
+  bool SendTo(const HostId& to, const std::string& bytes);
   void DrainWakeups();
 
-  HostId self;
+  const BusOptions options;
   zmq::context_t context;
-  PeerAuthenticator authenticator;
+  std::optional<PeerAuthenticator> authenticator;
   zmq::socket_t inbound;
   zmq::socket_t wake_receiver;
   std::mutex wake_mutex;
   zmq::socket_t wake_sender;
-  std::map<HostId, zmq::socket_t> outbound;
+  std::map<HostId, Outbound> outbound;
   BusCounters counters;
 };
 
-void MessageBus::Data::Bind(const settings::HostSettings& settings) {
+BusOptions BusOptionsFor(const settings::HostSettings& settings) {
+  BusOptions options;
+  options.self = settings.host;
+  options.listen = settings.control;
+  options.secret_key = settings.secret_key;
+  options.known_hosts = settings.hosts;
+  for (const settings::HostEntry& host : settings.hosts) {
+    if (host.id != settings.host)
+      options.peers.push_back({host.id, host.control, host.public_key});
+  }
+  return options;
+}
+
+void MessageBus::Data::Bind() {
   SetCommonOptions(inbound);
-  inbound.set(zmq::sockopt::curve_server, true);
-  inbound.set(zmq::sockopt::curve_secretkey, settings.secret_key);
-  inbound.bind("tcp://" + settings.control.ToString());
+  if (has_keys()) {
+    inbound.set(zmq::sockopt::curve_server, true);
+    inbound.set(zmq::sockopt::curve_secretkey, options.secret_key);
+  } else {
+    inbound.set(zmq::sockopt::router_handover, true);
+    inbound.set(zmq::sockopt::router_mandatory, true);
+  }
+  if (options.listen)
+    inbound.bind(Address(*options.listen));
   wake_receiver.bind(kWakeAddress);
   wake_sender.set(zmq::sockopt::linger, 0);
   wake_sender.connect(kWakeAddress);
 }
 
-void MessageBus::Data::Connect(const settings::HostSettings& settings,
-                               const settings::HostEntry& peer) {
+void MessageBus::Data::Connect(const BusPeer& peer) {
   zmq::socket_t socket(context, zmq::socket_type::dealer);
   SetCommonOptions(socket);
   // Messages for a peer that is away are dropped: they would be stale later.
   socket.set(zmq::sockopt::immediate, true);
   socket.set(zmq::sockopt::reconnect_ivl, kReconnectMillis);
   socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMillis);
-  socket.set(zmq::sockopt::curve_serverkey, peer.public_key);
-  socket.set(zmq::sockopt::curve_publickey, PublicKeyOf(settings.secret_key));
-  socket.set(zmq::sockopt::curve_secretkey, settings.secret_key);
-  socket.connect("tcp://" + peer.control.ToString());
-  outbound.emplace(peer.id, std::move(socket));
+  socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMillis);
+  if (has_keys()) {
+    socket.set(zmq::sockopt::curve_serverkey, peer.public_key);
+    socket.set(zmq::sockopt::curve_publickey,
+               PublicKeyOf(options.secret_key));
+    socket.set(zmq::sockopt::curve_secretkey, options.secret_key);
+  } else {
+    socket.set(zmq::sockopt::routing_id, options.self.str());
+  }
+  socket.connect(Address(peer.address));
+  outbound.erase(peer.id);
+  outbound.emplace(peer.id, Outbound{peer, std::move(socket)});
 }
 
-bool MessageBus::Data::ReceiveOne(const Receiver& receiver) {
-  zmq::message_t identity;
-  if (!inbound.recv(identity, zmq::recv_flags::dontwait))
-    return false;
-  zmq::message_t body;
-  if (!identity.more() || !inbound.recv(body, zmq::recv_flags::dontwait))
-    return true;
+void MessageBus::Data::PassOn(zmq::message_t& body,
+                              const std::string& sender,
+                              const Receiver& receiver) {
   ++counters.received_messages;
   counters.received_bytes += body.size();
   wire::Envelope envelope;
   const bool parsed =
       !body.more() &&
       envelope.ParseFromArray(body.data(), static_cast<int>(body.size()));
-  // The key, not the text of the message, says who sent it.
-  if (!parsed || envelope.from() != body.gets("User-Id")) {
+  // The connection, not the text of the message, says who sent it.
+  if (!parsed || envelope.from() != sender) {
     ++counters.refused_messages;
     LogLine("transport.refused").Add("claimed", envelope.from()).Warn();
-    return true;
+    return;
   }
   receiver(envelope);
-  return true;
+}
+
+void MessageBus::Data::ReceiveInbound(const Receiver& receiver) {
+  while (true) {
+    zmq::message_t identity;
+    if (!inbound.recv(identity, zmq::recv_flags::dontwait))
+      return;
+    zmq::message_t body;
+    if (!identity.more() || !inbound.recv(body, zmq::recv_flags::dontwait))
+      continue;
+    PassOn(body, has_keys() ? body.gets("User-Id") : identity.to_string(),
+           receiver);
+  }
+}
+
+void MessageBus::Data::ReceiveAnswers(const Receiver& receiver) {
+  // The receiver may connect and disconnect peers.
+  std::vector<HostId> peers;
+  for (const auto& [id, out] : outbound)
+    peers.push_back(id);
+  for (const HostId& peer : peers) {
+    while (true) {
+      const auto it = outbound.find(peer);
+      zmq::message_t body;
+      if (it == outbound.end() ||
+          !it->second.socket.recv(body, zmq::recv_flags::dontwait)) {
+        break;
+      }
+      PassOn(body, peer.str(), receiver);
+    }
+  }
+}
+
+bool MessageBus::Data::SendTo(const HostId& to, const std::string& bytes) {
+  const auto it = outbound.find(to);
+  if (it != outbound.end()) {
+    return it->second.socket
+        .send(zmq::buffer(bytes), zmq::send_flags::dontwait)
+        .has_value();
+  }
+  if (has_keys() || !options.listen)
+    return false;
+  try {
+    const auto flags = zmq::send_flags::dontwait | zmq::send_flags::sndmore;
+    return inbound.send(zmq::buffer(to.str()), flags).has_value() &&
+           inbound.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
+               .has_value();
+  } catch (const zmq::error_t& e) {
+    if (e.num() != EHOSTUNREACH)
+      throw;
+    return false;  // not connected now
+  }
 }
 
 void MessageBus::Data::DrainWakeups() {
@@ -116,38 +210,47 @@
 MessageBus::~MessageBus() = default;
 
 Result<std::unique_ptr<MessageBus>, TransportError> MessageBus::Open(
-    const settings::HostSettings& settings) {
-  const std::string public_key = PublicKeyOf(settings.secret_key);
-  const settings::HostEntry* self = settings.FindHost(settings.host);
-  if (public_key.empty() || self == nullptr || self->public_key != public_key) {
-    return Fail(TransportError{
-        TransportErrorCode::kBadKey,
-        "the secret key does not belong to this host's public key"});
+    const BusOptions& options) {
+  if (!options.secret_key.empty()) {
+    const std::string public_key = PublicKeyOf(options.secret_key);
+    const auto self = std::find_if(
+        options.known_hosts.begin(), options.known_hosts.end(),
+        [&](const settings::HostEntry& h) { return h.id == options.self; });
+    if (public_key.empty() || self == options.known_hosts.end() ||
+        self->public_key != public_key) {
+      return Fail(TransportError{
+          TransportErrorCode::kBadKey,
+          "the secret key does not belong to this host's public key"});
+    }
   }
   std::unique_ptr<MessageBus> bus(new MessageBus);
   try {
-    bus->data_ = std::make_unique<Data>(settings);
-    bus->data_->Bind(settings);
-    for (const settings::HostEntry& peer : settings.hosts) {
-      if (peer.id != settings.host)
-        bus->data_->Connect(settings, peer);
-    }
+    bus->data_ = std::make_unique<Data>(options);
+    bus->data_->Bind();
+    for (const BusPeer& peer : options.peers)
+      bus->data_->Connect(peer);
   } catch (const zmq::error_t& e) {
-    return Fail(TransportError{TransportErrorCode::kCannotBind,
-                               settings.control.ToString() + ": " + e.what()});
+    return Fail(TransportError{
+        TransportErrorCode::kCannotBind,
+        (options.listen ? options.listen->ToString() : "") + ": " + e.what()});
   }
   return bus;
 }
 
+void MessageBus::Connect(const BusPeer& peer) {
+  const auto it = data_->outbound.find(peer.id);
+  if (it == data_->outbound.end() || !(it->second.peer == peer))
+    data_->Connect(peer);
+}
+
+void MessageBus::Disconnect(const HostId& peer) {
+  data_->outbound.erase(peer);
+}
+
 void MessageBus::Send(const HostId& to, wire::Envelope envelope) {
-  const auto it = data_->outbound.find(to);
-  if (it == data_->outbound.end())
-    return;
-  envelope.set_from(data_->self.str());
+  envelope.set_from(data_->options.self.str());
   const std::string bytes = envelope.SerializeAsString();
-  const auto sent =
-      it->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
-  if (!sent) {
+  if (!data_->SendTo(to, bytes)) {
     ++data_->counters.dropped_messages;
     return;
   }
@@ -156,12 +259,24 @@
 }
 
 void MessageBus::Poll(Millis timeout, const Receiver& receiver) {
-  zmq::pollitem_t items[] = {{data_->inbound.handle(), 0, ZMQ_POLLIN, 0},
-                             {data_->wake_receiver.handle(), 0, ZMQ_POLLIN, 0}};
-  zmq::poll(items, 2, timeout);
-  data_->DrainWakeups();
-  while (data_->ReceiveOne(receiver)) {
+  if (timeout > Millis(0)) {
+    std::vector<zmq::pollitem_t> items = {
+        {data_->inbound.handle(), 0, ZMQ_POLLIN, 0},
+        {data_->wake_receiver.handle(), 0, ZMQ_POLLIN, 0}};
+    for (auto& [id, out] : data_->outbound)
+      items.push_back({out.socket.handle(), 0, ZMQ_POLLIN, 0});
+    zmq::poll(items, timeout);
   }
+  data_->DrainWakeups();
+  data_->ReceiveInbound(receiver);
+  data_->ReceiveAnswers(receiver);
+}
+
+std::vector<int> MessageBus::Descriptors() const {
+  std::vector<int> descriptors = {data_->inbound.get(zmq::sockopt::fd)};
+  for (const auto& [id, out] : data_->outbound)
+    descriptors.push_back(out.socket.get(zmq::sockopt::fd));
+  return descriptors;
 }
 
 void MessageBus::Wake() {
--- a/src/endivecart/transport/message_bus_unittest.cc
+++ b/src/endivecart/transport/message_bus_unittest.cc
@@ -55,7 +55,7 @@
 BOOST_AUTO_TEST_CASE(listed_hosts_talk_and_are_known_by_their_keys) {
   auto peers = MakePeers(2, kFirstPort);
   for (Peer& peer : peers) {
-    auto bus = MessageBus::Open(peer.settings);
+    auto bus = MessageBus::Open(BusOptionsFor(peer.settings));
     BOOST_REQUIRE(bus.has_value());
     peer.bus = std::move(*bus);
   }
@@ -70,14 +70,14 @@
     std::scoped_lock lock(mutex);
     log += line;
   });
-  peers[1].bus = std::move(*MessageBus::Open(peers[1].settings));
+  peers[1].bus = std::move(*MessageBus::Open(BusOptionsFor(peers[1].settings)));
   // The stranger has a key of its own, which peers[1] does not know.
   Peer stranger;
   const CurveKeyPair keys = GenerateCurveKeyPair();
   stranger.settings = peers[0].settings;
   stranger.settings.secret_key = keys.secret_key;
   stranger.settings.hosts[0].public_key = keys.public_key;
-  stranger.bus = std::move(*MessageBus::Open(stranger.settings));
+  stranger.bus = std::move(*MessageBus::Open(BusOptionsFor(stranger.settings)));
   int received = 0;
   for (int i = 0; i < 50; ++i) {
     stranger.bus->Send(peers[1].settings.host, Hello());
@@ -93,7 +93,7 @@
 BOOST_AUTO_TEST_CASE(a_host_whose_keys_do_not_match_does_not_start) {
   auto peers = MakePeers(1, kFirstPort + 20);
   peers[0].settings.secret_key = GenerateCurveKeyPair().secret_key;
-  const auto bus = MessageBus::Open(peers[0].settings);
+  const auto bus = MessageBus::Open(BusOptionsFor(peers[0].settings));
   BOOST_REQUIRE(!bus.has_value());
   BOOST_TEST((bus.error().code == TransportErrorCode::kBadKey));
 }
