Cache stores keep the shared parts of prompts

Ruled out: placement alone, since all engines together can't hold the parts. Change: the leader reads the stores' events and lists; entry hosts learn from its news, within a lease, which parts are whole, name the store to fetch from, and save what is missing. Parts of weights nobody runs any more are withdrawn, and freed when no fetch can still read them.

--- a/daemons/fleet_programs.cc
+++ b/daemons/fleet_programs.cc
@@ -67,5 +67,7 @@
           platform::DecodeOperatorCall, platform::EncodeOperatorReply,
           platform::NoSuchCall, platform::EncodeWeightsOrder,
           platform::DecodeWeightsOrderEnd, platform::EncodeWeightsCheck,
-          platform::DecodeWeightsCheck});
+          platform::DecodeWeightsCheck, platform::DecodeRouting,
+          platform::EncodeCacheRead, platform::DecodeCacheEvents,
+          platform::DecodeCacheList, platform::EncodeCacheFree});
 }
--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -4,6 +4,7 @@
 // Public header of the fleet library: what operators decide is replicated by a
 // few voters, and all processes follow them.
 
+#include "endivecart/fleet/cache_catalog.h"   // IWYU pragma: export
 #include "endivecart/fleet/decision_log.h"    // IWYU pragma: export
 #include "endivecart/fleet/decisions.h"       // IWYU pragma: export
 #include "endivecart/fleet/fleet_bus.h"       // IWYU pragma: export
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -42,7 +42,7 @@
   });
 }
 
-void FleetFeed::Send(const HostId& to, Follower& follower, bool with_loads) {
+void FleetFeed::Send(const HostId& to, Follower& follower, bool is_answer) {
   const TimePoint now = hooks_.now();
   wire::Envelope envelope;
   wire::FleetNews& news = *envelope.mutable_fleet_news();
@@ -63,15 +63,18 @@
     news.add_voter_hosts(voter.str());
   news.set_leader_host(hooks_.leader_host().str());
   news.set_caller_hosts(static_cast<std::uint32_t>(CallerHosts()));
-  if (with_loads)
+  if (is_answer && follower.poll.serves_callers()) {
     AddLoadsOfOthers(to, news);
+    auto cache = hooks_.cache_news(follower.poll.cache_term(),
+                                   follower.poll.cache_cursor());
+    if (cache)
+      *news.mutable_cache() = std::move(*cache);
+  }
   hooks_.send(to, std::move(envelope));
 }
 
 void FleetFeed::AddLoadsOfOthers(const HostId& receiver,
                                  wire::FleetNews& news) const {
-  if (!followers_.at(receiver).poll.serves_callers())
-    return;
   std::map<std::string, wire::UpstreamLoad> sums;
   for (const auto& [host, follower] : followers_) {
     if (host == receiver)
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,10 @@
     std::function<TimePoint()> now;
     std::function<std::vector<HostId>()> voter_hosts;
     std::function<HostId()> leader_host;
+    // What a follower with news up to this term and cursor lacks.
+    std::function<std::optional<wire::CacheNews>(std::uint64_t term,
+                                                 std::uint64_t cursor)>
+        cache_news;
   };
 
   // A follower that doesn't poll for this long gets nothing more.
@@ -51,7 +56,7 @@
     std::uint64_t sent_decisions = 0;
   };
 
-  void Send(const HostId& to, Follower& follower, bool with_loads);
+  void Send(const HostId& to, Follower& follower, bool is_answer);
   void AddLoadsOfOthers(const HostId& receiver, wire::FleetNews& news) const;
 
   const std::uint64_t incarnation_;
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -36,6 +36,11 @@
       load.set_requests(static_cast<std::uint32_t>(own.requests));
       load.set_prompt_tokens(static_cast<std::uint32_t>(own.prompt_tokens));
     }
+    if (hooks_.cache_position) {
+      const auto [term, cursor] = hooks_.cache_position();
+      poll.set_cache_term(term);
+      poll.set_cache_cursor(cursor);
+    }
     for (wire::MoveCounts& counts : hooks_.move_counts())
       *poll.add_move_counts() = std::move(counts);
   }
@@ -73,6 +78,8 @@
     for (const wire::UpstreamLoad& load : news.loads())
       loads_[UpstreamId(load.upstream())] = load;
   }
+  if (news.has_cache() && hooks_.on_cache)
+    hooks_.on_cache(news.cache());
   if (news.has_decisions())
     TakeDecisions(news.decisions());
   TakeVoters(news);
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -45,6 +45,10 @@
         on_announcement;
     std::function<std::vector<OwnLoad>()> own_loads;
     std::function<std::vector<wire::MoveCounts>()> move_counts;
+    // Leave these out where cache stores are of no concern.
+    std::function<void(const wire::CacheNews&)> on_cache;
+    // The term and the cursor of the cache news that are held.
+    std::function<std::pair<std::uint64_t, std::uint64_t>()> cache_position;
     std::function<TimePoint()> now;
   };
 
--- /dev/null
+++ b/src/endivecart/gateway/cache_view.cc
@@ -0,0 +1,110 @@
+#include "endivecart/gateway/cache_view.h"
+
+#include <algorithm>
+
+namespace endivecart::gateway {
+
+namespace {
+
+// Shorter parts are read as fast as they are fetched.
+constexpr std::int64_t kLeastTokens = 64;
+
+}  // namespace
+
+void CacheView::Apply(const wire::CacheNews& news, TimePoint now) {
+  // A leader of an earlier term may still speak.
+  if (news.term() < term_)
+    return;
+  if (news.reset() || news.term() > term_)
+    parts_.clear();
+  if (news.term() > term_ && !news.reset())
+    return;  // what came before this news is missing
+  term_ = news.term();
+  cursor_ = news.cursor();
+  heard_at_ = now;
+  servers_clock_ms_ = news.servers_clock_ms();
+  stores_.clear();
+  for (const wire::CacheStoreState& state : news.stores()) {
+    const auto address = settings::ParseEndpoint(state.address());
+    stores_.push_back({address.value_or(settings::Endpoint()),
+                       address && state.readable(),
+                       address && state.takes_more()});
+  }
+  for (const wire::CachedPart& part : news.removed()) {
+    const auto it = parts_.find(part.key());
+    if (it == parts_.end())
+      continue;
+    std::erase(it->second, part.store());
+    if (it->second.empty())
+      parts_.erase(it);
+  }
+  for (const wire::CachedPart& part : news.added()) {
+    auto& holders = parts_[part.key()];
+    if (std::find(holders.begin(), holders.end(), part.store()) ==
+        holders.end()) {
+      holders.push_back(part.store());
+    }
+  }
+}
+
+const CacheView::Store* CacheView::StoreFor(std::uint64_t key) const {
+  const Store* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const Store& store : stores_) {
+    if (!store.takes_more)
+      continue;
+    const std::uint64_t weight = StableHash(store.address.ToString(), key);
+    if (best == nullptr || weight > best_weight) {
+      best = &store;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+CachePlan CacheView::Plan(const Prompt& prompt,
+                          const std::string& label,
+                          TimePoint now) const {
+  CachePlan plan;
+  if (stores_.empty() || now - heard_at_ > fleet::CacheCatalog::kNewsLease)
+    return plan;
+  plan.fetch.resize(prompt.parts.size());
+  plan.save.resize(prompt.parts.size());
+  bool fetches = false;
+  bool saves = false;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    const PromptPart& part = prompt.parts[i];
+    if (part.tokens < kLeastTokens)
+      continue;
+    const std::uint64_t key = fleet::CacheKey({label, part.id});
+    const auto it = parts_.find(key);
+    if (it != parts_.end()) {
+      const auto holder = std::find_if(
+          it->second.begin(), it->second.end(), [&](std::uint32_t store) {
+            return store < stores_.size() && stores_[store].readable;
+          });
+      if (holder == it->second.end())
+        continue;
+      plan.fetch[i] = stores_[*holder].address;
+      plan.fetchable_tokens += part.tokens;
+      fetches = true;
+    } else if (const Store* store = StoreFor(key)) {
+      plan.save[i] = store->address;
+      saves = true;
+    }
+  }
+  if (!fetches)
+    plan.fetch.clear();
+  if (!saves)
+    plan.save.clear();
+  if (fetches && servers_clock_ms_ != 0) {
+    const auto age = std::chrono::duration_cast<Millis>(now - heard_at_);
+    plan.fetch_until_ms =
+        servers_clock_ms_ +
+        static_cast<std::uint64_t>(
+            (age + fleet::CacheCatalog::kFetchLimit).count());
+  }
+  return plan;
+}
+
+}  // namespace endivecart::gateway
--- a/src/endivecart/gateway/caller_request.h
+++ b/src/endivecart/gateway/caller_request.h
@@ -58,8 +58,10 @@
   // Parts that were cached under another label are not used.
   std::string cache_label;
   std::optional<std::uint64_t> weights_version;  // another refuses the request
-  std::optional<settings::Endpoint> fetch_cache_from;
-  std::optional<settings::Endpoint> save_cache_to;
+  // For each part of the prompt, or empty lists. See CachePlan.
+  std::vector<std::optional<settings::Endpoint>> fetch_cache_from;
+  std::vector<std::optional<settings::Endpoint>> save_cache_to;
+  std::optional<std::uint64_t> fetch_until_ms;  // by the servers' clock
 };
 
 // What an upstream's answer says beside its status.
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -129,6 +129,9 @@
                        static_cast<std::ptrdiff_t>(choice->index));
       continue;
     }
+    home_.reset();
+    if (choice->home)
+      home_ = candidates[*choice->home].id;
     unread_tokens_ = PromptTokens();
     if (request_.prompt && !choice->home)
       unread_tokens_ -= SharedTokensOf(*request_.prompt);
@@ -169,13 +172,30 @@
       last_event_id_ ? std::to_string(*last_event_id_) : request_.last_event_id;
   if (request_.prompt && weights_version_ != 0) {
     out.weights_version = weights_version_;
-    out.cache_label = "w" + std::to_string(weights_version_);
-    if (customer_ && customer_->isolated)
-      out.cache_label += "." + customer_->id.str();
+    PlanCache(out);
   }
   return out;
 }
 
+void Forwarding::PlanCache(UpstreamRequest& out) const {
+  const bool alone = customer_ != nullptr && customer_->isolated;
+  out.cache_label =
+      fleet::CacheLabel(request_.prompt->model, weights_version_,
+                        alone ? customer_->id : CustomerId());
+  CachePlan plan = gateway_.cache_.Plan(*request_.prompt, out.cache_label,
+                                        gateway_.loop_.Now());
+  out.save_cache_to = std::move(plan.save);
+  out.fetch_cache_from = std::move(plan.fetch);
+  out.fetch_until_ms = plan.fetch_until_ms;
+  const auto* home = home_ ? gateway_.book_.Find(*home_) : nullptr;
+  if (home == nullptr || !out.fetch_cache_from.empty())
+    return;
+  // The home's cache goes with its memory: what isn't there any more is read.
+  out.fetch_cache_from.resize(request_.prompt->parts.size());
+  for (std::size_t i = 0; i + 1 < out.fetch_cache_from.size(); ++i)
+    out.fetch_cache_from[i] = home->last.address;
+}
+
 void Forwarding::StartCall(const UpstreamId& id) {
   const auto* upstream = gateway_.book_.Find(id);
   upstream_ = id;
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -33,6 +33,7 @@
   std::optional<UpstreamId> ChooseUpstream();
   void StartCall(const UpstreamId& upstream);
   UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
+  void PlanCache(UpstreamRequest& out) const;
 
   void OnHead(const net::HttpResponseHead& head);
   void OnBody(std::string_view bytes);
@@ -85,6 +86,7 @@
   std::uint64_t weights_version_ = 0;
   TimePoint sent_at_;
   std::int64_t unread_tokens_ = 0;
+  std::optional<UpstreamId> home_;  // where shared parts are likely cached
   net::HttpResponseHead head_;
   bool head_seen_ = false;
   bool passes_on_ = false;  // a stream's events go to the caller
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "endivecart/fleet/fleet.h"
+#include "endivecart/gateway/cache_view.h"
 #include "endivecart/gateway/caller_request.h"
 #include "endivecart/gateway/cold_allowance.h"
 #include "endivecart/gateway/retry_allowance.h"
@@ -56,6 +57,7 @@
     follower_ = follower;
   }
   UpstreamBook& book() { return book_; }
+  CacheView& cache() { return cache_; }
   bool HasRoutes() const { return routes_ != nullptr; }
   // Requests that were accepted and aren't answered yet.
   std::size_t active() const { return active_.size(); }
@@ -82,6 +84,7 @@
   net::HttpClient& client_;
   MetricsRegistry& metrics_;
   UpstreamBook book_;
+  CacheView cache_;
   RetryAllowance retries_;
   ColdAllowance cold_;
   SpeedEstimate speed_;
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -105,6 +105,12 @@
   };
   follow.own_loads = [this] { return gateway.book().OwnLoads(); };
   follow.move_counts = [] { return std::vector<wire::MoveCounts>(); };
+  follow.on_cache = [this](const wire::CacheNews& news) {
+    gateway.cache().Apply(news, loop.Now());
+  };
+  follow.cache_position = [this] {
+    return std::pair(gateway.cache().term(), gateway.cache().cursor());
+  };
   follow.now = [this] { return loop.Now(); };
   follower.emplace(options, std::move(follow));
   gateway.SetFollower(&*follower);
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -17,7 +17,9 @@
 constexpr Millis kOrdersTick{50};
 constexpr Millis kExpireInterval{1000};
 constexpr Millis kStopDelay{300};
+// Longer than a store holds back an answer.
 constexpr Millis kOrderTimeout{1500};
+constexpr Millis kRetireInterval{5000};
 constexpr std::size_t kMaxConnections = 2000;
 // A routing configuration of thousands of routes.
 constexpr std::size_t kMaxCallBytes = 32UL << 20;
@@ -56,6 +58,10 @@
   void GiveOrders();
   void SendOrder(const fleet::WeightsOrder& order);
   void SendCheck(const fleet::WeightsCheck& check);
+  void KeepCaches();
+  void ReadStore(const fleet::CacheRead& read);
+  void FreeParts(const fleet::CacheFree& order);
+  std::vector<std::string> LiveLabels() const;
   void Call(const settings::Endpoint& address,
             const net::HttpRequest& request,
             std::function<void(int status, const std::string& body)> done);
@@ -74,6 +80,10 @@
   std::optional<fleet::FleetFollower> follower;
   std::optional<fleet::OperatorDesk> desk;
   fleet::WeightsConductor conductor;
+  fleet::CacheCatalog catalog;
+  std::uint64_t catalog_term = 0;  // 0: not in office
+  std::uint64_t catalog_routing = 0;
+  TimePoint retire_due{};
   std::unique_ptr<net::HttpServer> operators;
   std::unique_ptr<net::HttpServer> metrics_server;
   std::uint64_t next_call = 1;
@@ -159,6 +169,11 @@
   tell.voter_hosts = [this] {
     return voter ? voter->VoterHosts() : std::vector<HostId>();
   };
+  tell.cache_news = [this](std::uint64_t term, std::uint64_t cursor) {
+    return catalog_term != 0 && voter->HasOffice()
+               ? catalog.NewsSince(term, cursor, loop.Now())
+               : std::nullopt;
+  };
   tell.leader_host = [this] { return voter ? voter->LeaderHost() : HostId(); };
   feed.emplace(incarnation, &roster, std::move(tell));
 }
@@ -225,7 +240,10 @@
   timers.push_back(
       loop.Every(kFollowTick, [this](TimePoint) { follower->Tick(); }));
   timers.push_back(
-      loop.Every(kOrdersTick, [this](TimePoint) { GiveOrders(); }));
+      loop.Every(kOrdersTick, [this](TimePoint) {
+        GiveOrders();
+        KeepCaches();
+      }));
   timers.push_back(loop.Every(kExpireInterval, [this](TimePoint now) {
     feed->Expire();
     roster.Expire(now);
@@ -315,6 +333,104 @@
        });
 }
 
+void VoterNode::Parts::KeepCaches() {
+  const TimePoint now = loop.Now();
+  if (stopping || !voter->HasOffice()) {
+    if (std::exchange(catalog_term, 0) != 0)
+      catalog.StopOffice();
+    return;
+  }
+  if (catalog_term != voter->term()) {
+    catalog_term = voter->term();
+    catalog.StartOffice(catalog_term, now);
+    retire_due = now + kRetireInterval;
+  }
+  const fleet::Decisions& decisions = voter->decisions();
+  if (catalog_routing != decisions.routing_version) {
+    catalog_routing = decisions.routing_version;
+    std::vector<routes::CacheStore> stores;
+    const auto configuration = hooks.decode_routing(decisions.routing_document);
+    if (configuration) {
+      for (const routes::Service& service : configuration->services) {
+        if (service.store)
+          stores.push_back(*service.store);
+      }
+    }
+    catalog.SetStores(stores);
+  }
+  for (const fleet::CacheRead& read : catalog.NextReads(now))
+    ReadStore(read);
+  if (now >= retire_due) {
+    retire_due = now + kRetireInterval;
+    const auto live = LiveLabels();
+    catalog.Retire(
+        [&live](const std::string& label) {
+          return live.empty() ||
+                 std::any_of(live.begin(), live.end(),
+                             [&](const std::string& prefix) {
+                               return label == prefix ||
+                                      label.starts_with(prefix + ".");
+                             });
+        },
+        now);
+  }
+  for (const fleet::CacheFree& order : catalog.NextFrees(now))
+    FreeParts(order);
+}
+
+// Labels under which some upstream still works, those of single customers left
+// out.
+std::vector<std::string> VoterNode::Parts::LiveLabels() const {
+  std::vector<std::string> labels;
+  for (const auto& [id, upstream] : roster.all()) {
+    if (upstream.last.state == upstreams::UpstreamState::kGone)
+      continue;
+    for (const upstreams::LoadedModel& loaded : upstream.last.models)
+      labels.push_back(
+          fleet::CacheLabel(loaded.model, loaded.version, CustomerId()));
+  }
+  for (const auto& [model, version] : voter->decisions().weights)
+    labels.push_back(fleet::CacheLabel(model, version, CustomerId()));
+  return labels;
+}
+
+void VoterNode::Parts::ReadStore(const fleet::CacheRead& read) {
+  const std::uint64_t term = catalog_term;
+  Call(read.store, hooks.encode_cache_read(read),
+       [this, read, term](int status, const std::string& body) {
+         if (term != catalog_term)
+           return;
+         if (status == 200 && read.is_list) {
+           if (const auto list = hooks.decode_cache_list(body)) {
+             catalog.OnList(read.store, *list, loop.Now());
+             return;
+           }
+         } else if (status == 200) {
+           if (const auto events = hooks.decode_cache_events(body)) {
+             catalog.OnEvents(read.store, *events, loop.Now());
+             return;
+           }
+         }
+         catalog.OnReadFailed(read.store, loop.Now());
+       });
+}
+
+void VoterNode::Parts::FreeParts(const fleet::CacheFree& order) {
+  LogLine("node.cache_free")
+      .Add("store", order.store.ToString())
+      .Add("parts", std::uint64_t{order.parts.size()})
+      .Info();
+  Call(order.store, hooks.encode_cache_free(order),
+       [order](int status, const std::string&) {
+         if (status < 200 || status >= 300) {
+           LogLine("node.cache_free_refused")
+               .Add("store", order.store.ToString())
+               .Add("status", status)
+               .Warn();
+         }
+       });
+}
+
 void VoterNode::Parts::Call(
     const settings::Endpoint& address,
     const net::HttpRequest& request,
--- a/src/endivecart/node/voter_node.h
+++ b/src/endivecart/node/voter_node.h
@@ -30,6 +30,16 @@
   std::function<net::HttpRequest(const fleet::WeightsCheck&)> encode_check;
   std::function<std::uint64_t(const ModelId&, std::string_view body)>
       decode_check;
+  std::function<Result<routes::RoutingConfiguration, routes::RoutingError>(
+      std::string_view document)>
+      decode_routing;
+  std::function<net::HttpRequest(const fleet::CacheRead&)> encode_cache_read;
+  // Nothing if the answer can't be read.
+  std::function<std::optional<fleet::CacheEvents>(std::string_view body)>
+      decode_cache_events;
+  std::function<std::optional<fleet::CacheList>(std::string_view body)>
+      decode_cache_list;
+  std::function<net::HttpRequest(const fleet::CacheFree&)> encode_cache_free;
 };
 
 // A process that votes on what operators decide, hears the upstreams, and, if
