Prompts wait in the host while engines have no room for them

Change: a host counts the cache that running requests will have taken at their end, of all hosts, and sends a prompt only to an engine with room (three quarters of its memory); the rest wait by urgency, a third of their time at most. Loads are told every 250 ms.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -83,6 +83,7 @@
       wire::UpstreamLoad& sum = sums[load.upstream()];
       sum.set_requests(sum.requests() + load.requests());
       sum.set_prompt_tokens(sum.prompt_tokens() + load.prompt_tokens());
+      sum.set_held_tokens(sum.held_tokens() + load.held_tokens());
     }
   }
   for (auto& [upstream, sum] : sums) {
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -35,6 +35,7 @@
       load.set_upstream(own.upstream.str());
       load.set_requests(static_cast<std::uint32_t>(own.requests));
       load.set_prompt_tokens(static_cast<std::uint32_t>(own.prompt_tokens));
+      load.set_held_tokens(static_cast<std::uint32_t>(own.held_tokens));
     }
     if (hooks_.cache_position) {
       const auto [term, cursor] = hooks_.cache_position();
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -18,7 +18,7 @@
   std::string member;             // of a process that can vote; else empty
   bool serves_callers = false;
   std::vector<HostId> contacts;  // where to begin
-  Millis poll_interval{400};
+  Millis poll_interval{250};
 
   bool operator==(const FleetFollowerOptions&) const = default;
 };
@@ -28,6 +28,7 @@
   UpstreamId upstream;
   int requests = 0;
   std::int64_t prompt_tokens = 0;
+  std::int64_t held_tokens = 0;
 
   bool operator==(const OwnLoad&) const = default;
 };
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -26,6 +26,9 @@
 // With less time left than this, sending again leads nowhere.
 constexpr Millis kLeastUsefulTime{20};
 constexpr Millis kDefaultRetryAfter{300};
+// A request waits for room for this part of the time that it has left: the rest
+// is for its run, or for the caller to come again.
+constexpr int kWaitingShare = 3;
 
 // Whether a status promises that the request was not run.
 bool PromisesNotRun(int status) {
@@ -88,11 +91,66 @@
 
 void Forwarding::Send() {
   const auto upstream = ChooseUpstream();
-  if (!upstream) {
+  if (upstream) {
+    StartCall(*upstream);
+  } else if (is_full_) {
+    Wait();
+  } else {
     GiveUp("no_upstream");
-    return;
   }
+}
+
+void Forwarding::Wait() {
+  const TimePoint now = gateway_.loop_.Now();
+  ticket_ = gateway_.waiting_room_.Enter(Urgency(), now);
+  gateway_.waiting_[*ticket_] = weak_from_this();
+  const Millis patience = TimeLeft() / kWaitingShare;
+  LogLine("gateway.wait")
+      .Add("request", request_.id.str())
+      .Add("waiting", std::uint64_t{gateway_.waiting_room_.size()})
+      .Add("at_most_ms", patience.count())
+      .Info();
+  const auto weak = weak_from_this();
+  wait_timer_ = gateway_.loop_.After(patience, [weak](TimePoint) {
+    const auto self = weak.lock();
+    if (self && self->ticket_) {
+      self->StopWaiting();
+      self->GiveUp("no_room");
+    }
+  });
+}
+
+void Forwarding::StopWaiting() {
+  if (!ticket_)
+    return;
+  gateway_.waiting_room_.Leave(*ticket_);
+  gateway_.waiting_.erase(*ticket_);
+  ticket_.reset();
+  wait_timer_.reset();
+}
+
+bool Forwarding::TryAgain() {
+  const auto upstream = ChooseUpstream();
+  if (!upstream)
+    return false;
+  StopWaiting();
   StartCall(*upstream);
+  return true;
+}
+
+bool Forwarding::HasRoom(const Candidate& candidate,
+                         const routes::Service* service) const {
+  return !request_.prompt || service == nullptr || !service->engine ||
+         HasRoomFor(candidate, HeldTokens(), service->engine->cache_tokens);
+}
+
+std::int64_t Forwarding::HeldTokens() const {
+  return request_.prompt ? HeldTokensOf(*request_.prompt) : 0;
+}
+
+int Forwarding::Urgency() const {
+  return customer_ ? customer_->priority.value_or(route_.priority)
+                   : route_.priority;
 }
 
 std::optional<UpstreamId> Forwarding::ChooseUpstream() {
@@ -113,6 +171,13 @@
   const routes::Service* service =
       routes_->configuration().FindService(service_);
   const int hosts = gateway_.follower_ ? gateway_.follower_->CallerHosts() : 0;
+  const std::size_t known = candidates.size();
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return !HasRoom(candidate, service);
+  });
+  is_full_ = known > 0 && candidates.empty();
+  if (is_full_)
+    return std::nullopt;
   while (!candidates.empty()) {
     const auto choice =
         request_.prompt
@@ -164,8 +229,7 @@
   out.caller = &request_;
   out.upstream = upstream;
   out.time_left = TimeLeft();
-  out.urgency =
-      customer_ ? customer_->priority.value_or(route_.priority) : route_.priority;
+  out.urgency = Urgency();
   if (customer_ != nullptr)
     out.customer = customer_->id;
   out.last_event_id =
@@ -184,6 +248,15 @@
                         alone ? customer_->id : CustomerId());
   CachePlan plan = gateway_.cache_.Plan(*request_.prompt, out.cache_label,
                                         gateway_.loop_.Now());
+  LogLine("gateway.cache")
+      .Add("request", request_.id.str())
+      .Add("label", out.cache_label)
+      .Add("shared_tokens", SharedTokensOf(*request_.prompt))
+      .Add("own_tokens", PromptTokens() - SharedTokensOf(*request_.prompt))
+      .Add("fetchable_tokens", plan.fetchable_tokens)
+      .Add("from_home", home_ && plan.fetch.empty() ? "yes" : "no")
+      .Add("saves", plan.save.empty() ? "no" : "yes")
+      .Info();
   out.save_cache_to = std::move(plan.save);
   out.fetch_cache_from = std::move(plan.fetch);
   out.fetch_until_ms = plan.fetch_until_ms;
@@ -210,7 +283,7 @@
   weights_version_ =
       request_.prompt ? gateway_.book_.WeightsOf(*upstream, request_.prompt->model)
                       : 0;
-  gateway_.book_.StartWork(id, unread_tokens_);
+  gateway_.book_.StartWork(id, unread_tokens_, HeldTokens());
   net::CallOptions options;
   options.connect_timeout = std::min(
       kConnectTimeout, std::max(TimeLeft(), Millis(1)));
@@ -429,8 +502,10 @@
     gateway_.book_.PromptRead(upstream_, unread_tokens_);
   unread_tokens_ = 0;
   gateway_.book_.EndWork(upstream_, result,
-                         MillisBetween(sent_at_, gateway_.loop_.Now()));
+                         MillisBetween(sent_at_, gateway_.loop_.Now()),
+                         HeldTokens());
   upstream_ = UpstreamId();
+  gateway_.AdmitSoon();
 }
 
 void Forwarding::GiveUp(const char* reason) {
@@ -457,6 +532,7 @@
 }
 
 void Forwarding::OnDeadline() {
+  StopWaiting();
   const bool reached = call_ && call_->may_have_been_sent();
   if (reached)
     run_state_ = RunState::kMayHaveRun;
@@ -472,6 +548,7 @@
 }
 
 void Forwarding::OnCallerGone() {
+  StopWaiting();
   EndSend(SendResult::kAbandoned);
   Finish(0, "caller_gone");
 }
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -24,12 +24,18 @@
   ~Forwarding();
 
   void Start();
+  // The request waits for room: whether it has been sent now.
+  bool TryAgain();
 
  private:
   // What may be said of a request that has got no answer.
   enum class RunState { kNotRun, kMayHaveRun };
 
   void Send();
+  // Waits for room at an upstream, unless that is hopeless.
+  void Wait();
+  void StopWaiting();
+  bool HasRoom(const Candidate& candidate, const routes::Service* service) const;
   std::optional<UpstreamId> ChooseUpstream();
   void StartCall(const UpstreamId& upstream);
   UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
@@ -61,6 +67,8 @@
   bool MayRepeat() const;
   Millis TimeLeft() const;
   std::int64_t PromptTokens() const;
+  std::int64_t HeldTokens() const;
+  int Urgency() const;
 
   Gateway& gateway_;
   net::HttpExchangePtr exchange_;
@@ -73,6 +81,8 @@
   TimePoint deadline_;
   std::unique_ptr<TimerSubscription> deadline_timer_;
   std::unique_ptr<TimerSubscription> wait_timer_;
+  std::optional<WaitingRoom::Ticket> ticket_;
+  bool is_full_ = false;  // upstreams exist, but none has room
 
   std::set<UpstreamId> tried_;
   int sends_ = 0;  // of which the request may have reached an upstream
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Millis kRetryAfterStart{500};
+// News of other hosts' work may make room too.
+constexpr Millis kAdmitInterval{40};
 
 }  // namespace
 
@@ -25,7 +27,11 @@
       metrics_(metrics),
       book_(options_.domain, [&loop] { return loop.Now(); }),
       retries_(options_.retry_ratio, options_.retry_window),
-      random_(options_.seed) {}
+      random_(options_.seed),
+      admit_timer_(loop.Every(kAdmitInterval, [this](TimePoint) {
+        if (!waiting_room_.empty())
+          Admit();
+      })) {}
 
 Gateway::~Gateway() = default;
 
@@ -116,6 +122,24 @@
   active_.erase(forwarding);
 }
 
+void Gateway::AdmitSoon() {
+  if (waiting_room_.empty() || admit_soon_)
+    return;
+  admit_soon_ = loop_.After(Millis(0), [this](TimePoint) {
+    admit_soon_.reset();
+    Admit();
+  });
+}
+
+void Gateway::Admit() {
+  waiting_room_.Admit(
+      [this](WaitingRoom::Ticket ticket) {
+        const auto forwarding = waiting_.at(ticket).lock();
+        return forwarding != nullptr && forwarding->TryAgain();
+      },
+      loop_.Now());
+}
+
 void Gateway::Expire() {
   book_.Expire();
 }
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "endivecart/gateway/cold_allowance.h"
 #include "endivecart/gateway/retry_allowance.h"
 #include "endivecart/gateway/upstream_book.h"
+#include "endivecart/gateway/waiting_room.h"
 #include "endivecart/net/net.h"
 #include "endivecart/routes/routes.h"
 
@@ -77,6 +78,9 @@
   // any while upstreams still load them.
   std::uint64_t WantedWeights(const ModelId& model) const;
   void Remove(const std::shared_ptr<Forwarding>& forwarding);
+  // Lets waiting requests try again, soon.
+  void AdmitSoon();
+  void Admit();
 
   const GatewayOptions options_;
   const Dialect dialect_;
@@ -94,6 +98,10 @@
   routes::RouteTablePtr routes_;
   std::map<ModelId, std::pair<std::uint64_t, TimePoint>> weights_learned_;
   std::set<std::shared_ptr<Forwarding>> active_;
+  WaitingRoom waiting_room_;
+  std::map<WaitingRoom::Ticket, std::weak_ptr<Forwarding>> waiting_;
+  std::unique_ptr<TimerSubscription> admit_soon_;
+  std::unique_ptr<TimerSubscription> admit_timer_;
 };
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/placement.cc
+++ b/src/endivecart/gateway/placement.cc
@@ -10,6 +10,8 @@
 
 // Homes of one key: the first, and one that takes over when it is busy.
 constexpr std::size_t kHomes = 2;
+// Of an engine's memory, for running requests; the rest is for the cache.
+constexpr double kRunningShare = 0.75;
 // A doubtful upstream is used only if all others are this much slower.
 constexpr double kDoubtPenaltyMs = 3000;
 // What crossing failure domains costs, in waiting time, with plain requests.
@@ -83,6 +85,20 @@
   return choice;
 }
 
+bool HasRoomFor(const Candidate& candidate,
+                std::int64_t tokens,
+                std::int64_t cache_tokens) {
+  if (cache_tokens <= 0 || candidate.requests == 0)
+    return true;
+  return static_cast<double>(candidate.held_tokens + tokens) <=
+         kRunningShare * static_cast<double>(cache_tokens);
+}
+
+std::int64_t HeldTokensOf(const Prompt& prompt) {
+  return prompt.input_tokens +
+         prompt.expected_output_tokens.value_or(prompt.max_output_tokens / 2);
+}
+
 std::optional<PlacementChoice> PlaceByLoad(
     const std::vector<Candidate>& candidates,
     std::uint64_t random) {
--- a/src/endivecart/gateway/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -18,6 +18,8 @@
   int slots = 1;
   int requests = 0;                 // at work there, of all hosts
   std::int64_t prompt_tokens = 0;   // that it has still to read, of all hosts
+  // Of cache that the requests there will have taken at their end.
+  std::int64_t held_tokens = 0;
   double latency_ms = 0;            // lately, of requests without a prompt
 
   bool operator==(const Candidate&) const = default;
@@ -60,6 +62,16 @@
     const std::string& cache_label,
     const SpeedEstimate& speed);
 
+// Whether an engine has room for one more prompt. Beyond this share of its
+// memory it would drop the cache of returning prompts, and in the end put back
+// running ones, which are then read a second time: under a burst that feeds
+// itself. An engine without work takes any prompt.
+bool HasRoomFor(const Candidate& candidate,
+                std::int64_t tokens,
+                std::int64_t cache_tokens);
+// Cache that a prompt takes at its end, its likely answer included.
+std::int64_t HeldTokensOf(const Prompt& prompt);
+
 // For requests without a prompt: of those with the fewest requests a slot, the
 // nearest. `random` breaks ties.
 std::optional<PlacementChoice> PlaceByLoad(
--- a/src/endivecart/gateway/upstream_book.cc
+++ b/src/endivecart/gateway/upstream_book.cc
@@ -140,10 +140,12 @@
       candidate.slots = said.slots;
       candidate.requests = record.requests;
       candidate.prompt_tokens = record.prompt_tokens;
+      candidate.held_tokens = record.held_tokens;
       candidate.latency_ms = record.latency_ms;
       if (const auto* load = others ? others->LoadOfOthers(id) : nullptr) {
         candidate.requests += static_cast<int>(load->requests());
         candidate.prompt_tokens += load->prompt_tokens();
+        candidate.held_tokens += load->held_tokens();
       }
       candidates.push_back(std::move(candidate));
     }
@@ -162,10 +164,13 @@
   return upstream != nullptr && now_() < upstream->cold_until;
 }
 
-void UpstreamBook::StartWork(const UpstreamId& id, std::int64_t prompt_tokens) {
+void UpstreamBook::StartWork(const UpstreamId& id,
+                             std::int64_t prompt_tokens,
+                             std::int64_t held_tokens) {
   Record& record = records_[id];
   ++record.requests;
   record.prompt_tokens += prompt_tokens;
+  record.held_tokens += held_tokens;
 }
 
 void UpstreamBook::PromptRead(const UpstreamId& id,
@@ -175,9 +180,11 @@
 
 void UpstreamBook::EndWork(const UpstreamId& id,
                            SendResult result,
-                           double latency_ms) {
+                           double latency_ms,
+                           std::int64_t held_tokens) {
   Record& record = records_[id];
   --record.requests;
+  record.held_tokens -= held_tokens;
   const TimePoint now = now_();
   Millis distrust{0};
   switch (result) {
@@ -217,7 +224,8 @@
   std::vector<fleet::OwnLoad> loads;
   for (const auto& [id, record] : records_) {
     if (record.requests > 0)
-      loads.push_back({id, record.requests, record.prompt_tokens});
+      loads.push_back(
+          {id, record.requests, record.prompt_tokens, record.held_tokens});
   }
   return loads;
 }
--- a/src/endivecart/gateway/upstream_book.h
+++ b/src/endivecart/gateway/upstream_book.h
@@ -79,9 +79,15 @@
   bool IsCold(const UpstreamId& id) const;
 
   // Work begins and ends; `prompt_tokens` count until the first event.
-  void StartWork(const UpstreamId& id, std::int64_t prompt_tokens);
+  // `held_tokens` until the work ends.
+  void StartWork(const UpstreamId& id,
+                 std::int64_t prompt_tokens,
+                 std::int64_t held_tokens);
   void PromptRead(const UpstreamId& id, std::int64_t prompt_tokens);
-  void EndWork(const UpstreamId& id, SendResult result, double latency_ms);
+  void EndWork(const UpstreamId& id,
+               SendResult result,
+               double latency_ms,
+               std::int64_t held_tokens);
   std::vector<fleet::OwnLoad> OwnLoads() const;
 
   void Expire();
@@ -91,6 +97,7 @@
   struct Record {
     int requests = 0;
     std::int64_t prompt_tokens = 0;
+    std::int64_t held_tokens = 0;
     double latency_ms = 0;
     int failures_in_row = 0;
     // Not used until then, and not before it announces itself again.
