New weights reach all engines in time, also when orders go astray

Change: the leader asks an engine for its count of accepted orders and orders with it as precondition, so that a late order can't undo a newer one; a third of the engines load at a time; they rest meanwhile: entry hosts are told to send nothing new; grace runs for each version from when it was heard of.

--- a/daemons/fleet_programs.cc
+++ b/daemons/fleet_programs.cc
@@ -67,7 +67,7 @@
           platform::DecodeOperatorCall, platform::EncodeOperatorReply,
           platform::NoSuchCall, platform::EncodeWeightsOrder,
           platform::DecodeWeightsOrderEnd, platform::EncodeWeightsCheck,
-          platform::DecodeWeightsCheck, platform::DecodeRouting,
+          platform::DecodeWeightsReport, platform::DecodeRouting,
           platform::EncodeCacheRead, platform::DecodeCacheEvents,
           platform::DecodeCacheList, platform::EncodeCacheFree});
 }
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -63,6 +63,8 @@
     news.add_voter_hosts(voter.str());
   news.set_leader_host(hooks_.leader_host().str());
   news.set_caller_hosts(static_cast<std::uint32_t>(CallerHosts()));
+  for (const UpstreamId& upstream : hooks_.resting())
+    news.add_resting_upstreams(upstream.str());
   if (is_answer && follower.poll.serves_callers()) {
     AddLoadsOfOthers(to, news);
     auto cache = hooks_.cache_news(follower.poll.cache_term(),
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -21,6 +21,8 @@
     std::function<TimePoint()> now;
     std::function<std::vector<HostId>()> voter_hosts;
     std::function<HostId()> leader_host;
+    // Upstreams that had better get no new requests; only the leader knows.
+    std::function<std::vector<UpstreamId>()> resting;
     // What a follower with news up to this term and cursor lacks.
     std::function<std::optional<wire::CacheNews>(std::uint64_t term,
                                                  std::uint64_t cursor)>
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -79,6 +79,12 @@
     for (const wire::UpstreamLoad& load : news.loads())
       loads_[UpstreamId(load.upstream())] = load;
   }
+  if (news.leader_host() == from.str()) {
+    resting_.clear();
+    for (const std::string& upstream : news.resting_upstreams())
+      resting_.emplace(upstream);
+    resting_heard_at_ = now;
+  }
   if (news.has_cache() && hooks_.on_cache)
     hooks_.on_cache(news.cache());
   if (news.has_decisions())
@@ -170,6 +176,11 @@
   return hosts;
 }
 
+bool FleetFollower::IsResting(const UpstreamId& upstream) const {
+  return resting_.contains(upstream) &&
+         hooks_.now() - resting_heard_at_ <= kContactLost;
+}
+
 const wire::UpstreamLoad* FleetFollower::LoadOfOthers(
     const UpstreamId& upstream) const {
   const auto it = loads_.find(upstream);
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -72,6 +72,8 @@
   // Processes that serve callers, this one included, by the newest news; 0 if
   // no voter was heard lately.
   int CallerHosts() const;
+  // Whether the leader wants the upstream to get no new requests now.
+  bool IsResting(const UpstreamId& upstream) const;
   // Work of all other processes at an upstream, lately.
   const wire::UpstreamLoad* LoadOfOthers(const UpstreamId& upstream) const;
 
@@ -98,6 +100,8 @@
   std::map<HostId, Voter> voters_;
   TimePoint poll_due_{};
   std::map<UpstreamId, wire::UpstreamLoad> loads_;
+  std::set<UpstreamId> resting_;
+  TimePoint resting_heard_at_{};
 };
 
 }  // namespace endivecart::fleet
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -159,7 +159,7 @@
   query.excluded = tried_;
   if (request_.prompt) {
     query.model = request_.prompt->model;
-    query.weights_version = gateway_.WantedWeights(query.model);
+    query.least_weights = gateway_.LeastWeights(query.model);
   }
   UpstreamCensus census;
   auto candidates =
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -38,24 +38,24 @@
 void Gateway::SetDecisions(fleet::DecisionsPtr decisions,
                            routes::RouteTablePtr routes) {
   const TimePoint now = loop_.Now();
-  for (const auto& [model, version] : decisions->weights) {
-    auto& learned = weights_learned_[model];
-    if (learned.first != version)
-      learned = {version, now};
-  }
+  for (const auto& [model, version] : decisions->weights)
+    weights_learned_[model].try_emplace(version, now);
   decisions_ = decisions;
   book_.SetDecisions(std::move(decisions));
   if (routes)
     routes_ = std::move(routes);
 }
 
-std::uint64_t Gateway::WantedWeights(const ModelId& model) const {
+std::uint64_t Gateway::LeastWeights(const ModelId& model) const {
   const auto it = weights_learned_.find(model);
   if (it == weights_learned_.end())
     return 0;
-  const bool in_grace =
-      loop_.Now() - it->second.second < options_.old_weights_grace;
-  return in_grace ? 0 : it->second.first;
+  std::uint64_t least = 0;
+  for (const auto& [version, learned_at] : it->second) {
+    if (loop_.Now() - learned_at >= options_.old_weights_grace)
+      least = std::max(least, version);
+  }
+  return least;
 }
 
 void Gateway::Refuse(const net::HttpExchangePtr& exchange,
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -74,9 +74,8 @@
               std::optional<Millis> retry_after,
               const RequestId& id);
   routes::ServiceId ChooseService(const routes::Route& route);
-  // The weights that a request may run with: the newest named ones, or 0 for
-  // any while upstreams still load them.
-  std::uint64_t WantedWeights(const ModelId& model) const;
+  // The oldest weights that a request may run with; 0: any.
+  std::uint64_t LeastWeights(const ModelId& model) const;
   void Remove(const std::shared_ptr<Forwarding>& forwarding);
   // Lets waiting requests try again, soon.
   void AdmitSoon();
@@ -96,7 +95,8 @@
   const fleet::FleetFollower* follower_ = nullptr;
   fleet::DecisionsPtr decisions_;
   routes::RouteTablePtr routes_;
-  std::map<ModelId, std::pair<std::uint64_t, TimePoint>> weights_learned_;
+  // When each version of a model's weights was first heard of.
+  std::map<ModelId, std::map<std::uint64_t, TimePoint>> weights_learned_;
   std::set<std::shared_ptr<Forwarding>> active_;
   WaitingRoom waiting_room_;
   std::map<WaitingRoom::Ticket, std::weak_ptr<Forwarding>> waiting_;
--- a/src/endivecart/gateway/upstream_book.cc
+++ b/src/endivecart/gateway/upstream_book.cc
@@ -14,6 +14,8 @@
 constexpr int kFailuresToDistrust = 3;
 constexpr Millis kDistrustBroken{1000};
 constexpr Millis kDistrustUnreachable{300};
+// An upstream that had no room is avoided this long.
+constexpr Millis kAvoidRefusing{300};
 // Weight of the newest latency in the running mean.
 constexpr double kLatencyWeight = 0.1;
 
@@ -45,6 +47,7 @@
          ",domain_out:" + std::to_string(domain_out) +
          ",distrusted:" + std::to_string(distrusted) +
          ",old_weights:" + std::to_string(old_weights) +
+         ",resting:" + std::to_string(resting) +
          ",tried:" + std::to_string(excluded);
 }
 
@@ -79,7 +82,6 @@
     record.weights_born_ms = upstream->last.born_ms;
   }
   record.weights[model] = version;
-  record.weights_seen = now_();
 }
 
 std::uint64_t UpstreamBook::WeightsOf(const AnnouncedUpstream& upstream,
@@ -128,15 +130,18 @@
       ++seen.domain_out;
     } else if (IsDistrusted(upstream, record)) {
       ++seen.distrusted;
-    } else if (query.weights_version != 0 &&
-               WeightsOf(upstream, query.model) != query.weights_version) {
+    } else if (others != nullptr && others->IsResting(id)) {
+      ++seen.resting;
+    } else if (WeightsOf(upstream, query.model) < query.least_weights) {
       ++seen.old_weights;
     } else {
       ++seen.usable;
       Candidate candidate;
       candidate.id = id;
       candidate.is_near = said.domain == own_domain_;
-      candidate.is_doubtful = now - upstream.heard_at > kSilentAfter;
+      candidate.is_doubtful = now - upstream.heard_at > kSilentAfter ||
+                              (record.refused_at != TimePoint{} &&
+                               now - record.refused_at < kAvoidRefusing);
       candidate.slots = said.slots;
       candidate.requests = record.requests;
       candidate.prompt_tokens = record.prompt_tokens;
@@ -196,8 +201,10 @@
                               : record.latency_ms * (1 - kLatencyWeight) +
                                     latency_ms * kLatencyWeight;
       return;
-    case SendResult::kAbandoned:
     case SendResult::kRefused:
+      record.refused_at = now;
+      return;
+    case SendResult::kAbandoned:
       return;
     case SendResult::kUnreachable:
       distrust = kDistrustUnreachable;
--- a/src/endivecart/gateway/upstream_book.h
+++ b/src/endivecart/gateway/upstream_book.h
@@ -35,6 +35,7 @@
   int domain_out = 0;
   int distrusted = 0;
   int old_weights = 0;
+  int resting = 0;
   int excluded = 0;
 
   bool operator==(const UpstreamCensus&) const = default;
@@ -51,8 +52,9 @@
   struct Query {
     routes::ServiceId service;
     ModelId model;  // empty: any
-    // Only upstreams that have this version of the model's weights; 0: any.
-    std::uint64_t weights_version = 0;
+    // Only upstreams that have this version of the model's weights, or a newer
+    // one; 0: any.
+    std::uint64_t least_weights = 0;
     std::set<UpstreamId> excluded;  // were tried before
     std::optional<VersionId> software_version;
   };
@@ -105,7 +107,7 @@
     TimePoint distrusted_since{};
     std::map<ModelId, std::uint64_t> weights;  // as its answers told
     std::uint64_t weights_born_ms = 0;
-    TimePoint weights_seen{};
+    TimePoint refused_at{};  // the last time that it had no room
   };
 
   bool IsDistrusted(const upstreams::AnnouncedUpstream& upstream,
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -24,6 +24,13 @@
 // A routing configuration of thousands of routes.
 constexpr std::size_t kMaxCallBytes = 32UL << 20;
 
+fleet::WeightsConductor::Options ConductorOptions(
+    const settings::NodeSettings& settings) {
+  fleet::WeightsConductor::Options options;
+  options.lease = settings.bounds.order_lease;
+  return options;
+}
+
 }  // namespace
 
 struct VoterNode::Parts {
@@ -44,7 +51,7 @@
                                static_cast<std::uint64_t>(
                                    loop.Now().time_since_epoch().count()))),
         client(loop),
-        conductor({settings.bounds.order_lease}) {}
+        conductor(ConductorOptions(settings)) {}
 
   Result<bool, NodeError> Open();
   Result<bool, NodeError> OpenStorage();
@@ -80,6 +87,7 @@
   std::optional<fleet::FleetFollower> follower;
   std::optional<fleet::OperatorDesk> desk;
   fleet::WeightsConductor conductor;
+  std::vector<UpstreamId> told_resting;
   fleet::CacheCatalog catalog;
   std::uint64_t catalog_term = 0;  // 0: not in office
   std::uint64_t catalog_routing = 0;
@@ -174,6 +182,10 @@
                ? catalog.NewsSince(term, cursor, loop.Now())
                : std::nullopt;
   };
+  tell.resting = [this] {
+    return voter && voter->HasOffice() ? conductor.Resting()
+                                       : std::vector<UpstreamId>();
+  };
   tell.leader_host = [this] { return voter ? voter->LeaderHost() : HostId(); };
   feed.emplace(incarnation, &roster, std::move(tell));
 }
@@ -301,6 +313,11 @@
   }
   for (const fleet::WeightsCheck& check : conductor.NextChecks(roster, now))
     SendCheck(check);
+  const auto resting = conductor.Resting();
+  if (resting != told_resting) {
+    told_resting = resting;
+    feed->PushAnnouncements();
+  }
 }
 
 void VoterNode::Parts::SendOrder(const fleet::WeightsOrder& order) {
@@ -328,8 +345,10 @@
        [this, check](int status, const std::string& body) {
          if (status != 200)
            return;  // asked again soon
-         conductor.OnVersion(check.upstream, check.model,
-                             hooks.decode_check(check.model, body), loop.Now());
+         if (const auto report = hooks.decode_report(check.model, body)) {
+           conductor.OnReport(check.upstream, check.model, *report, loop.Now());
+           GiveOrders();
+         }
        });
 }
 
--- a/src/endivecart/node/voter_node.h
+++ b/src/endivecart/node/voter_node.h
@@ -28,8 +28,9 @@
       encode_order;
   std::function<fleet::WeightsOrderEnd(int status)> decode_order_end;
   std::function<net::HttpRequest(const fleet::WeightsCheck&)> encode_check;
-  std::function<std::uint64_t(const ModelId&, std::string_view body)>
-      decode_check;
+  std::function<std::optional<fleet::WeightsReport>(const ModelId&,
+                                                    std::string_view body)>
+      decode_report;
   std::function<Result<routes::RoutingConfiguration, routes::RoutingError>(
       std::string_view document)>
       decode_routing;
