--- /dev/null
+++ b/src/endivecart/fleet/fleet_random_run_unittest.cc
@@ -0,0 +1,269 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <set>
+
+#include "endivecart/fleet/fleet.h"
+#include "fakes.h"
+
+namespace endivecart::fleet {
+namespace {
+
+using control::MemberId;
+
+constexpr int kHosts = 3;
+constexpr int kStepMillis = 10;
+constexpr int kSteps = 4000;
+
+HostId HostAt(int i) {
+  return HostId("h" + std::to_string(i));
+}
+
+// Three voters on a bad network, with disks that crash, fill up and get lost,
+// and two operators who send versions and read them back.
+class FleetRun {
+ public:
+  explicit FleetRun(std::uint64_t seed) : dice_(seed), network_(dice_) {
+    for (int i = 0; i < kHosts; ++i) {
+      nodes_.emplace_back();
+      nodes_.back().host = HostAt(i);
+      nodes_.back().disk =
+          std::make_unique<soak::FakeDisk>(dice_, control::kFounderIdentity);
+      Start(nodes_.back());
+    }
+    network_.SetLossy(0.03, 0.02, 20);
+  }
+
+  void Run() {
+    for (int step = 0; step < kSteps; ++step) {
+      now_ms_ += kStepMillis;
+      if (step % 10 == 0)
+        Trouble();
+      if (dice_.Chance(0.05))
+        Propose();
+      if (dice_.Chance(0.05))
+        Read();
+      Turn();
+    }
+    Calm();
+    Read();
+    const std::uint64_t before = acked_;
+    for (int step = 0; step < 400; ++step) {
+      now_ms_ += kStepMillis;
+      Turn();
+      if (step % 100 == 50)
+        Propose();
+    }
+    BOOST_TEST(acked_ > before);  // the fleet has recovered
+  }
+
+  int acks() const { return acks_; }
+
+ private:
+  struct Node {
+    HostId host;
+    std::unique_ptr<soak::FakeDisk> disk;
+    std::unique_ptr<FleetVoter> voter;
+    std::int64_t starts_at = 0;  // of a node that is down
+    bool lost_disk = false;
+    std::uint64_t shown = 0;  // newest version seen in force, this incarnation
+    std::deque<std::pair<std::function<DiskResult()>,
+                         std::function<void(const DiskResult&)>>>
+        jobs;
+  };
+
+  TimePoint Now() const { return TimePoint(Millis(1000000 + now_ms_)); }
+
+  void Start(Node& node) {
+    FleetVoterOptions options;
+    options.member = control::MakeMemberId(node.host, node.disk->identity());
+    options.is_founder =
+        node.disk->identity() == control::kFounderIdentity;
+    for (int i = 0; i < kHosts; ++i)
+      options.founders.push_back(HostAt(i));
+    options.seed = static_cast<std::uint64_t>(dice_.Below(1000000));
+    options.compact_entries = 20;
+    FleetVoter::Hooks hooks;
+    hooks.send = [this, host = node.host](const HostId& to,
+                                          wire::Envelope envelope) {
+      network_.Send(host, to, std::move(envelope), now_ms_);
+    };
+    hooks.run_on_disk = [&node](auto job, auto done) {
+      node.jobs.emplace_back(std::move(job), std::move(done));
+    };
+    hooks.on_decisions = [&node](const Decisions& decisions) {
+      BOOST_TEST(decisions.routing_version >= node.shown);
+      node.shown = decisions.routing_version;
+    };
+    hooks.on_disk_failure = [](const control::StorageError&) {};
+    hooks.now = [this] { return Now(); };
+    node.shown = 0;
+    node.jobs.clear();
+    node.voter = std::make_unique<FleetVoter>(options, node.disk.get(),
+                                              std::move(hooks));
+  }
+
+  void Stop(Node& node, int down_ms) {
+    node.voter.reset();
+    node.jobs.clear();
+    node.starts_at = now_ms_ + down_ms;
+  }
+
+  bool DiskLossAllowed() const {
+    for (const Node& node : nodes_) {
+      if (!node.voter || node.lost_disk)
+        return false;
+    }
+    return true;
+  }
+
+  void Trouble() {
+    if (!dice_.Chance(0.08))
+      return;
+    Node& node = nodes_[static_cast<std::size_t>(dice_.Below(kHosts))];
+    switch (dice_.Below(7)) {
+      case 0:
+        network_.Isolate(node.host);
+        break;
+      case 1:
+      case 2:
+        network_.Heal();
+        break;
+      case 3:
+        if (node.voter)
+          Stop(node, 100 + dice_.Below(2000));
+        break;
+      case 4:
+        for (Node& each : nodes_) {
+          if (each.voter)
+            Stop(each, 100 + dice_.Below(500));
+        }
+        break;
+      case 5:
+        node.disk->SetFull(dice_.Chance(0.5));
+        break;
+      case 6:
+        // One disk at a time: its member has to be replaced first.
+        if (DiskLossAllowed()) {
+          Stop(node, 100 + dice_.Below(500));
+          node.disk = std::make_unique<soak::FakeDisk>(
+              dice_, "again" + std::to_string(++identities_));
+          node.lost_disk = true;
+        }
+        break;
+    }
+  }
+
+  void Calm() {
+    network_.Heal();
+    network_.SetLossy(0, 0, 2);
+    for (Node& node : nodes_) {
+      node.disk->SetFull(false);
+      node.starts_at = std::min(node.starts_at, now_ms_);
+    }
+    for (int step = 0; step < 1500; ++step) {
+      now_ms_ += kStepMillis;
+      Turn();
+    }
+  }
+
+  void Turn() {
+    for (Node& node : nodes_) {
+      if (!node.voter && now_ms_ >= node.starts_at)
+        Start(node);
+      if (!node.voter)
+        continue;
+      if (!node.jobs.empty() && dice_.Chance(0.7)) {
+        const auto job = std::move(node.jobs.front());
+        node.jobs.pop_front();
+        job.second(job.first());
+      }
+      node.voter->Tick();
+      // Members tell each other of themselves, as followers' polls do.
+      for (Node& other : nodes_) {
+        if (other.voter && dice_.Chance(0.05))
+          other.voter->OnMember(
+              control::MakeMemberId(node.host, node.disk->identity()));
+      }
+      if (node.lost_disk && IsVoter(node))
+        node.lost_disk = false;
+    }
+    for (auto& [to, envelope] : network_.Deliver(now_ms_)) {
+      for (Node& node : nodes_) {
+        if (node.host == to && node.voter)
+          node.voter->OnRaft(HostId(envelope.from()), envelope.raft());
+      }
+    }
+  }
+
+  // Whether the leader counts the node's new member among the voters.
+  bool IsVoter(const Node& node) const {
+    const MemberId member =
+        control::MakeMemberId(node.host, node.disk->identity());
+    for (const Node& other : nodes_) {
+      if (other.voter && other.voter->IsLeader() &&
+          other.voter->core().IsVoter(member) &&
+          other.voter->core().voters().voters_size() == kHosts &&
+          other.voter->core().MatchOf(member) > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void Propose() {
+    const std::uint64_t version = ++proposed_;
+    wire::FleetCommand command;
+    command.mutable_replace_routing()->set_version(version);
+    command.mutable_replace_routing()->set_document(std::to_string(version));
+    // Whoever takes itself for the leader; several may, for a while.
+    for (Node& node : nodes_) {
+      if (!node.voter || !node.voter->IsLeader())
+        continue;
+      node.voter->Propose(command, Millis(900),
+                          [this, version](ProposalEnd end) {
+                            if (end != ProposalEnd::kDecided)
+                              return;
+                            acked_ = std::max(acked_, version);
+                            ++acks_;
+                          });
+    }
+  }
+
+  void Read() {
+    Node& node = nodes_[static_cast<std::size_t>(dice_.Below(kHosts))];
+    if (!node.voter || !node.voter->IsLeader())
+      return;
+    const std::uint64_t least = acked_;
+    FleetVoter* const voter = node.voter.get();
+    voter->Confirm(Millis(900), [voter, least](bool confirmed) {
+      if (confirmed)
+        BOOST_TEST(voter->decisions().routing_version >= least);
+    });
+  }
+
+  soak::Dice dice_;
+  soak::FakeNetwork network_;
+  std::int64_t now_ms_ = 0;
+  std::deque<Node> nodes_;
+  std::uint64_t proposed_ = 0;
+  std::uint64_t acked_ = 0;
+  int acks_ = 0;
+  int identities_ = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(fleet_random_run, *boost::unit_test::label("fleet"))
+
+BOOST_DATA_TEST_CASE(nothing_acknowledged_is_lost_or_read_older,
+                     boost::unit_test::data::xrange(1, 61),
+                     seed) {
+  FleetRun run(static_cast<std::uint64_t>(seed));
+  run.Run();
+  BOOST_TEST(run.acks() > 5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace endivecart::fleet
--- /dev/null
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -0,0 +1,390 @@
+#include <boost/test/unit_test.hpp>
+
+#include "endivecart/gateway/gateway.h"
+#include "support/loop_fixture.h"
+
+namespace endivecart::gateway {
+namespace {
+
+using tests::RawCaller;
+using tests::RawUpstream;
+using tests::Reply;
+
+// A dialect of plain header names, for tests.
+Dialect PlainDialect() {
+  Dialect dialect;
+  dialect.decode = [](const net::HttpRequest& request) {
+    CallerRequest out;
+    out.id = RequestId(std::string(request.fields.Find("Id").value_or("")));
+    out.method = request.method;
+    out.target = request.target;
+    out.path = std::string(request.path());
+    out.host = std::string(request.fields.Find("Host").value_or(""));
+    out.key = std::string(request.fields.Find("Key").value_or(""));
+    if (const auto patience = request.fields.Find("Patience"))
+      out.patience = Millis(std::stoi(std::string(*patience)));
+    out.body = request.body;
+    return std::optional(out);
+  };
+  dialect.encode = [](const UpstreamRequest& request) {
+    net::HttpRequest out;
+    out.method = request.caller->method;
+    out.target = request.caller->target;
+    out.fields.Add("Host", "u");
+    out.fields.Add("Id", request.caller->id.str());
+    out.fields.Add("Upstream", request.upstream.str());
+    if (!request.last_event_id.empty())
+      out.fields.Add("Last-Event", request.last_event_id);
+    return out;
+  };
+  dialect.read_answer = [](const net::HttpResponseHead& head) {
+    AnswerFacts facts;
+    facts.request_id =
+        RequestId(std::string(head.fields.Find("Id").value_or("")));
+    facts.is_signed = head.fields.Has("Signed");
+    facts.not_run = head.fields.Has("Not-Run");
+    return facts;
+  };
+  dialect.fields_for_caller = [](const net::HttpFields& fields) {
+    net::HttpFields out = fields;
+    out.RemoveHopByHop();
+    out.Remove("Content-Length");
+    return out;
+  };
+  dialect.refusal = [](int status, const std::string& reason,
+                       std::optional<Millis> retry_after, const RequestId&) {
+    auto response = net::MakeResponse(status, "", reason);
+    if (retry_after)
+      response.head.fields.Add("Retry", std::to_string(retry_after->count()));
+    return response;
+  };
+  return dialect;
+}
+
+routes::Route MakeRoute(const char* prefix, routes::RequestKind kind) {
+  routes::Route route;
+  route.name = prefix;
+  route.host = "a";
+  route.path_prefix = prefix;
+  route.kind = kind;
+  route.time_limit = Millis(3000);
+  route.services = {{routes::ServiceId("s"), 1}};
+  route.max_attempts = 2;
+  route.resumable = std::string(prefix) == "/resumable/";
+  return route;
+}
+
+// A gateway on loopback with two upstreams whose every byte the test decides.
+struct GatewayFixture : tests::LoopFixture {
+  GatewayFixture()
+      : upstreams{RawUpstream(loop), RawUpstream(loop)},
+        client(loop),
+        gateway(Options(), PlainDialect(), loop, client, metrics) {
+    using routes::RequestKind;
+    routes::RoutingConfiguration configuration;
+    configuration.version = 1;
+    configuration.routes = {
+        MakeRoute("/safe/", RequestKind::kIdempotent),
+        MakeRoute("/once/", RequestKind::kNonIdempotent),
+        MakeRoute("/stream/", RequestKind::kStream),
+        MakeRoute("/resumable/", RequestKind::kStream)};
+    configuration.services.resize(1);
+    configuration.services[0].id = routes::ServiceId("s");
+    routes::Customer customer;
+    customer.id = CustomerId("c");
+    customer.keys = {"k"};
+    configuration.customers = {customer};
+    table = std::make_shared<const routes::RouteTable>(
+        std::make_shared<const routes::RoutingConfiguration>(configuration));
+    Decide(fleet::Decisions());
+    for (int i = 0; i < 2; ++i)
+      Announce(i, upstreams::UpstreamState::kReady, 1);
+    server = std::move(*net::HttpServer::Listen(
+        loop, tests::AnyPort(), {}, [this](net::HttpExchangePtr exchange) {
+          gateway.Handle(std::move(exchange));
+        }));
+    for (RawUpstream& upstream : upstreams) {
+      upstream.on_bytes = [this](RawUpstream::Connection& connection) {
+        if (!connection.received.ends_with("\r\n\r\n"))
+          return;
+        requests.push_back(connection.received);
+        connection.received.clear();
+        answer(connection, requests.size());
+      };
+    }
+    // Retries need requests to be a small part of.
+    for (int i = 0; i < 100; ++i)
+      Prime();
+  }
+
+  static GatewayOptions Options() {
+    GatewayOptions options;
+    options.domain = DomainId("a");
+    options.retry_ratio = 0.5;
+    return options;
+  }
+  void Decide(fleet::Decisions decisions) {
+    decisions.routing_version = 1;
+    gateway.SetDecisions(std::make_shared<const fleet::Decisions>(decisions),
+                         table);
+  }
+  void Announce(int i, upstreams::UpstreamState state, std::uint64_t sequence) {
+    upstreams::Announcement said;
+    said.id = UpstreamId("u" + std::to_string(i));
+    said.born_ms = 1;
+    said.sequence = sequence;
+    said.service = routes::ServiceId("s");
+    said.address = upstreams[static_cast<std::size_t>(i)].address();
+    said.domain = DomainId("a");
+    said.slots = 4;
+    said.state = state;
+    gateway.book().Apply(said, loop.Now());
+  }
+  void Prime() {
+    answer = [](RawUpstream::Connection& connection, std::size_t) {
+      Reply(connection, Whole("0", "x"));
+    };
+    Ask("/safe/", "0");
+    requests.clear();
+  }
+
+  static std::string Whole(const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nSigned: s\r\nId: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+  static std::string StreamHead(const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nSigned: s\r\nId: " + id +
+           "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
+  static std::string Chunk(const std::string& text) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+  }
+
+  // Sends a request and returns all that the caller gets.
+  std::string Ask(const std::string& path,
+                  const std::string& id = "1",
+                  const std::string& extra = "Key: k\r\n") {
+    RawCaller caller(loop, server->port());
+    caller.Write("GET " + path + " HTTP/1.1\r\nHost: a\r\nId: " + id + "\r\n" +
+                 extra + "Connection: close\r\n\r\n");
+    RunUntil([&] { return caller.ended(); });
+    return caller.received();
+  }
+
+  static bool HasStatus(const std::string& received, int status) {
+    return received.starts_with("HTTP/1.1 " + std::to_string(status));
+  }
+
+  std::array<RawUpstream, 2> upstreams;
+  net::HttpClient client;
+  MetricsRegistry metrics;
+  Gateway gateway;
+  routes::RouteTablePtr table;
+  std::unique_ptr<net::HttpServer> server;
+  std::vector<std::string> requests;  // that reached an upstream
+  std::function<void(RawUpstream::Connection&, std::size_t number)> answer;
+};
+
+BOOST_FIXTURE_TEST_SUITE(gateway_requests,
+                         GatewayFixture,
+                         *boost::unit_test::label("gateway"))
+
+BOOST_AUTO_TEST_CASE(a_whole_answer_is_passed_on_unchanged) {
+  answer = [](auto& connection, auto) { Reply(connection, Whole("1", "yes")); };
+  const std::string received = Ask("/once/");
+  BOOST_TEST(HasStatus(received, 200));
+  BOOST_TEST(received.find("Signed: s") != std::string::npos);
+  BOOST_TEST(received.ends_with("\r\n\r\nyes"));
+}
+
+BOOST_AUTO_TEST_CASE(routes_and_keys_are_checked_first) {
+  answer = [](auto& connection, auto) { Reply(connection, Whole("1", "yes")); };
+  BOOST_TEST(HasStatus(Ask("/none/"), 404));
+  BOOST_TEST(HasStatus(Ask("/once/", "1", "Key: other\r\n"), 401));
+  BOOST_TEST(HasStatus(Ask("/once/", "1", ""), 401));
+  BOOST_TEST(requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(what_may_run_once_is_not_sent_again_after_a_lost_answer) {
+  answer = [](auto& connection, auto) { connection.socket.close(); };
+  const std::string received = Ask("/once/");
+  BOOST_TEST(HasStatus(received, 502));  // promises nothing
+  BOOST_TEST(requests.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(what_an_upstream_did_not_run_goes_to_another) {
+  answer = [](auto& connection, std::size_t number) {
+    Reply(connection, number == 1 ? "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: 1"
+                                    "\r\nContent-Length: 0\r\n\r\n"
+                                  : Whole("1", "yes"));
+  };
+  BOOST_TEST(HasStatus(Ask("/once/"), 200));
+  BOOST_TEST(requests.size() == 2u);
+  BOOST_TEST(requests[0].find("Upstream: u0") !=
+             requests[1].find("Upstream: u0"));
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_that_nobody_ran_says_so_and_when_to_come) {
+  answer = [](auto& connection, auto) {
+    Reply(connection,
+          "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: 1\r\n"
+          "Content-Length: 0\r\n\r\n");
+  };
+  const std::string received = Ask("/once/");
+  BOOST_TEST(HasStatus(received, 503));
+  BOOST_TEST(received.find("Retry:") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_without_proof_is_not_repeated_as_a_promise) {
+  answer = [](auto& connection, auto) {
+    Reply(connection,
+          "HTTP/1.1 503 Busy\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
+  };
+  BOOST_TEST(HasStatus(Ask("/once/"), 502));
+  BOOST_TEST(requests.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(an_idempotent_request_gets_a_second_attempt) {
+  answer = [](auto& connection, std::size_t number) {
+    if (number == 1) {
+      connection.socket.close();
+    } else {
+      Reply(connection, Whole("1", "yes"));
+    }
+  };
+  BOOST_TEST(HasStatus(Ask("/safe/"), 200));
+  BOOST_TEST(requests.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(no_request_runs_more_often_than_its_route_allows) {
+  answer = [](auto& connection, auto) {
+    Reply(connection,
+          "HTTP/1.1 500 Oh\r\nSigned: s\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
+  };
+  BOOST_TEST(HasStatus(Ask("/safe/"), 500));
+  BOOST_TEST(requests.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_reaches_nobody) {
+  answer = [](auto& connection, auto) {
+    Reply(connection, Whole("other", "secret"));
+  };
+  const std::string received = Ask("/once/");
+  BOOST_TEST(HasStatus(received, 502));
+  BOOST_TEST(received.find("secret") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_success_without_signature_is_no_success) {
+  answer = [](auto& connection, auto) {
+    Reply(connection,
+          "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nno");
+  };
+  BOOST_TEST(HasStatus(Ask("/once/"), 502));
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_upstream_gets_nothing_new) {
+  answer = [](auto& connection, auto) { Reply(connection, Whole("1", "yes")); };
+  Announce(0, upstreams::UpstreamState::kDraining, 2);
+  for (int i = 0; i < 6; ++i)
+    BOOST_TEST(HasStatus(Ask("/safe/"), 200));
+  for (const std::string& request : requests)
+    BOOST_TEST(request.find("Upstream: u1") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_domain_taken_out_gets_nothing_new) {
+  fleet::Decisions decisions;
+  decisions.domains[DomainId("a")] = {true, 1};
+  Decide(decisions);
+  const std::string received = Ask("/safe/");
+  BOOST_TEST(HasStatus(received, 503));
+  BOOST_TEST(requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(at_its_time_limit_a_request_has_its_answer) {
+  answer = [](auto&, auto) {};
+  const std::string received =
+      Ask("/once/", "1", "Key: k\r\nPatience: 60\r\n");
+  BOOST_TEST(HasStatus(received, 504));
+}
+
+BOOST_AUTO_TEST_CASE(the_upstream_learns_that_the_caller_has_gone) {
+  RawUpstream::Connection* work = nullptr;
+  answer = [&](auto& connection, auto) { work = &connection; };
+  RawCaller caller(loop, server->port());
+  caller.Write("GET /once/ HTTP/1.1\r\nHost: a\r\nId: 1\r\nKey: k\r\n\r\n");
+  RunUntil([&] { return work != nullptr; });
+  caller.Close();
+  RunUntil([&] { return work->ended; });
+  BOOST_TEST(work->ended);
+  BOOST_TEST(gateway.active() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(gateway_streams,
+                         GatewayFixture,
+                         *boost::unit_test::label("gateway"))
+
+BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_at_another_upstream) {
+  answer = [](auto& connection, std::size_t number) {
+    if (number == 1) {
+      Reply(connection, StreamHead("1") + Chunk("id: 1\ndata: a\n\n") +
+                            Chunk("id: 2\ndata: b\n\nid: 3\nda"));
+      connection.socket.close();
+    } else {
+      Reply(connection, StreamHead("1") + Chunk("id: 3\ndata: c\n\n") +
+                            "0\r\n\r\n");
+    }
+  };
+  const std::string received = Ask("/resumable/");
+  BOOST_TEST(requests.size() == 2u);
+  BOOST_TEST(requests.at(1).find("Last-Event: 2") != std::string::npos);
+  for (const char* event :
+       {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"}) {
+    const auto at = received.find(event);
+    BOOST_TEST(at != std::string::npos);
+    BOOST_TEST(received.find(event, at + 1) == std::string::npos);
+  }
+  BOOST_TEST(received.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_may_not_be_resumed_ends_without_its_end) {
+  answer = [](auto& connection, auto) {
+    Reply(connection, StreamHead("1") + Chunk("id: 1\ndata: a\n\n"));
+    connection.socket.close();
+  };
+  const std::string received = Ask("/stream/");
+  BOOST_TEST(requests.size() == 1u);
+  BOOST_TEST(received.find("data: a") != std::string::npos);
+  BOOST_TEST(!received.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(a_gap_in_the_events_is_not_passed_on) {
+  answer = [](auto& connection, std::size_t number) {
+    Reply(connection,
+          number == 1
+              ? StreamHead("1") + Chunk("id: 1\ndata: a\n\n") +
+                    Chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n"
+              : StreamHead("1") + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  };
+  const std::string received = Ask("/resumable/");
+  BOOST_TEST(received.find("data: c") == std::string::npos);
+  BOOST_TEST(received.find("data: b") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_cut_inside_an_event_is_not_complete) {
+  answer = [](auto& connection, auto) {
+    Reply(connection, StreamHead("1") + Chunk("id: 1\ndata: a\n\nid: 2\nda") +
+                          "0\r\n\r\n");
+  };
+  const std::string received = Ask("/stream/");
+  BOOST_TEST(!received.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace endivecart::gateway
--- /dev/null
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -0,0 +1,243 @@
+#include <boost/test/unit_test.hpp>
+
+#include "endivecart/gateway/cold_allowance.h"
+#include "endivecart/gateway/event_splitter.h"
+#include "endivecart/gateway/placement.h"
+#include "endivecart/gateway/retry_allowance.h"
+#include "endivecart/gateway/waiting_room.h"
+
+namespace endivecart::gateway {
+namespace {
+
+TimePoint At(int millis) {
+  return TimePoint(Millis(1000000 + millis));
+}
+
+std::vector<Candidate> MakeCandidates(int count) {
+  std::vector<Candidate> candidates(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    candidates[static_cast<std::size_t>(i)].id =
+        UpstreamId("u" + std::to_string(i));
+    candidates[static_cast<std::size_t>(i)].slots = 10;
+  }
+  return candidates;
+}
+
+Prompt MakePrompt(const std::string& subject) {
+  Prompt prompt;
+  prompt.model = ModelId("m");
+  prompt.input_tokens = 12000;
+  prompt.max_output_tokens = 100;
+  prompt.parts = {{"head", 500}, {subject, 8500}, {"own", 3000}};
+  return prompt;
+}
+
+BOOST_AUTO_TEST_SUITE(gateway_events, *boost::unit_test::label("gateway"))
+
+BOOST_AUTO_TEST_CASE(events_are_whole_however_their_bytes_come) {
+  EventSplitter splitter;
+  splitter.Add("id: 1\ndata: a\n");
+  BOOST_TEST(!splitter.Next().has_value());
+  BOOST_TEST(splitter.HasPartial());
+  splitter.Add("\nid:2\r\ndata: b\r\n\r\ndata: c");
+  const auto first = splitter.Next();
+  BOOST_TEST(first->text == "id: 1\ndata: a\n\n");
+  BOOST_TEST(first->id.value() == 1u);
+  const auto second = splitter.Next();
+  BOOST_TEST(second->text == "id:2\r\ndata: b\r\n\r\n");
+  BOOST_TEST(second->id.value() == 2u);
+  BOOST_TEST(!splitter.Next().has_value());
+  BOOST_TEST(splitter.HasPartial());
+}
+
+BOOST_AUTO_TEST_CASE(an_id_that_is_no_number_is_no_id) {
+  EventSplitter splitter;
+  splitter.Add("id: x1\ndata: a\n\n");
+  BOOST_TEST(!splitter.Next()->id.has_value());
+  BOOST_TEST(!splitter.HasPartial());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(gateway_allowances, *boost::unit_test::label("gateway"))
+
+BOOST_AUTO_TEST_CASE(when_every_upstream_fails_few_requests_are_sent_again) {
+  RetryAllowance allowance(0.2, Millis(10000));
+  const routes::ServiceId service("s");
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    allowance.CountRequest(service, At(i * 10));
+    retries += allowance.Take(service, At(i * 10)) ? 1 : 0;
+  }
+  BOOST_TEST(retries <= 200);
+  BOOST_TEST(retries >= 150);
+}
+
+BOOST_AUTO_TEST_CASE(one_service_does_not_use_up_the_retries_of_another) {
+  RetryAllowance allowance(0.5, Millis(10000));
+  for (int i = 0; i < 10; ++i)
+    allowance.CountRequest(routes::ServiceId("a"), At(0));
+  BOOST_TEST(allowance.Take(routes::ServiceId("a"), At(1)));
+  BOOST_TEST(!allowance.Take(routes::ServiceId("b"), At(1)));
+}
+
+BOOST_AUTO_TEST_CASE(hosts_together_stay_below_what_a_cold_upstream_bears) {
+  constexpr int kHosts = 6;
+  constexpr double kPerSecond = 9;
+  std::vector<ColdAllowance> hosts(kHosts);
+  std::vector<int> in_second(10, 0);
+  for (int ms = 0; ms < 10000; ++ms) {
+    for (ColdAllowance& host : hosts) {
+      if (host.Take(UpstreamId("u"), kPerSecond, kHosts, At(ms)))
+        ++in_second[static_cast<std::size_t>(ms / 1000)];
+    }
+  }
+  for (const int taken : in_second) {
+    BOOST_TEST(taken <= kPerSecond + kHosts);
+    BOOST_TEST(taken > 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_knows_no_others_sends_a_cold_upstream_nothing) {
+  ColdAllowance allowance;
+  BOOST_TEST(!allowance.Take(UpstreamId("u"), 100, 0, At(0)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(gateway_placement, *boost::unit_test::label("gateway"))
+
+BOOST_AUTO_TEST_CASE(a_returning_prompt_goes_to_the_same_upstream) {
+  const auto candidates = MakeCandidates(12);
+  const auto first = PlacePrompt(candidates, MakePrompt("p"), "", {});
+  auto other = MakePrompt("p");
+  other.parts.back().id = "another request";
+  BOOST_TEST(PlacePrompt(candidates, other, "", {})->index == first->index);
+  BOOST_TEST(!first->home.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(few_prompts_move_when_an_upstream_goes) {
+  const auto all = MakeCandidates(12);
+  auto fewer = all;
+  fewer.pop_back();
+  int moved = 0;
+  for (int i = 0; i < 500; ++i) {
+    const auto prompt = MakePrompt("p" + std::to_string(i));
+    const auto before = all[PlacePrompt(all, prompt, "", {})->index].id;
+    const auto after = fewer[PlacePrompt(fewer, prompt, "", {})->index].id;
+    moved += before != after && before != all.back().id ? 1 : 0;
+  }
+  BOOST_TEST(moved == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_busy_home_is_left_for_another) {
+  auto candidates = MakeCandidates(4);
+  const auto prompt = MakePrompt("p");
+  const std::size_t home = PlacePrompt(candidates, prompt, "", {})->index;
+  candidates[home].prompt_tokens = 1000000;
+  const auto choice = PlacePrompt(candidates, prompt, "", {});
+  BOOST_TEST(choice->index != home);
+  BOOST_TEST(choice->home.value() == home);
+}
+
+BOOST_AUTO_TEST_CASE(a_doubtful_upstream_is_used_only_if_all_are) {
+  auto candidates = MakeCandidates(3);
+  candidates[0].is_doubtful = candidates[1].is_doubtful = true;
+  for (int i = 0; i < 50; ++i) {
+    const auto prompt = MakePrompt("p" + std::to_string(i));
+    BOOST_TEST(PlacePrompt(candidates, prompt, "", {})->index == 2u);
+    BOOST_TEST(PlaceByLoad(candidates, static_cast<std::uint64_t>(i))->index ==
+               2u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(plain_requests_go_to_the_least_loaded_upstream) {
+  auto candidates = MakeCandidates(3);
+  for (Candidate& candidate : candidates)
+    candidate.latency_ms = 30;
+  candidates[0].requests = 8;
+  candidates[1].requests = 8;
+  BOOST_TEST(PlaceByLoad(candidates, 0)->index == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_full_engine_takes_no_more_but_an_idle_one_takes_any) {
+  Candidate candidate;
+  candidate.requests = 3;
+  candidate.held_tokens = 60000;
+  BOOST_TEST(!HasRoomFor(candidate, 12000, 90000));
+  BOOST_TEST(HasRoomFor(candidate, 3000, 90000));
+  candidate.requests = 0;
+  BOOST_TEST(HasRoomFor(candidate, 200000, 90000));
+}
+
+// Load: prompts of 12,000 tokens come at twice the rate at which engines of
+// 90,000 tokens can hold them. Each stays for as long as eight others.
+BOOST_AUTO_TEST_CASE(in_a_burst_no_engine_is_filled_beyond_its_memory) {
+  auto candidates = MakeCandidates(3);
+  const auto prompt = MakePrompt("p");
+  std::int64_t sent = 0;
+  for (int i = 0; i < 100; ++i) {
+    for (Candidate& candidate : candidates) {
+      if (!HasRoomFor(candidate, HeldTokensOf(prompt), 90000))
+        continue;
+      ++sent;
+      ++candidate.requests;
+      candidate.held_tokens += HeldTokensOf(prompt);
+    }
+  }
+  for (const Candidate& candidate : candidates)
+    BOOST_TEST(candidate.held_tokens <= 90000);
+  BOOST_TEST(sent >= 9);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(gateway_waiting, *boost::unit_test::label("gateway"))
+
+// Lets those in for which `fits` holds; returns their tickets.
+template <class Fits>
+std::vector<std::uint64_t> AdmitAll(WaitingRoom& room, Fits fits, TimePoint now) {
+  std::vector<std::uint64_t> admitted;
+  room.Admit(
+      [&](WaitingRoom::Ticket ticket) {
+        if (!fits(ticket))
+          return false;
+        room.Leave(ticket);
+        admitted.push_back(ticket);
+        return true;
+      },
+      now);
+  return admitted;
+}
+
+BOOST_AUTO_TEST_CASE(the_most_urgent_request_goes_first) {
+  WaitingRoom room;
+  const auto late = room.Enter(2, At(0));
+  const auto urgent = room.Enter(0, At(1));
+  const auto order = AdmitAll(room, [](auto) { return true; }, At(2));
+  BOOST_TEST(order == (std::vector<std::uint64_t>{urgent, late}),
+             boost::test_tools::per_element());
+  BOOST_TEST(room.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_large_request_is_not_passed_by_small_ones_for_ever) {
+  WaitingRoom room;
+  const auto large = room.Enter(1, At(0));
+  const auto small = room.Enter(1, At(10));
+  const auto fits = [&](auto ticket) { return ticket != large; };
+  BOOST_TEST(AdmitAll(room, fits, At(100)).size() == 1u);
+  const auto next = room.Enter(1, At(120));
+  const auto other = room.Enter(2, At(120));
+  // Long waiters close their own urgency only.
+  const auto admitted = AdmitAll(room, fits, At(400));
+  BOOST_TEST(admitted == std::vector<std::uint64_t>{other},
+             boost::test_tools::per_element());
+  BOOST_TEST(room.size() == 2u);
+  (void)small;
+  (void)next;
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace endivecart::gateway
--- a/src/endivecart/net/http_server.cc
+++ b/src/endivecart/net/http_server.cc
@@ -274,6 +274,11 @@
     if (state_ == State::kHeader && parser_->is_header_done()) {
       state_ = State::kBody;
       SetTimer(limits_.body_timeout);
+      if (parser_->content_length_remaining().value_or(0) >
+          limits_.max_body_bytes) {
+        RefuseAndClose(413);
+        return;
+      }
       if (parser_->expects_continue() && !parser_->is_done())
         Send("HTTP/1.1 100 Continue\r\n\r\n");
     }
--- /dev/null
+++ b/tests/support/loop_fixture.h
@@ -0,0 +1,144 @@
+#ifndef TESTS_SUPPORT_LOOP_FIXTURE_H_
+#define TESTS_SUPPORT_LOOP_FIXTURE_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <string>
+
+#include "endivecart/net/net.h"
+
+namespace tests {
+
+// An event loop that a test turns by hand, with loopback sockets.
+class LoopFixture {
+ public:
+  // Turns the loop until `done`, a bounded number of times: a test that waits
+  // in vain fails at its next check.
+  void RunUntil(const std::function<bool()>& done) {
+    for (int i = 0; i < kMaxTurns && !done(); ++i) {
+      loop.context().restart();
+      loop.context().run_for(std::chrono::milliseconds(1));
+    }
+  }
+  void RunFor(endivecart::Millis time) {
+    loop.context().restart();
+    loop.context().run_for(time);
+  }
+
+  endivecart::net::EventLoop loop;
+
+ private:
+  static constexpr int kMaxTurns = 5000;
+};
+
+inline endivecart::settings::Endpoint AnyPort() {
+  return {"127.0.0.1", 0};
+}
+
+// A caller that writes bytes as they are and reads what comes.
+class RawCaller {
+ public:
+  RawCaller(endivecart::net::EventLoop& loop, int port)
+      : socket_(loop.context()) {
+    socket_.connect({boost::asio::ip::make_address("127.0.0.1"),
+                     static_cast<unsigned short>(port)});
+    Read();
+  }
+
+  void Write(const std::string& bytes) {
+    boost::asio::write(socket_, boost::asio::buffer(bytes));
+  }
+  void Close() { socket_.close(); }
+  const std::string& received() const { return received_; }
+  bool ended() const { return ended_; }
+
+ private:
+  void Read() {
+    socket_.async_read_some(
+        boost::asio::buffer(buffer_),
+        [this](const boost::system::error_code& error, std::size_t bytes) {
+          received_.append(buffer_, bytes);
+          if (error) {
+            ended_ = true;
+          } else {
+            Read();
+          }
+        });
+  }
+
+  boost::asio::ip::tcp::socket socket_;
+  char buffer_[4096];
+  std::string received_;
+  bool ended_ = false;
+};
+
+// An upstream that accepts connections one after the other and does with each
+// what the test says.
+class RawUpstream {
+ public:
+  explicit RawUpstream(endivecart::net::EventLoop& loop)
+      : acceptor_(loop.context(),
+                  {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        context_(loop.context()) {
+    Accept();
+  }
+
+  struct Connection {
+    explicit Connection(boost::asio::ip::tcp::socket s)
+        : socket(std::move(s)) {}
+    boost::asio::ip::tcp::socket socket;
+    char buffer[4096];
+    std::string received;
+    bool ended = false;
+  };
+
+  int port() const { return acceptor_.local_endpoint().port(); }
+  endivecart::settings::Endpoint address() const {
+    return {"127.0.0.1", port()};
+  }
+  std::vector<std::shared_ptr<Connection>> connections;
+  // Called whenever bytes of a request have come.
+  std::function<void(Connection&)> on_bytes;
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (error)
+        return;
+      connections.push_back(std::make_shared<Connection>(std::move(socket)));
+      Read(connections.back());
+      Accept();
+    });
+  }
+  void Read(const std::shared_ptr<Connection>& connection) {
+    connection->socket.async_read_some(
+        boost::asio::buffer(connection->buffer),
+        [this, connection](const boost::system::error_code& error,
+                           std::size_t bytes) {
+          connection->received.append(connection->buffer, bytes);
+          if (error) {
+            connection->ended = true;
+            return;
+          }
+          if (on_bytes)
+            on_bytes(*connection);
+          if (connection->socket.is_open())
+            Read(connection);
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::io_context& context_;
+};
+
+inline void Reply(RawUpstream::Connection& connection,
+                  const std::string& bytes) {
+  boost::asio::write(connection.socket, boost::asio::buffer(bytes));
+}
+
+}  // namespace tests
+
+#endif  // TESTS_SUPPORT_LOOP_FIXTURE_H_
