Moves of a service's traffic to a new version

Cause: a move that was begun stayed 'running' for good. Change: entry hosts give the new version 4, 8, then 40 in 100 and all of the requests by the time that has passed, judge its outcomes against the old one's with the judge that the product has, and report counts with their polls; the leader pools them, rolls back on a verdict and completes after 0.88 of the time.

--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -11,6 +11,7 @@
 #include "endivecart/fleet/fleet_feed.h"      // IWYU pragma: export
 #include "endivecart/fleet/fleet_follower.h"  // IWYU pragma: export
 #include "endivecart/fleet/fleet_voter.h"     // IWYU pragma: export
+#include "endivecart/fleet/move_conductor.h"  // IWYU pragma: export
 #include "endivecart/fleet/operator_desk.h"  // IWYU pragma: export
 #include "endivecart/fleet/voter_keeper.h"    // IWYU pragma: export
 #include "endivecart/fleet/weights_conductor.h"  // IWYU pragma: export
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -18,6 +18,8 @@
   follower.sent_cursor =
       poll.feed_incarnation() == incarnation_ ? poll.feed_cursor() : 0;
   follower.sent_decisions = poll.decisions_index();
+  for (const wire::ServiceMoveReport& report : poll.move_reports())
+    hooks_.on_move_report(from, report);
   Send(from, follower, true);
 }
 
@@ -101,26 +103,4 @@
       }));
 }
 
-std::vector<wire::MoveCounts> FleetFeed::MoveCountsOf(
-    const routes::ServiceId& service) const {
-  std::map<std::string, wire::MoveCounts> sums;
-  for (const auto& [host, follower] : followers_) {
-    for (const wire::MoveCounts& counts : follower.poll.move_counts()) {
-      if (counts.service() != service.str())
-        continue;
-      wire::MoveCounts& sum = sums[counts.software_version()];
-      sum.set_service(counts.service());
-      sum.set_software_version(counts.software_version());
-      sum.set_requests(sum.requests() + counts.requests());
-      sum.set_failures(sum.failures() + counts.failures());
-      sum.set_slow(sum.slow() + counts.slow());
-      sum.set_latency_sum_ms(sum.latency_sum_ms() + counts.latency_sum_ms());
-    }
-  }
-  std::vector<wire::MoveCounts> result;
-  for (auto& [version, sum] : sums)
-    result.push_back(std::move(sum));
-  return result;
-}
-
 }  // namespace endivecart::fleet
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -21,6 +21,8 @@
     std::function<TimePoint()> now;
     std::function<std::vector<HostId>()> voter_hosts;
     std::function<HostId()> leader_host;
+    std::function<void(const HostId&, const wire::ServiceMoveReport&)>
+        on_move_report;
     // Upstreams that had better get no new requests; only the leader knows.
     std::function<std::vector<UpstreamId>()> resting;
     // What a follower with news up to this term and cursor lacks.
@@ -46,9 +48,6 @@
 
   // Processes that serve callers and polled lately.
   int CallerHosts() const;
-  // What followers have reported of a service's versions, summed up.
-  std::vector<wire::MoveCounts> MoveCountsOf(
-      const routes::ServiceId& service) const;
 
  private:
   struct Follower {
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -42,8 +42,8 @@
       poll.set_cache_term(term);
       poll.set_cache_cursor(cursor);
     }
-    for (wire::MoveCounts& counts : hooks_.move_counts())
-      *poll.add_move_counts() = std::move(counts);
+    for (wire::ServiceMoveReport& report : hooks_.move_reports())
+      *poll.add_move_reports() = std::move(report);
   }
   for (const auto& [host, voter] : voters_) {
     wire::Envelope envelope;
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -45,7 +45,7 @@
     std::function<void(const upstreams::Announcement&, TimePoint received_at)>
         on_announcement;
     std::function<std::vector<OwnLoad>()> own_loads;
-    std::function<std::vector<wire::MoveCounts>()> move_counts;
+    std::function<std::vector<wire::ServiceMoveReport>()> move_reports;
     // Leave these out where cache stores are of no concern.
     std::function<void(const wire::CacheNews&)> on_cache;
     // The term and the cursor of the cache news that are held.
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -351,6 +351,7 @@
             [this] { return now; },
             [] { return std::vector<HostId>{HostId("v"), HostId("w")}; },
             [] { return HostId("v"); },
+            [](const HostId&, const wire::ServiceMoveReport&) {},
             [this] { return resting; },
             [](std::uint64_t, std::uint64_t) {
               return std::optional<wire::CacheNews>();
@@ -371,7 +372,7 @@
     hooks.on_announcement = [this](const upstreams::Announcement& said,
                                    TimePoint at) { heard.emplace_back(said, at); };
     hooks.own_loads = [] { return std::vector<OwnLoad>(); };
-    hooks.move_counts = [] { return std::vector<wire::MoveCounts>(); };
+    hooks.move_reports = [] { return std::vector<wire::ServiceMoveReport>(); };
     hooks.now = [this] { return now; };
     return hooks;
   }
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -72,6 +72,7 @@
       self->call_->SetPaused(false);
   });
   service_ = gateway_.ChooseService(route_);
+  move_roll_ = std::uniform_real_distribution<double>(0, 1)(gateway_.random_);
   gateway_.retries_.CountRequest(service_, gateway_.loop_.Now());
   Send();
 }
@@ -153,7 +154,8 @@
                    : route_.priority;
 }
 
-std::optional<UpstreamId> Forwarding::ChooseUpstream() {
+std::vector<Candidate> Forwarding::FindCandidates(
+    UpstreamCensus& census) const {
   UpstreamBook::Query query;
   query.service = service_;
   query.excluded = tried_;
@@ -161,13 +163,29 @@
     query.model = request_.prompt->model;
     query.least_weights = gateway_.LeastWeights(query.model);
   }
-  UpstreamCensus census;
-  auto candidates =
-      gateway_.book_.Candidates(query, gateway_.follower_, &census);
+  const VersionChoice versions =
+      gateway_.moves_.Choose(service_, move_roll_, gateway_.loop_.Now());
+  query.only_version = versions.only;
+  query.except_version = versions.except;
+  const auto find = [&] {
+    return gateway_.book_.Candidates(query, gateway_.follower_, &census);
+  };
+  auto candidates = find();
   if (candidates.empty() && !tried_.empty()) {
     query.excluded.clear();
-    candidates = gateway_.book_.Candidates(query, gateway_.follower_, &census);
+    candidates = find();
+  }
+  if (candidates.empty() && query.only_version) {
+    // The new version has no upstream yet.
+    query.only_version.reset();
+    candidates = find();
   }
+  return candidates;
+}
+
+std::optional<UpstreamId> Forwarding::ChooseUpstream() {
+  UpstreamCensus census;
+  auto candidates = FindCandidates(census);
   const routes::Service* service =
       routes_->configuration().FindService(service_);
   const int hosts = gateway_.follower_ ? gateway_.follower_->CallerHosts() : 0;
@@ -494,10 +512,29 @@
   }
 }
 
+void Forwarding::ReportToMove(SendResult result) {
+  const auto* upstream = gateway_.book_.Find(upstream_);
+  if (upstream == nullptr || result == SendResult::kAbandoned ||
+      result == SendResult::kRefused || result == SendResult::kUnreachable) {
+    return;
+  }
+  moves::VersionOutcome outcome;
+  outcome.route = route_.name;
+  outcome.domain = upstream->last.domain;
+  outcome.failed = result != SendResult::kAnswered;
+  const TimePoint until = IsStream() && started_ && first_event_at_ > sent_at_
+                              ? first_event_at_
+                              : gateway_.loop_.Now();
+  // The judge compares with the old version's: any unit does.
+  outcome.first_token_ratio = MillisBetween(sent_at_, until);
+  gateway_.moves_.Add(service_, upstream->last.software_version, outcome);
+}
+
 void Forwarding::EndSend(SendResult result) {
   call_.reset();
   if (upstream_.empty())
     return;
+  ReportToMove(result);
   if (unread_tokens_ > 0)
     gateway_.book_.PromptRead(upstream_, unread_tokens_);
   unread_tokens_ = 0;
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -36,6 +36,7 @@
   void Wait();
   void StopWaiting();
   bool HasRoom(const Candidate& candidate, const routes::Service* service) const;
+  std::vector<Candidate> FindCandidates(UpstreamCensus& census) const;
   std::optional<UpstreamId> ChooseUpstream();
   void StartCall(const UpstreamId& upstream);
   UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
@@ -53,6 +54,8 @@
   void OnDeadline();
   void OnCallerGone();
 
+  // Tells a move of the service how its version did.
+  void ReportToMove(SendResult result);
   // Ends the send that is under way.
   void EndSend(SendResult result);
   bool MaySendAgain(bool was_run) const;
@@ -77,6 +80,7 @@
   const routes::Route& route_;
   const routes::Customer* const customer_;
   routes::ServiceId service_;
+  double move_roll_ = 0;  // decides which version a moving service gets
   const TimePoint accepted_at_;
   TimePoint deadline_;
   std::unique_ptr<TimerSubscription> deadline_timer_;
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -40,6 +40,7 @@
   const TimePoint now = loop_.Now();
   for (const auto& [model, version] : decisions->weights)
     weights_learned_[model].try_emplace(version, now);
+  moves_.SetDecisions(*decisions, now);
   decisions_ = decisions;
   book_.SetDecisions(std::move(decisions));
   if (routes)
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "endivecart/gateway/cache_view.h"
 #include "endivecart/gateway/caller_request.h"
 #include "endivecart/gateway/cold_allowance.h"
+#include "endivecart/gateway/move_watch.h"
 #include "endivecart/gateway/retry_allowance.h"
 #include "endivecart/gateway/upstream_book.h"
 #include "endivecart/gateway/waiting_room.h"
@@ -59,6 +60,7 @@
   }
   UpstreamBook& book() { return book_; }
   CacheView& cache() { return cache_; }
+  const MoveWatch& moves() const { return moves_; }
   bool HasRoutes() const { return routes_ != nullptr; }
   // Requests that were accepted and aren't answered yet.
   std::size_t active() const { return active_.size(); }
@@ -88,6 +90,7 @@
   MetricsRegistry& metrics_;
   UpstreamBook book_;
   CacheView cache_;
+  MoveWatch moves_;
   RetryAllowance retries_;
   ColdAllowance cold_;
   SpeedEstimate speed_;
--- /dev/null
+++ b/src/endivecart/gateway/move_unittest.cc
@@ -0,0 +1,116 @@
+#include <boost/test/unit_test.hpp>
+
+#include "endivecart/gateway/move_watch.h"
+
+namespace endivecart::gateway {
+namespace {
+
+const routes::ServiceId kService("s");
+const VersionId kOld("v1");
+const VersionId kNew("v2");
+
+TimePoint At(int millis) {
+  return TimePoint(Millis(1000000 + millis));
+}
+
+fleet::Decisions MovingFor(int millis) {
+  fleet::Decisions decisions;
+  decisions.moves[kService] = {kNew, Millis(millis), fleet::MoveState::kRunning,
+                               7};
+  return decisions;
+}
+
+moves::VersionOutcome Outcome(bool failed, double millis) {
+  moves::VersionOutcome outcome;
+  outcome.route = "r";
+  outcome.domain = DomainId("a");
+  outcome.failed = failed;
+  outcome.first_token_ratio = millis;
+  return outcome;
+}
+
+BOOST_AUTO_TEST_SUITE(gateway_moves, *boost::unit_test::label("gateway"))
+
+BOOST_AUTO_TEST_CASE(a_new_version_gets_little_until_late_and_then_all) {
+  const Millis duration(12000);
+  double total = 0;
+  for (int ms = 0; ms < 9000; ++ms)
+    total += fleet::NewVersionShare(Millis(ms), duration);
+  BOOST_TEST(total / 12000 < 0.1);
+  BOOST_TEST(fleet::NewVersionShare(Millis(0), duration) > 0);
+  BOOST_TEST(fleet::NewVersionShare(fleet::CompletionTime(duration),
+                                    duration) == 1);
+  BOOST_CHECK(fleet::CompletionTime(duration) < duration);
+}
+
+BOOST_AUTO_TEST_CASE(after_it_is_rolled_back_a_version_gets_nothing) {
+  MoveWatch watch;
+  auto decisions = MovingFor(10000);
+  watch.SetDecisions(decisions, At(0));
+  BOOST_CHECK(watch.Choose(kService, 0.0, At(10)).only == kNew);
+  BOOST_CHECK(watch.Choose(kService, 0.5, At(10)).except == kNew);
+  decisions.moves[kService].state = fleet::MoveState::kRolledBack;
+  watch.SetDecisions(decisions, At(20));
+  BOOST_CHECK(watch.Choose(kService, 0.0, At(30)).except == kNew);
+  decisions.moves[kService].state = fleet::MoveState::kCompleted;
+  watch.SetDecisions(decisions, At(40));
+  BOOST_CHECK(watch.Choose(kService, 0.99, At(50)).only == kNew);
+  BOOST_CHECK(watch.Choose(routes::ServiceId("t"), 0.0, At(50)) ==
+              VersionChoice());
+}
+
+// Six hosts that watch a move; one in `bad_of` answers of the new version is a
+// failure. Returns how the leader ends the move, and when.
+std::pair<std::vector<fleet::MoveEnd>, int> RunMove(int bad_of) {
+  fleet::MoveConductor conductor;
+  const auto decisions = MovingFor(10000);
+  std::vector<MoveWatch> hosts(6);
+  for (MoveWatch& host : hosts)
+    host.SetDecisions(decisions, At(0));
+  int sent = 0;
+  for (int ms = 0; ms < 10000; ms += 10) {
+    MoveWatch& host = hosts[static_cast<std::size_t>(ms / 10 % 6)];
+    for (int i = 0; i < 9; ++i)
+      host.Add(kService, kOld, Outcome(false, 30));
+    const bool bad = bad_of > 0 && ++sent % bad_of == 0;
+    host.Add(kService, kNew, Outcome(bad, 30));
+    for (std::size_t h = 0; ms % 250 == 0 && h < hosts.size(); ++h) {
+      for (const auto& report : hosts[h].Reports())
+        conductor.OnReport(HostId("h" + std::to_string(h)), report);
+    }
+    const auto ends = conductor.NextEnds(decisions, At(ms));
+    if (!ends.empty())
+      return {ends, ms};
+  }
+  return {{}, 10000};
+}
+
+BOOST_AUTO_TEST_CASE(a_good_version_is_completed_in_time) {
+  const auto [ends, at] = RunMove(0);
+  BOOST_REQUIRE(ends.size() == 1u);
+  BOOST_TEST(ends[0].completed);
+  BOOST_TEST(at < 10000);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_fails_a_third_is_rolled_back_soon) {
+  const auto [ends, at] = RunMove(3);
+  BOOST_REQUIRE(ends.size() == 1u);
+  BOOST_TEST(!ends[0].completed);
+  BOOST_TEST(at < 3000);
+}
+
+BOOST_AUTO_TEST_CASE(reports_of_an_earlier_move_do_not_count) {
+  fleet::MoveConductor conductor;
+  conductor.NextEnds(MovingFor(10000), At(0));
+  moves::CountsByPart counts;
+  counts["all routes"] = {100, 100, 0, 0};
+  conductor.OnReport(HostId("h"), fleet::CountsToWire(kService, 6, counts));
+  BOOST_TEST(conductor.NextEnds(MovingFor(10000), At(10)).empty());
+  conductor.OnReport(HostId("h"), fleet::CountsToWire(kService, 7, counts));
+  BOOST_TEST(!conductor.NextEnds(MovingFor(10000), At(20)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace endivecart::gateway
--- /dev/null
+++ b/src/endivecart/gateway/move_watch.cc
@@ -0,0 +1,61 @@
+#include "endivecart/gateway/move_watch.h"
+
+namespace endivecart::gateway {
+
+using fleet::MoveState;
+
+void MoveWatch::SetDecisions(const fleet::Decisions& decisions,
+                             TimePoint now) {
+  for (const auto& [service, move] : decisions.moves) {
+    Watched& watched = watched_[service];
+    if (watched.move.index != move.index) {
+      watched = Watched();
+      watched.learned_at = now;
+    }
+    watched.move = move;
+  }
+}
+
+VersionChoice MoveWatch::Choose(const routes::ServiceId& service,
+                                double roll,
+                                TimePoint now) const {
+  VersionChoice choice;
+  const auto it = watched_.find(service);
+  if (it == watched_.end())
+    return choice;
+  const fleet::Move& move = it->second.move;
+  const Millis elapsed =
+      std::chrono::duration_cast<Millis>(now - it->second.learned_at);
+  const bool goes_to_new =
+      move.state == MoveState::kCompleted ||
+      (move.state == MoveState::kRunning &&
+       roll < fleet::NewVersionShare(elapsed, move.duration));
+  (goes_to_new ? choice.only : choice.except) = move.target;
+  return choice;
+}
+
+void MoveWatch::Add(const routes::ServiceId& service,
+                    const VersionId& version,
+                    const moves::VersionOutcome& outcome) {
+  const auto it = watched_.find(service);
+  if (it == watched_.end() || it->second.move.state != MoveState::kRunning)
+    return;
+  if (version == it->second.move.target) {
+    it->second.judge.AddCandidate(outcome);
+  } else {
+    it->second.judge.AddBaseline(outcome);
+  }
+}
+
+std::vector<wire::ServiceMoveReport> MoveWatch::Reports() const {
+  std::vector<wire::ServiceMoveReport> reports;
+  for (const auto& [service, watched] : watched_) {
+    if (watched.move.state == MoveState::kRunning) {
+      reports.push_back(fleet::CountsToWire(service, watched.move.index,
+                                            watched.judge.counts()));
+    }
+  }
+  return reports;
+}
+
+}  // namespace endivecart::gateway
--- a/src/endivecart/gateway/upstream_book.cc
+++ b/src/endivecart/gateway/upstream_book.cc
@@ -116,8 +116,9 @@
     const upstreams::Announcement& said = upstream.last;
     if (said.service != query.service || said.state == UpstreamState::kGone)
       continue;
-    if (query.software_version &&
-        said.software_version != *query.software_version) {
+    if ((query.only_version && said.software_version != *query.only_version) ||
+        (query.except_version &&
+         said.software_version == *query.except_version)) {
       continue;
     }
     ++seen.known;
--- a/src/endivecart/gateway/upstream_book.h
+++ b/src/endivecart/gateway/upstream_book.h
@@ -56,7 +56,8 @@
     // one; 0: any.
     std::uint64_t least_weights = 0;
     std::set<UpstreamId> excluded;  // were tried before
-    std::optional<VersionId> software_version;
+    std::optional<VersionId> only_version;    // of its software
+    std::optional<VersionId> except_version;
   };
 
   UpstreamBook(DomainId own_domain, std::function<TimePoint()> now);
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -20,6 +20,7 @@
 // Longer than a store holds back an answer.
 constexpr Millis kOrderTimeout{1500};
 constexpr Millis kRetireInterval{5000};
+constexpr Millis kProposalPatience{900};
 constexpr std::size_t kMaxConnections = 2000;
 // A routing configuration of thousands of routes.
 constexpr std::size_t kMaxCallBytes = 32UL << 20;
@@ -65,6 +66,7 @@
   void GiveOrders();
   void SendOrder(const fleet::WeightsOrder& order);
   void SendCheck(const fleet::WeightsCheck& check);
+  void EndMoves();
   void KeepCaches();
   void ReadStore(const fleet::CacheRead& read);
   void FreeParts(const fleet::CacheFree& order);
@@ -87,6 +89,7 @@
   std::optional<fleet::FleetFollower> follower;
   std::optional<fleet::OperatorDesk> desk;
   fleet::WeightsConductor conductor;
+  fleet::MoveConductor moves;
   std::vector<UpstreamId> told_resting;
   fleet::CacheCatalog catalog;
   std::uint64_t catalog_term = 0;  // 0: not in office
@@ -182,6 +185,10 @@
                ? catalog.NewsSince(term, cursor, loop.Now())
                : std::nullopt;
   };
+  tell.on_move_report = [this](const HostId& host,
+                               const wire::ServiceMoveReport& report) {
+    moves.OnReport(host, report);
+  };
   tell.resting = [this] {
     return voter && voter->HasOffice() ? conductor.Resting()
                                        : std::vector<UpstreamId>();
@@ -221,7 +228,7 @@
     }
   };
   follow.own_loads = [] { return std::vector<fleet::OwnLoad>(); };
-  follow.move_counts = [] { return std::vector<wire::MoveCounts>(); };
+  follow.move_reports = [] { return std::vector<wire::ServiceMoveReport>(); };
   follow.now = [this] { return loop.Now(); };
   bus->ConnectTo(options.contacts);
   follower.emplace(options, std::move(follow));
@@ -254,6 +261,7 @@
   timers.push_back(
       loop.Every(kOrdersTick, [this](TimePoint) {
         GiveOrders();
+        EndMoves();
         KeepCaches();
       }));
   timers.push_back(loop.Every(kExpireInterval, [this](TimePoint now) {
@@ -352,6 +360,26 @@
        });
 }
 
+void VoterNode::Parts::EndMoves() {
+  const auto ends = moves.NextEnds(voter->decisions(), loop.Now());
+  if (stopping || !voter->HasOffice())
+    return;
+  for (const fleet::MoveEnd& end : ends) {
+    LogLine("node.move_end")
+        .Add("service", end.service.str())
+        .Add("target", end.target.str())
+        .Add("completed", end.completed ? "yes" : "no")
+        .Add("reason", end.reason)
+        .Info();
+    wire::FleetCommand command;
+    command.mutable_end_move()->set_service(end.service.str());
+    command.mutable_end_move()->set_target(end.target.str());
+    command.mutable_end_move()->set_completed(end.completed);
+    // Named again with the next tick, should this be lost.
+    voter->Propose(command, kProposalPatience, [](fleet::ProposalEnd) {});
+  }
+}
+
 void VoterNode::Parts::KeepCaches() {
   const TimePoint now = loop.Now();
   if (stopping || !voter->HasOffice()) {
