A new version is judged by its latency against the old one's on the route

Cause: the judge takes ratios near 1; it got milliseconds, and took every answer of a good version for slow (test a_good_version_is_completed_in_time). Change: the ratio is to the running mean of the old version on the same route.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -518,16 +518,12 @@
       result == SendResult::kRefused || result == SendResult::kUnreachable) {
     return;
   }
-  moves::VersionOutcome outcome;
-  outcome.route = route_.name;
-  outcome.domain = upstream->last.domain;
-  outcome.failed = result != SendResult::kAnswered;
   const TimePoint until = IsStream() && started_ && first_event_at_ > sent_at_
                               ? first_event_at_
                               : gateway_.loop_.Now();
-  // The judge compares with the old version's: any unit does.
-  outcome.first_token_ratio = MillisBetween(sent_at_, until);
-  gateway_.moves_.Add(service_, upstream->last.software_version, outcome);
+  gateway_.moves_.Add(service_, upstream->last.software_version, route_.name,
+                      upstream->last.domain, result != SendResult::kAnswered,
+                      MillisBetween(sent_at_, until));
 }
 
 void Forwarding::EndSend(SendResult result) {
--- a/src/endivecart/gateway/move_unittest.cc
+++ b/src/endivecart/gateway/move_unittest.cc
@@ -20,15 +20,6 @@
   return decisions;
 }
 
-moves::VersionOutcome Outcome(bool failed, double millis) {
-  moves::VersionOutcome outcome;
-  outcome.route = "r";
-  outcome.domain = DomainId("a");
-  outcome.failed = failed;
-  outcome.first_token_ratio = millis;
-  return outcome;
-}
-
 BOOST_AUTO_TEST_SUITE(gateway_moves, *boost::unit_test::label("gateway"))
 
 BOOST_AUTO_TEST_CASE(a_new_version_gets_little_until_late_and_then_all) {
@@ -60,8 +51,9 @@
 }
 
 // Six hosts that watch a move; one in `bad_of` answers of the new version is a
-// failure. Returns how the leader ends the move, and when.
-std::pair<std::vector<fleet::MoveEnd>, int> RunMove(int bad_of) {
+// failure, or all are four times as slow. Returns how the leader ends the move, and when.
+std::pair<std::vector<fleet::MoveEnd>, int> RunMove(int bad_of,
+                                                 bool slow = false) {
   fleet::MoveConductor conductor;
   const auto decisions = MovingFor(10000);
   std::vector<MoveWatch> hosts(6);
@@ -71,9 +63,9 @@
   for (int ms = 0; ms < 10000; ms += 10) {
     MoveWatch& host = hosts[static_cast<std::size_t>(ms / 10 % 6)];
     for (int i = 0; i < 9; ++i)
-      host.Add(kService, kOld, Outcome(false, 30));
+      host.Add(kService, kOld, "r", DomainId("a"), false, 30);
     const bool bad = bad_of > 0 && ++sent % bad_of == 0;
-    host.Add(kService, kNew, Outcome(bad, 30));
+    host.Add(kService, kNew, "r", DomainId("a"), bad, slow ? 120 : 30);
     for (std::size_t h = 0; ms % 250 == 0 && h < hosts.size(); ++h) {
       for (const auto& report : hosts[h].Reports())
         conductor.OnReport(HostId("h" + std::to_string(h)), report);
@@ -99,6 +91,13 @@
   BOOST_TEST(at < 3000);
 }
 
+BOOST_AUTO_TEST_CASE(a_version_that_is_several_times_slower_is_rolled_back) {
+  const auto [ends, at] = RunMove(0, true);
+  BOOST_REQUIRE(ends.size() == 1u);
+  BOOST_TEST(!ends[0].completed);
+  BOOST_TEST(at < 5000);
+}
+
 BOOST_AUTO_TEST_CASE(reports_of_an_earlier_move_do_not_count) {
   fleet::MoveConductor conductor;
   conductor.NextEnds(MovingFor(10000), At(0));
--- a/src/endivecart/gateway/move_watch.cc
+++ b/src/endivecart/gateway/move_watch.cc
@@ -1,9 +1,18 @@
 #include "endivecart/gateway/move_watch.h"
 
+#include <algorithm>
+
 namespace endivecart::gateway {
 
 using fleet::MoveState;
 
+namespace {
+
+// Weight of the newest latency in the running mean of a route.
+constexpr double kUsualWeight = 0.05;
+
+}  // namespace
+
 void MoveWatch::SetDecisions(const fleet::Decisions& decisions,
                              TimePoint now) {
   for (const auto& [service, move] : decisions.moves) {
@@ -36,15 +45,31 @@
 
 void MoveWatch::Add(const routes::ServiceId& service,
                     const VersionId& version,
-                    const moves::VersionOutcome& outcome) {
+                    const std::string& route,
+                    const DomainId& domain,
+                    bool failed,
+                    double latency_ms) {
   const auto it = watched_.find(service);
   if (it == watched_.end() || it->second.move.state != MoveState::kRunning)
     return;
-  if (version == it->second.move.target) {
-    it->second.judge.AddCandidate(outcome);
-  } else {
-    it->second.judge.AddBaseline(outcome);
+  Watched& watched = it->second;
+  const auto [usual, is_first] = watched.usual_ms.try_emplace(route, latency_ms);
+  moves::VersionOutcome outcome;
+  outcome.route = route;
+  outcome.domain = domain;
+  outcome.failed = failed;
+  outcome.first_token_ratio = latency_ms / std::max(usual->second, 1.0);
+  if (version == watched.move.target) {
+    // Without anything to compare with, slowness can't be told.
+    if (is_first) {
+      watched.usual_ms.erase(usual);
+      outcome.first_token_ratio = 1;
+    }
+    watched.judge.AddCandidate(outcome);
+    return;
   }
+  usual->second += (latency_ms - usual->second) * kUsualWeight;
+  watched.judge.AddBaseline(outcome);
 }
 
 std::vector<wire::ServiceMoveReport> MoveWatch::Reports() const {
--- a/src/endivecart/gateway/move_watch.h
+++ b/src/endivecart/gateway/move_watch.h
@@ -28,10 +28,14 @@
   VersionChoice Choose(const routes::ServiceId& service,
                        double roll,
                        TimePoint now) const;
-  // One request has ended at an upstream of this version.
+  // One request of a route has ended at an upstream of this version, after
+  // this long to its answer or first event.
   void Add(const routes::ServiceId& service,
            const VersionId& version,
-           const moves::VersionOutcome& outcome);
+           const std::string& route,
+           const DomainId& domain,
+           bool failed,
+           double latency_ms);
   std::vector<wire::ServiceMoveReport> Reports() const;
 
  private:
@@ -39,6 +43,7 @@
     fleet::Move move;
     TimePoint learned_at;
     moves::VersionJudge judge;
+    std::map<std::string, double> usual_ms;  // of the old version, by route
   };
 
   std::map<routes::ServiceId, Watched> watched_;
