Logs are bounded and tell a request's story: endivecart explain

Cause: on call there are only logs; volume had no bound and a blocked output would have held up requests. Change: at most 500 lines a second below warnings, the rest counted; a queue that drops and counts instead of blocking; one line a send with the inputs of the choice; 'endivecart explain REQUEST FILE...' puts the lines of several hosts in order and says what the ending means. Figures: unit tests only; volume under a burst not measured yet.

--- a/daemons/command_line.cc
+++ b/daemons/command_line.cc
@@ -14,6 +14,7 @@
 #include "endivecart/configuration/configuration.h"
 #include "endivecart/settings/settings.h"
 #include "endivecart/transport/transport.h"
+#include "explain_command.h"
 #include "operator_client.h"
 
 namespace command_line {
@@ -540,7 +541,7 @@
       {"keygen", KeyGen},   {"digest", Digest},       {"config", Config},
       {"status", Status},   {"upstreams", Upstreams}, {"upstream", Upstream},
       {"domain", Domain},   {"voters", Voters},       {"drain", Drain},
-      {"version", Version},
+      {"version", Version}, {"explain", Explain},
   };
   const auto it = commands.find(arguments.words.front());
   if (it == commands.end()) {
--- a/daemons/endivecart.cc
+++ b/daemons/endivecart.cc
@@ -27,6 +27,7 @@
   voters add|promote|remove HOST   change the voters, one at a time
   drain                      make one host no longer ready
   keygen                     make a CURVE key pair
+  explain REQUEST FILE...    what the hosts' logs tell of one request
   digest TEXT                digest of an API key or token, for the lists
 
 Exit status: 0 done, 1 failed, 2 usage or input error, 3 conflict with another
--- a/src/endivecart/base/base.h
+++ b/src/endivecart/base/base.h
@@ -8,6 +8,7 @@
 #include "endivecart/base/ids.h"                   // IWYU pragma: export
 #include "endivecart/base/invariant.h"             // IWYU pragma: export
 #include "endivecart/base/log.h"                   // IWYU pragma: export
+#include "endivecart/base/log_budget.h"            // IWYU pragma: export
 #include "endivecart/base/manual_timer_service.h"  // IWYU pragma: export
 #include "endivecart/base/metrics.h"               // IWYU pragma: export
 #include "endivecart/base/real_timer_service.h"    // IWYU pragma: export
--- a/src/endivecart/base/base_unittest.cc
+++ b/src/endivecart/base/base_unittest.cc
@@ -5,6 +5,21 @@
 namespace endivecart {
 namespace {
 
+BOOST_AUTO_TEST_SUITE(base_log_budget, *boost::unit_test::label("base"))
+
+BOOST_AUTO_TEST_CASE(in_a_flood_of_lines_the_rest_are_counted) {
+  LogBudget budget(10);
+  int written = 0;
+  for (int i = 0; i < 100; ++i)
+    written += budget.Take(5000 + i) ? 1 : 0;
+  BOOST_TEST(written == 10);
+  BOOST_TEST(budget.TakeLeftOut(5500) == 0u);  // the second isn't over
+  BOOST_TEST(budget.TakeLeftOut(6000) == 90u);
+  BOOST_TEST(budget.Take(6000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(basics, *boost::unit_test::label("base"))
 
 BOOST_AUTO_TEST_CASE(manual_time_runs_callbacks_in_order_of_due_time) {
--- a/src/endivecart/base/log.cc
+++ b/src/endivecart/base/log.cc
@@ -1,5 +1,6 @@
 #include "endivecart/base/log.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -9,10 +10,14 @@
 #include <log4cxx/patternlayout.h>
 
 #include <atomic>
+#include <chrono>
 #include <cstdio>
 #include <mutex>
+#include <optional>
 #include <utility>
 
+#include "endivecart/base/log_budget.h"
+
 namespace endivecart {
 
 namespace {
@@ -30,6 +35,27 @@
   return *sink;
 }
 
+// Lines that wait for a slow output, at most.
+constexpr int kQueuedLines = 2000;
+
+// Kept for the life of the process, like the sink.
+struct Volume {
+  std::mutex mutex;
+  std::optional<LogBudget> budget;
+  std::uint64_t left_out = 0;
+};
+
+Volume& ProcessVolume() {
+  static Volume* const volume = new Volume;
+  return *volume;
+}
+
+std::int64_t SteadyMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
 const log4cxx::LoggerPtr& Logger() {
   static const auto* const logger =
       new log4cxx::LoggerPtr(log4cxx::Logger::getLogger("endivecart"));
@@ -85,10 +111,47 @@
   }
   const auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
+  if (options.max_lines_per_s > 0) {
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBlocking(false);
+    queue->setBufferSize(kQueuedLines);
+    queue->addAppender(appender);
+    appender = queue;
+    std::scoped_lock lock(ProcessVolume().mutex);
+    ProcessVolume().budget.emplace(options.max_lines_per_s);
+  }
   root->addAppender(appender);
   root->setLevel(log4cxx::Level::toLevel(options.level));
 }
 
+std::uint64_t LogLinesLeftOut() {
+  std::scoped_lock lock(ProcessVolume().mutex);
+  return ProcessVolume().left_out;
+}
+
+namespace {
+
+// Whether a line below a warning may be written now.
+bool TakeLine() {
+  Volume& volume = ProcessVolume();
+  std::uint64_t left_out = 0;
+  bool may_write = true;
+  {
+    std::scoped_lock lock(volume.mutex);
+    if (!volume.budget)
+      return true;
+    const std::int64_t now = SteadyMillis();
+    left_out = volume.budget->TakeLeftOut(now);
+    volume.left_out += left_out;
+    may_write = volume.budget->Take(now);
+  }
+  if (left_out > 0)
+    LogLine("log.left_out").Add("lines", left_out).Warn();
+  return may_write;
+}
+
+}  // namespace
+
 void SetLogSinkForTest(std::function<void(const std::string&)> sink) {
   std::scoped_lock lock(TestSink().mutex);
   TestSink().function = std::move(sink);
@@ -133,12 +196,12 @@
 }
 
 void LogLine::Debug() const {
-  if (!SendToTestSink(text_) && Logger()->isDebugEnabled())
+  if (!SendToTestSink(text_) && Logger()->isDebugEnabled() && TakeLine())
     LOG4CXX_DEBUG(Logger(), Finish());
 }
 
 void LogLine::Info() const {
-  if (!SendToTestSink(text_))
+  if (!SendToTestSink(text_) && Logger()->isInfoEnabled() && TakeLine())
     LOG4CXX_INFO(Logger(), Finish());
 }
 
--- a/src/endivecart/base/log.h
+++ b/src/endivecart/base/log.h
@@ -15,6 +15,10 @@
   std::string file;            // empty: standard error, or output
   bool to_standard_output = false;
   std::string level = "info";  // debug, info, warn or error
+  // Writing never blocks the caller: lines that the output doesn't take are
+  // dropped, and the number is logged. Beyond this many lines a second, those
+  // below a warning are left out, and counted too. 0: neither holds.
+  int max_lines_per_s = 0;
 
   bool operator==(const LogOptions&) const = default;
 };
@@ -25,6 +29,9 @@
 // Receives each finished line in place of log4cxx; for tests. Null restores.
 void SetLogSinkForTest(std::function<void(const std::string&)> sink);
 
+// Lines left out so far because there were too many.
+std::uint64_t LogLinesLeftOut();
+
 // One structured log line: an event name and fields, in the given order.
 // Prompts, answers and keys must never be added as fields.
 class LogLine {
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -183,7 +183,7 @@
   return candidates;
 }
 
-std::optional<UpstreamId> Forwarding::ChooseUpstream() {
+std::optional<Forwarding::Chosen> Forwarding::ChooseUpstream() {
   UpstreamCensus census;
   auto candidates = FindCandidates(census);
   const routes::Service* service =
@@ -218,18 +218,8 @@
     unread_tokens_ = PromptTokens();
     if (request_.prompt && !choice->home)
       unread_tokens_ -= SharedTokensOf(*request_.prompt);
-    LogLine("gateway.send")
-        .Add("request", request_.id.str())
-        .Add("route", route_.name)
-        .Add("upstream", id.str())
-        .Add("send", sends_ + 1)
-        .Add("away_from_home", choice->home ? "yes" : "no")
-        .Add("expected_ms", choice->expected_wait_ms)
-        .Add("requests_there", candidates[choice->index].requests)
-        .Add("upstreams", census.ToString())
-        .Add("left_ms", TimeLeft().count())
-        .Info();
-    return id;
+    return Chosen{id, choice->expected_wait_ms,
+                  candidates[choice->index].requests, census.ToString()};
   }
   LogLine("gateway.no_upstream")
       .Add("request", request_.id.str())
@@ -266,15 +256,6 @@
                         alone ? customer_->id : CustomerId());
   CachePlan plan = gateway_.cache_.Plan(*request_.prompt, out.cache_label,
                                         gateway_.loop_.Now());
-  LogLine("gateway.cache")
-      .Add("request", request_.id.str())
-      .Add("label", out.cache_label)
-      .Add("shared_tokens", SharedTokensOf(*request_.prompt))
-      .Add("own_tokens", PromptTokens() - SharedTokensOf(*request_.prompt))
-      .Add("fetchable_tokens", plan.fetchable_tokens)
-      .Add("from_home", home_ && plan.fetch.empty() ? "yes" : "no")
-      .Add("saves", plan.save.empty() ? "no" : "yes")
-      .Info();
   out.save_cache_to = std::move(plan.save);
   out.fetch_cache_from = std::move(plan.fetch);
   out.fetch_until_ms = plan.fetch_until_ms;
@@ -287,7 +268,35 @@
     out.fetch_cache_from[i] = home->last.address;
 }
 
-void Forwarding::StartCall(const UpstreamId& id) {
+void Forwarding::LogSend(const Chosen& chosen,
+                         const UpstreamRequest& request) const {
+  LogLine line("gateway.send");
+  line.Add("request", request_.id.str())
+      .Add("route", route_.name)
+      .Add("upstream", chosen.upstream.str())
+      .Add("send", sends_)
+      .Add("expected_ms", chosen.expected_ms)
+      .Add("requests_there", chosen.requests_there)
+      .Add("upstreams", chosen.census)
+      .Add("left_ms", request.time_left.count());
+  if (request_.prompt) {
+    const auto count = [](const auto& addresses) {
+      return std::count_if(addresses.begin(), addresses.end(),
+                           [](const auto& a) { return a.has_value(); });
+    };
+    line.Add("at_home", home_ ? "no" : "yes")
+        .Add("prompt_tokens", PromptTokens())
+        .Add("label", request.cache_label)
+        .Add("parts_fetched", std::int64_t{count(request.fetch_cache_from)})
+        .Add("parts_saved", std::int64_t{count(request.save_cache_to)});
+  }
+  if (!request.last_event_id.empty())
+    line.Add("after_event", request.last_event_id);
+  line.Info();
+}
+
+void Forwarding::StartCall(const Chosen& chosen) {
+  const UpstreamId& id = chosen.upstream;
   const auto* upstream = gateway_.book_.Find(id);
   upstream_ = id;
   tried_.insert(id);
@@ -302,14 +311,15 @@
       request_.prompt ? gateway_.book_.WeightsOf(*upstream, request_.prompt->model)
                       : 0;
   gateway_.book_.StartWork(id, unread_tokens_, HeldTokens());
+  const UpstreamRequest request = MakeUpstreamRequest(id);
+  LogSend(chosen, request);
   net::CallOptions options;
   options.connect_timeout = std::min(
       kConnectTimeout, std::max(TimeLeft(), Millis(1)));
   options.max_idle = MayRepeat() ? kMaxIdle : kMaxIdleNonIdempotent;
   const auto weak = weak_from_this();
   call_ = gateway_.client_.Start(
-      upstream->last.address, gateway_.dialect_.encode(MakeUpstreamRequest(id)),
-      options,
+      upstream->last.address, gateway_.dialect_.encode(request), options,
       {[weak](const net::HttpResponseHead& head) {
          if (const auto self = weak.lock())
            self->OnHead(head);
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -37,8 +37,16 @@
   void StopWaiting();
   bool HasRoom(const Candidate& candidate, const routes::Service* service) const;
   std::vector<Candidate> FindCandidates(UpstreamCensus& census) const;
-  std::optional<UpstreamId> ChooseUpstream();
-  void StartCall(const UpstreamId& upstream);
+  // The upstream for the next send, and what spoke for it.
+  struct Chosen {
+    UpstreamId upstream;
+    double expected_ms = 0;
+    int requests_there = 0;
+    std::string census;
+  };
+  std::optional<Chosen> ChooseUpstream();
+  void StartCall(const Chosen& chosen);
+  void LogSend(const Chosen& chosen, const UpstreamRequest& request) const;
   UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
   void PlanCache(UpstreamRequest& out) const;
 
--- a/src/endivecart/settings/node_settings.cc
+++ b/src/endivecart/settings/node_settings.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr int kMaxPort = 65535;
+// Some ten lines for each request that a host gets in a burst.
+constexpr std::int64_t kLogLinesPerSecond = 500;
+constexpr std::int64_t kMaxLogLines = 100'000;
 constexpr std::int64_t kMaxMillis = 3'600'000;  // an hour
 
 std::optional<Endpoint> ReadEndpoint(JsonReader& reader,
@@ -89,6 +92,8 @@
   settings.log.level =
       log.ChoiceOr("level", "info", {"debug", "info", "warn", "error"});
   settings.log.to_standard_output = true;
+  settings.log.max_lines_per_s = static_cast<int>(
+      log.IntOr("max_lines_per_s", kLogLinesPerSecond, 1, kMaxLogLines));
   log.RefuseUnknownKeys();
   reader.RefuseUnknownKeys();
   return settings;
