One voter is followed closely, the others every second

Cause: with 8 voters and 90 upstreams each host got every voter's sums of loads four times a second, some 70 KB a second by count of fields; a host's share for control is 2 KB a second. Change: loads go to one voter, the leader if in reach; the others are polled every second, for decisions and announcements that must not depend on one. Also: lint findings of the new slices.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -76,7 +76,8 @@
   for (const UpstreamId& upstream : hooks_.resting())
     news.add_resting_upstreams(upstream.str());
   if (is_answer && follower.poll.serves_callers()) {
-    AddLoadsOfOthers(to, news);
+    if (follower.poll.wants_loads())
+      AddLoadsOfOthers(to, news);
     auto cache = hooks_.cache_news(follower.poll.cache_term(),
                                    follower.poll.cache_cursor());
     if (cache)
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -45,15 +45,38 @@
     for (wire::ServiceMoveReport& report : hooks_.move_reports())
       *poll.add_move_reports() = std::move(report);
   }
+  const HostId main = MainVoter();
+  const bool asks_all =
+      main.empty() ||
+      polls_++ % static_cast<std::uint64_t>(options_.others_every) == 0;
   for (const auto& [host, voter] : voters_) {
+    if (host != main && !asks_all)
+      continue;
     wire::Envelope envelope;
-    *envelope.mutable_fleet_poll() = poll;
-    envelope.mutable_fleet_poll()->set_feed_incarnation(voter.feed_incarnation);
-    envelope.mutable_fleet_poll()->set_feed_cursor(voter.feed_cursor);
+    wire::FleetPoll& out = *envelope.mutable_fleet_poll();
+    out = poll;
+    if (host == main) {
+      out.set_wants_loads(options_.serves_callers);
+    } else {
+      out.clear_loads();
+    }
+    out.set_feed_incarnation(voter.feed_incarnation);
+    out.set_feed_cursor(voter.feed_cursor);
     hooks_.send(host, std::move(envelope));
   }
 }
 
+HostId FleetFollower::MainVoter() const {
+  const auto leader = voters_.find(leader_);
+  if (leader != voters_.end() && leader->second.in_contact)
+    return leader_;
+  for (const auto& [host, voter] : voters_) {
+    if (voter.in_contact)
+      return host;
+  }
+  return HostId();
+}
+
 void FleetFollower::OnNews(const HostId& from, const wire::FleetNews& news) {
   const auto it = voters_.find(from);
   if (it == voters_.end())
@@ -81,6 +104,7 @@
       loads_[UpstreamId(load.upstream())] = load;
   }
   if (news.leader_host() == from.str()) {
+    leader_ = from;
     resting_.clear();
     for (const std::string& upstream : news.resting_upstreams())
       resting_.emplace(upstream);
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -18,7 +18,8 @@
   std::string member;             // of a process that can vote; else empty
   bool serves_callers = false;
   std::vector<HostId> contacts;  // where to begin
-  Millis poll_interval{250};
+  Millis poll_interval{250};     // to one voter, which tells others' loads
+  int others_every = 4;          // polls of the rest: each so many of these
 
   bool operator==(const FleetFollowerOptions&) const = default;
 };
@@ -33,8 +34,9 @@
   bool operator==(const OwnLoad&) const = default;
 };
 
-// Follows all voters: a decision, or an upstream's word, that reaches one of
-// them reaches this process. Goes on with what it knows while none answers.
+// Follows all voters, one of them closely: a decision, or an upstream's word,
+// that reaches one of them reaches this process. Goes on with what it knows
+// while none answers.
 class FleetFollower {
  public:
   struct Hooks {
@@ -95,6 +97,8 @@
   };
 
   void Poll();
+  // The voter that all processes tell their loads to: the leader, if in reach.
+  HostId MainVoter() const;
   void TakeDecisions(const wire::FleetDecisions& message);
   void TakeVoters(const wire::FleetNews& news);
   void TellVoters() const;
@@ -105,6 +109,8 @@
   DecisionsPtr decisions_;
   std::map<HostId, Voter> voters_;
   TimePoint poll_due_{};
+  std::uint64_t polls_ = 0;
+  HostId leader_;
   std::map<UpstreamId, wire::UpstreamLoad> loads_;
   std::set<UpstreamId> resting_;
   TimePoint resting_heard_at_{};
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -252,7 +252,9 @@
     catalog.StartOffice(3, At(0));
   }
 
-  void List(int at, std::vector<std::string> ids, std::uint64_t epoch = 1) {
+  void List(int at,
+            const std::vector<std::string>& ids,
+            std::uint64_t epoch = 1) {
     CacheList list;
     list.epoch = epoch;
     list.next = 10;
@@ -342,7 +344,7 @@
     return options;
   }
   FleetFeed::Hooks FeedHooks() {
-    return {[this](const HostId&, wire::Envelope envelope) {
+    return {[this](const HostId&, const wire::Envelope& envelope) {
               if (connected)
                 follower.OnNews(HostId("v"), envelope.fleet_news());
             },
@@ -359,7 +361,7 @@
   }
   FleetFollower::Hooks FollowHooks() {
     FleetFollower::Hooks hooks;
-    hooks.send = [this](const HostId& to, wire::Envelope envelope) {
+    hooks.send = [this](const HostId& to, const wire::Envelope& envelope) {
       if (connected && to == HostId("v"))
         feed.OnPoll(HostId("e"), envelope.fleet_poll());
     };
--- a/src/endivecart/fleet/operator_desk.cc
+++ b/src/endivecart/fleet/operator_desk.cc
@@ -13,6 +13,8 @@
 struct Overloaded : Handlers... {
   using Handlers::operator()...;
 };
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 }  // namespace
 
--- a/src/endivecart/net/http_client.cc
+++ b/src/endivecart/net/http_client.cc
@@ -26,7 +26,7 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16UL << 10;
 constexpr std::string_view kTimeoutParameter = "timeout=";
 // A connection is given up this share of its server's idle timeout early, so
 // that a request doesn't cross the server's close.
@@ -198,7 +198,7 @@
       it->second.idle.back()->idle_since() < since) {
     return nullptr;
   }
-  const auto connection = it->second.idle.back();
+  auto connection = it->second.idle.back();
   it->second.idle.pop_back();
   return connection;
 }
--- a/src/endivecart/net/http_client.h
+++ b/src/endivecart/net/http_client.h
@@ -57,7 +57,7 @@
 // Bounds on the connections that a client keeps.
 struct HttpClientLimits {
   std::size_t max_idle_per_address = 64;
-  std::size_t max_answer_header_bytes = 64 * 1024;
+  std::size_t max_answer_header_bytes = 64UL << 10;
   // For servers that announce no idle timeout.
   Millis idle_timeout{15000};
 
--- a/src/endivecart/net/http_server.cc
+++ b/src/endivecart/net/http_server.cc
@@ -22,9 +22,9 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16UL << 10;
 // What a caller may send ahead of the answer to its request.
-constexpr std::size_t kMaxSentAheadBytes = 64 * 1024;
+constexpr std::size_t kMaxSentAheadBytes = 64UL << 10;
 // A closed connection is read on for this long, so that the answer before the
 // close isn't lost to a reset.
 constexpr Millis kLingerTime{1000};
--- a/src/endivecart/net/http_server.h
+++ b/src/endivecart/net/http_server.h
@@ -17,8 +17,8 @@
 // Bounds on what a caller may send and on how long it may take.
 struct HttpServerLimits {
   std::size_t max_connections = 2000;
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 8 * 1024 * 1024;
+  std::size_t max_header_bytes = 16UL << 10;
+  std::size_t max_body_bytes = 8UL << 20;
   Millis header_timeout{10000};  // from a request's first byte to its header
   Millis body_timeout{30000};    // from the header to the whole body
   Millis idle_timeout{15000};    // between requests, and for a stalled reader
--- a/src/endivecart/net/net_unittest.cc
+++ b/src/endivecart/net/net_unittest.cc
@@ -199,7 +199,7 @@
     return outcome;
   }
   std::shared_ptr<Outcome> GetFromUpstream() {
-    const auto outcome = Get(upstream.address());
+    auto outcome = Get(upstream.address());
     RunUntil([&] { return outcome->end.has_value(); });
     BOOST_REQUIRE(outcome->end.has_value());
     return outcome;
--- a/src/endivecart/routes/routing_configuration.h
+++ b/src/endivecart/routes/routing_configuration.h
@@ -97,8 +97,8 @@
 };
 
 struct CallerLimits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 4 * 1024 * 1024;
+  std::size_t max_header_bytes = 16UL << 10;
+  std::size_t max_body_bytes = 4UL << 20;
   Millis header_timeout{10000};
   Millis idle_timeout{15000};
 
