A new leader is elected within 0.6 s

Change: elections after 300 to 600 ms instead of 500 to 1000, heartbeats every 100 ms, office for 500 ms after a quorum's answer. Ruled out: serving from an entry host's or voter's last state at once; it may be older than what was acknowledged.

--- a/src/endivecart/fleet/fleet_voter.cc
+++ b/src/endivecart/fleet/fleet_voter.cc
@@ -13,11 +13,11 @@
 // A full disk is tried again this often.
 constexpr Millis kDiskRetry{200};
 // A leader acts on its office only this long after a quorum answered.
-constexpr Millis kOfficeLease{700};
+constexpr Millis kOfficeLease{500};
 // Voters are one or two network delays apart.
-constexpr Millis kHeartbeat{150};
-constexpr Millis kElectionMin{500};
-constexpr Millis kElectionMax{1000};
+constexpr Millis kHeartbeat{100};
+constexpr Millis kElectionMin{300};
+constexpr Millis kElectionMax{600};
 
 wire::DurableVote VoteOf(const control::RaftCore& core) {
   wire::DurableVote vote;
