--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -11,6 +11,12 @@
 
 namespace endivecart::gateway {
 
+// Internal. Whether a status promises that the request was not run, and won't
+// be.
+constexpr bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 // Internal. One accepted request: is sent to an upstream, again to others where
 // that is allowed, and answered once.
 class Forwarding final : public std::enable_shared_from_this<Forwarding> {
