Cache of unknown weights is shared with no other request

Cause: read in review: an upstream that announces no version of a model got prompts without a label, which all requests share, isolated customers' too. Change: such a prompt's label is its request's id; the log line on missing upstreams is written once a send, not with each try of a waiting request. Test: cache_of_unknown_weights_is_shared_with_nobody, which failed before.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -87,6 +87,12 @@
   } else if (is_full_) {
     Wait();
   } else {
+    LogLine("gateway.no_upstream")
+        .Add("request", request_.id.str())
+        .Add("route", route_.name)
+        .Add("service", service_.str())
+        .Add("upstreams", census_.ToString())
+        .Warn();
     GiveUp("no_upstream");
   }
 }
@@ -174,8 +180,7 @@
 }
 
 std::optional<Forwarding::Chosen> Forwarding::ChooseUpstream() {
-  UpstreamCensus census;
-  auto candidates = FindCandidates(census);
+  auto candidates = FindCandidates(census_);
   const routes::Service* service =
       routes_->configuration().FindService(service_);
   const auto place = gateway_.follower_ ? gateway_.follower_->Place()
@@ -210,15 +215,8 @@
     if (request_.prompt && !choice->home)
       unread_tokens_ -= SharedTokensOf(*request_.prompt);
     return Chosen{id, choice->expected_wait_ms,
-                  candidates[choice->index].requests, census.ToString()};
+                  candidates[choice->index].requests, census_.ToString()};
   }
-  LogLine("gateway.no_upstream")
-      .Add("request", request_.id.str())
-      .Add("route", route_.name)
-      .Add("service", service_.str())
-      .Add("upstreams", census.ToString())
-      .Add("caller_hosts", place.hosts)
-      .Warn();
   return std::nullopt;
 }
 
@@ -233,14 +231,18 @@
     out.customer = customer_->id;
   out.last_event_id =
       last_event_id_ ? std::to_string(*last_event_id_) : request_.last_event_id;
-  if (request_.prompt && weights_version_ != 0) {
-    out.weights_version = weights_version_;
+  if (request_.prompt)
     PlanCache(out);
-  }
   return out;
 }
 
 void Forwarding::PlanCache(UpstreamRequest& out) const {
+  if (weights_version_ == 0) {
+    // Cache of unknown weights is shared with no other request.
+    out.cache_label = request_.id.str();
+    return;
+  }
+  out.weights_version = weights_version_;
   const bool alone = customer_ != nullptr && customer_->isolated;
   out.cache_label = fleet::CacheLabel(request_.prompt->model, weights_version_,
                                       alone ? customer_->id : CustomerId());
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -101,7 +101,8 @@
   std::unique_ptr<TimerSubscription> deadline_timer_;
   std::unique_ptr<TimerSubscription> wait_timer_;
   std::optional<WaitingRoom::Ticket> ticket_;
-  bool is_full_ = false;  // upstreams exist, but none has room
+  bool is_full_ = false;   // upstreams exist, but none has room
+  UpstreamCensus census_;  // of the last choice
 
   std::set<UpstreamId> tried_;
   int sends_ = 0;  // of which the request may have reached an upstream
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -23,6 +23,8 @@
     out.key = std::string(request.fields.Find("Key").value_or(""));
     if (const auto patience = request.fields.Find("Patience"))
       out.patience = Millis(std::stoi(std::string(*patience)));
+    if (const auto model = request.fields.Find("Model"))
+      out.prompt = Prompt{ModelId(std::string(*model)), 100, 10, {}, {}};
     out.body = request.body;
     return std::optional(out);
   };
@@ -35,6 +37,8 @@
     out.fields.Add("Upstream", request.upstream.str());
     if (!request.last_event_id.empty())
       out.fields.Add("Last-Event", request.last_event_id);
+    if (!request.cache_label.empty())
+      out.fields.Add("Label", request.cache_label);
     return out;
   };
   dialect.read_answer = [](const net::HttpResponseHead& head) {
@@ -302,6 +306,17 @@
   BOOST_TEST(requests.empty());
 }
 
+BOOST_AUTO_TEST_CASE(cache_of_unknown_weights_is_shared_with_nobody) {
+  answer = [&](auto& connection, std::size_t number) {
+    Reply(connection, Whole(std::to_string(number), "yes"));
+  };
+  Ask("/safe/", "1", "Key: k\r\nModel: m\r\n");
+  Ask("/safe/", "2", "Key: k\r\nModel: m\r\n");
+  BOOST_REQUIRE(requests.size() == 2u);
+  BOOST_TEST(requests[0].find("Label: 1\r\n") != std::string::npos);
+  BOOST_TEST(requests[1].find("Label: 2\r\n") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(at_its_time_limit_a_request_has_its_answer) {
   answer = [](auto&, auto) {};
   const std::string received = Ask("/once/", "1", "Key: k\r\nPatience: 60\r\n");
