The random run of voters asks for a leader wherever a majority is well

The check was wrong: how many changes are acknowledged follows from how much trouble the dice make, and the trace shows no majority for most of that run. In its place, stricter: whenever a majority of voters was whole, connected and undisturbed for 2.5 s, one of them leads and a quorum agrees; over all 60 seeds more than 600 acknowledgements and more than 60 such stretches.

--- a/src/endivecart/fleet/fleet_random_run_unittest.cc
+++ b/src/endivecart/fleet/fleet_random_run_unittest.cc
@@ -1,5 +1,3 @@
-#include <boost/test/data/monomorphic.hpp>
-#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <set>
@@ -15,6 +13,9 @@
 constexpr int kHosts = 3;
 constexpr int kStepMillis = 10;
 constexpr int kSteps = 4000;
+constexpr std::uint64_t kSeeds = 60;
+// An election, a second one after a split vote, and what is late by then.
+constexpr std::int64_t kStableMillis = 2500;
 
 HostId HostAt(int i) {
   return HostId("h" + std::to_string(i));
@@ -45,6 +46,7 @@
       if (dice_.Chance(0.05))
         Read();
       Turn();
+      CheckOffice();
     }
     Calm();
     Read();
@@ -59,6 +61,7 @@
   }
 
   int acks() const { return acks_; }
+  int stable_stretches() const { return stable_stretches_; }
 
  private:
   struct Node {
@@ -67,6 +70,7 @@
     std::unique_ptr<FleetVoter> voter;
     std::int64_t starts_at = 0;  // of a node that is down
     bool lost_disk = false;
+    bool disk_full = false;
     std::uint64_t shown = 0;  // newest version seen in force, this incarnation
     std::deque<std::pair<std::function<DiskResult()>,
                          std::function<void(const DiskResult&)>>>
@@ -120,14 +124,17 @@
   void Trouble() {
     if (!dice_.Chance(0.08))
       return;
+    calm_since_ms_ = now_ms_;
     Node& node = nodes_[static_cast<std::size_t>(dice_.Below(kHosts))];
     switch (dice_.Below(7)) {
       case 0:
         network_.Isolate(node.host);
+        isolated_.insert(node.host);
         break;
       case 1:
       case 2:
         network_.Heal();
+        isolated_.clear();
         break;
       case 3:
         if (node.voter)
@@ -140,7 +147,8 @@
         }
         break;
       case 5:
-        node.disk->SetFull(dice_.Chance(0.5));
+        node.disk_full = dice_.Chance(0.5);
+        node.disk->SetFull(node.disk_full);
         break;
       case 6:
         // One disk at a time: its member has to be replaced first.
@@ -148,12 +156,40 @@
           Stop(node, 100 + dice_.Below(500));
           node.disk = std::make_unique<soak::FakeDisk>(
               dice_, "again" + std::to_string(++identities_));
+          node.disk_full = false;
           node.lost_disk = true;
         }
         break;
     }
   }
 
+  // Where a majority of voters has been whole, connected and undisturbed for
+  // long enough, one of them leads and knows that a quorum agrees.
+  void CheckOffice() {
+    int well = 0;
+    bool in_repair = false;
+    bool leads = false;
+    for (const Node& node : nodes_) {
+      const bool is_well =
+          node.voter && !node.disk_full && !isolated_.contains(node.host);
+      well += is_well && !node.lost_disk ? 1 : 0;
+      // Until its former member is removed there are four voters, one of them
+      // gone for good: all others are needed.
+      in_repair = in_repair || (node.lost_disk && !is_well);
+      leads = leads || (is_well && node.voter->HasOffice());
+      if (!node.voter)
+        calm_since_ms_ = now_ms_;
+    }
+    if (well < 2 || in_repair) {
+      calm_since_ms_ = now_ms_;
+      return;
+    }
+    if (now_ms_ - calm_since_ms_ != kStableMillis)
+      return;
+    ++stable_stretches_;
+    BOOST_TEST(leads, "at " << now_ms_ << " ms nobody leads");
+  }
+
   void Calm() {
     network_.Heal();
     network_.SetLossy(0, 0, 2);
@@ -250,16 +286,28 @@
   std::uint64_t acked_ = 0;
   int acks_ = 0;
   int identities_ = 0;
+  std::set<HostId> isolated_;
+  std::int64_t calm_since_ms_ = 0;
+  int stable_stretches_ = 0;
 };
 
 BOOST_AUTO_TEST_SUITE(fleet_random_run, *boost::unit_test::label("fleet"))
 
-BOOST_DATA_TEST_CASE(nothing_acknowledged_is_lost_or_read_older,
-                     boost::unit_test::data::xrange(1, 61),
-                     seed) {
-  FleetRun run(static_cast<std::uint64_t>(seed));
-  run.Run();
-  BOOST_TEST(run.acks() > 5);
+BOOST_AUTO_TEST_CASE(nothing_acknowledged_is_lost_and_majorities_have_leaders) {
+  int acks = 0;
+  int stable_stretches = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      FleetRun run(seed);
+      run.Run();
+      BOOST_TEST(run.acks() > 0);
+      acks += run.acks();
+      stable_stretches += run.stable_stretches();
+    }
+  }
+  // Enough has happened for the checks to mean something.
+  BOOST_TEST(acks > static_cast<int>(kSeeds) * 10);
+  BOOST_TEST(stable_stretches > static_cast<int>(kSeeds));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
