Each send is checked against the product's promises

Change: gateway/send_checks checks what is about to leave, however the upstream was chosen: leaving, domain out, rolled back, cold, run before, labels of weights and customers. A send that would break one is not made.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "endivecart/gateway/send_checks.h"
+
 namespace endivecart::gateway {
 
 namespace {
@@ -150,6 +152,10 @@
                    : route_.priority;
 }
 
+CustomerId Forwarding::IsolatedCustomer() const {
+  return customer_ && customer_->isolated ? customer_->id : CustomerId();
+}
+
 std::vector<Candidate> Forwarding::FindCandidates(
     UpstreamCensus& census) const {
   UpstreamBook::Query query;
@@ -194,14 +200,12 @@
     return std::nullopt;
   while (!candidates.empty()) {
     const auto choice =
-        request_.prompt
-            ? PlacePrompt(
-                  candidates, *request_.prompt,
-                  customer_ && customer_->isolated ? customer_->id.str() : "",
-                  gateway_.speed_)
-            : PlaceByLoad(candidates, gateway_.random_());
+        request_.prompt ? PlacePrompt(candidates, *request_.prompt,
+                                      IsolatedCustomer().str(), gateway_.speed_)
+                        : PlaceByLoad(candidates, gateway_.random_());
     const UpstreamId id = candidates[choice->index].id;
-    if (gateway_.book_.IsCold(id) &&
+    const bool is_cold = gateway_.book_.IsCold(id);
+    if (is_cold &&
         !gateway_.cold_.Take(id, service ? service->cold_requests_per_s : 0,
                              place, gateway_.loop_.Now())) {
       candidates.erase(candidates.begin() +
@@ -215,7 +219,8 @@
     if (request_.prompt && !choice->home)
       unread_tokens_ -= SharedTokensOf(*request_.prompt);
     return Chosen{id, choice->expected_wait_ms,
-                  candidates[choice->index].requests, census_.ToString()};
+                  candidates[choice->index].requests, census_.ToString(),
+                  is_cold};
   }
   return std::nullopt;
 }
@@ -243,9 +248,8 @@
     return;
   }
   out.weights_version = weights_version_;
-  const bool alone = customer_ != nullptr && customer_->isolated;
   out.cache_label = fleet::CacheLabel(request_.prompt->model, weights_version_,
-                                      alone ? customer_->id : CustomerId());
+                                      IsolatedCustomer());
   CachePlan plan = gateway_.cache_.Plan(*request_.prompt, out.cache_label,
                                         gateway_.loop_.Now());
   out.save_cache_to = std::move(plan.save);
@@ -260,6 +264,21 @@
     out.fetch_cache_from[i] = home->last.address;
 }
 
+bool Forwarding::IsSound(const Chosen& chosen,
+                         const UpstreamRequest& request) const {
+  SendFacts facts;
+  facts.request = &request;
+  facts.upstream = &gateway_.book_.Find(chosen.upstream)->last;
+  facts.decisions = gateway_.decisions_.get();
+  facts.service = service_;
+  facts.isolated_customer = IsolatedCustomer();
+  facts.may_repeat = MayRepeat();
+  facts.may_have_run = run_state_ == RunState::kMayHaveRun;
+  facts.is_cold = gateway_.book_.IsCold(chosen.upstream);
+  facts.took_cold_share = chosen.took_cold_share;
+  return CheckSend(facts);
+}
+
 void Forwarding::LogSend(const Chosen& chosen,
                          const UpstreamRequest& request) const {
   LogLine line("gateway.send");
@@ -304,6 +323,11 @@
                                      : 0;
   gateway_.book_.StartWork(id, unread_tokens_, HeldTokens());
   const UpstreamRequest request = MakeUpstreamRequest(id);
+  if (!IsSound(chosen, request)) {
+    EndSend(SendResult::kAbandoned);
+    GiveUp("promise");
+    return;
+  }
   LogSend(chosen, request);
   net::CallOptions options;
   options.connect_timeout =
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -50,9 +50,11 @@
     double expected_ms = 0;
     int requests_there = 0;
     std::string census;
+    bool took_cold_share = false;
   };
   std::optional<Chosen> ChooseUpstream();
   void StartCall(const Chosen& chosen);
+  bool IsSound(const Chosen& chosen, const UpstreamRequest& request) const;
   void LogSend(const Chosen& chosen, const UpstreamRequest& request) const;
   UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
   void PlanCache(UpstreamRequest& out) const;
@@ -87,6 +89,8 @@
   std::int64_t PromptTokens() const;
   std::int64_t HeldTokens() const;
   int Urgency() const;
+  // The customer if it shares its cache with no other; else empty.
+  CustomerId IsolatedCustomer() const;
 
   Gateway& gateway_;
   net::HttpExchangePtr exchange_;
