No two processes are in office at once

Cause: found in review: the change to elections after 300 ms left the office lease at 500 ms, so that a leader that was cut off could still hold office while another was elected; orders to engines and the news of cache stores rest on there being one. Also found: office that flickers in one term made the leader wait out the orders' lease again, and a new leader could name a part that the last one's order was about to free. Change: the lease is 240 ms, below the election time by a compile-time check; the same term goes on; a new leader reads stores once older orders are void.

--- a/src/endivecart/fleet/cache_catalog.cc
+++ b/src/endivecart/fleet/cache_catalog.cc
@@ -20,6 +20,7 @@
 constexpr double kFullShare = 0.97;
 // An order to free that comes later than this is void.
 constexpr Millis kOrderValid{1000};
+constexpr Millis kClockMargin{250};
 constexpr std::size_t kMaxChanges = 20000;
 constexpr std::size_t kMaxPartsPerFree = 500;
 
@@ -44,6 +45,8 @@
 
 void CacheCatalog::StartOffice(std::uint64_t term, TimePoint now) {
   term_ = term;
+  // A part that the last leader's order may still free isn't named.
+  reads_from_ = now + kOrderValid + kClockMargin;
   changes_.clear();
   changes_end_ = 1;
   for (Store& store : stores_) {
@@ -150,7 +153,7 @@
 
 std::vector<CacheRead> CacheCatalog::NextReads(TimePoint now) {
   std::vector<CacheRead> reads;
-  if (!term_)
+  if (!term_ || now < reads_from_)
     return reads;
   for (Store& store : stores_) {
     if (!store.present || store.reading || now < store.next_read)
--- a/src/endivecart/fleet/cache_catalog.h
+++ b/src/endivecart/fleet/cache_catalog.h
@@ -160,6 +160,7 @@
             std::int64_t tokens);
 
   std::optional<std::uint64_t> term_;
+  TimePoint reads_from_{};
   std::vector<Store> stores_;
   std::deque<Change> changes_;  // the newest; older ones are forgotten
   std::uint64_t changes_end_ = 0;
--- a/src/endivecart/fleet/fleet_random_run_unittest.cc
+++ b/src/endivecart/fleet/fleet_random_run_unittest.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <set>
@@ -46,6 +47,7 @@
       if (dice_.Chance(0.05))
         Read();
       Turn();
+      CheckOneOffice();
       CheckOffice();
     }
     Calm();
@@ -163,6 +165,15 @@
     }
   }
 
+  // Orders and cache news rest on this: no two processes are in office at once.
+  void CheckOneOffice() {
+    const auto holders = std::count_if(
+        nodes_.begin(), nodes_.end(),
+        [](const Node& node) { return node.voter && node.voter->HasOffice(); });
+    BOOST_TEST(holders <= 1, "at " << now_ms_ << " ms " << holders
+                                   << " processes are in office");
+  }
+
   // Where a majority of voters has been whole, connected and undisturbed for
   // long enough, one of them leads and knows that a quorum agrees.
   void CheckOffice() {
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -233,6 +233,13 @@
       1u);
 }
 
+BOOST_FIXTURE_TEST_CASE(office_found_again_in_the_same_term_goes_on, Engines) {
+  WeightsConductor conductor({});
+  Orders(conductor, 0);
+  conductor.NextOrders(log.decisions(), roster, false, 1, At(3350));
+  BOOST_TEST(!Orders(conductor, 3400).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(without_office_no_order_is_given, Engines) {
   WeightsConductor conductor({});
   Orders(conductor, 0);
@@ -249,7 +256,7 @@
     settings.address = store;
     settings.cache_tokens = 10000;
     catalog.SetStores({settings});
-    catalog.StartOffice(3, At(0));
+    catalog.StartOffice(3, At(-2000));
   }
 
   void List(int at,
@@ -270,6 +277,16 @@
 
 BOOST_AUTO_TEST_SUITE(fleet_catalog, *boost::unit_test::label("fleet"))
 
+BOOST_FIXTURE_TEST_CASE(a_new_leader_reads_stores_after_the_last_ones_orders,
+                        Catalog) {
+  catalog.StartOffice(4, At(100));
+  routes::CacheStore another;
+  another.address = {"10.0.0.2", 80};
+  catalog.SetStores({another});  // as heard after the office began
+  BOOST_TEST(catalog.NextReads(At(1300)).empty());
+  BOOST_TEST(catalog.NextReads(At(1400)).size() == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_part_is_named_once_it_is_whole, Catalog) {
   List(0, {"a"});
   const auto all = catalog.NewsSince(0, 0, At(10));
--- a/src/endivecart/fleet/fleet_voter.cc
+++ b/src/endivecart/fleet/fleet_voter.cc
@@ -12,12 +12,14 @@
 
 // A full disk is tried again this often.
 constexpr Millis kDiskRetry{200};
-// A leader acts on its office only this long after a quorum answered.
-constexpr Millis kOfficeLease{500};
 // Voters are one or two network delays apart.
 constexpr Millis kHeartbeat{100};
 constexpr Millis kElectionMin{300};
 constexpr Millis kElectionMax{600};
+// A leader acts on its office only this long after a quorum answered: less than
+// voters wait before they elect another, also if their clocks run faster.
+constexpr Millis kOfficeLease{240};
+static_assert(kOfficeLease < kElectionMin && kOfficeLease > 2 * kHeartbeat);
 
 wire::DurableVote VoteOf(const control::RaftCore& core) {
   wire::DurableVote vote;
--- a/src/endivecart/fleet/weights_conductor.cc
+++ b/src/endivecart/fleet/weights_conductor.cc
@@ -119,7 +119,9 @@
     bool has_office,
     std::uint64_t term,
     TimePoint now) {
-  if (has_office && (!had_office_ || office_term_ != term)) {
+  // Office that is lost for a moment and found again in the same term was
+  // nobody else's in between.
+  if (has_office && office_term_ != term) {
     office_since_ = now;
     office_term_ = term;
     work_.clear();
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -381,7 +381,8 @@
 void VoterNode::Parts::KeepCaches() {
   const TimePoint now = loop.Now();
   if (stopping || !voter->HasOffice()) {
-    if (std::exchange(catalog_term, 0) != 0)
+    // Found again in the same term, the office was nobody else's in between.
+    if (voter->term() != catalog_term && std::exchange(catalog_term, 0) != 0)
       catalog.StopOffice();
     return;
   }
