Stores are read 0.3 s after an office begins

Change: an order to free is valid for 0.2 s instead of 1 s, so that it is void 0.3 s after the next office begins.

--- a/src/endivecart/fleet/cache_catalog.cc
+++ b/src/endivecart/fleet/cache_catalog.cc
@@ -18,9 +18,6 @@
 constexpr Millis kPartialTimeout{10000};
 // Beyond this share of its room a store gets no more parts.
 constexpr double kFullShare = 0.97;
-// An order to free that comes later than this is void.
-constexpr Millis kOrderValid{1000};
-constexpr Millis kClockMargin{250};
 constexpr std::size_t kMaxChanges = 20000;
 constexpr std::size_t kMaxPartsPerFree = 500;
 
@@ -46,7 +43,7 @@
 void CacheCatalog::StartOffice(std::uint64_t term, TimePoint now) {
   term_ = term;
   // A part that the last leader's order may still free isn't named.
-  reads_from_ = now + kOrderValid + kClockMargin;
+  reads_from_ = now + kOrdersVoid;
   changes_.clear();
   changes_end_ = 1;
   for (Store& store : stores_) {
--- a/src/endivecart/fleet/cache_catalog.h
+++ b/src/endivecart/fleet/cache_catalog.h
@@ -94,6 +94,12 @@
   // From the withdrawal of a part until it may be freed.
   static constexpr Millis kFreeDelay{kNewsLease + kFetchLimit + Millis(500)};
 
+  // An order to free that reaches its store later than this is void.
+  static constexpr Millis kOrderValid{200};
+  // From the beginning of an office until the last leader's orders are void,
+  // also where clocks differ a little. Until then no store is read.
+  static constexpr Millis kOrdersVoid{kOrderValid + Millis(100)};
+
   // Begins anew: this process has just begun to lead.
   void StartOffice(std::uint64_t term, TimePoint now);
   void StopOffice();
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -283,8 +283,9 @@
   routes::CacheStore another;
   another.address = {"10.0.0.2", 80};
   catalog.SetStores({another});  // as heard after the office began
-  BOOST_TEST(catalog.NextReads(At(1300)).empty());
-  BOOST_TEST(catalog.NextReads(At(1400)).size() == 1u);
+  const TimePoint void_at = At(100) + CacheCatalog::kOrdersVoid;
+  BOOST_TEST(catalog.NextReads(void_at - Millis(1)).empty());
+  BOOST_TEST(catalog.NextReads(void_at).size() == 1u);
 }
 
 BOOST_FIXTURE_TEST_CASE(a_part_is_named_once_it_is_whole, Catalog) {
