Shares of cold upstreams after a voter's start; more promises asserted

Cause, from a review: a voter that has just started knows one caller host, then two; each would take a whole or half share of a cold upstream. Warnings had no bound. Settings that change without a signal were not seen. Freed cache, answers that leave out an event, and a routing version that goes back were not asserted in the new slices. Change: places are told 2.5 s after a voter's start; warnings have a budget of their own; the settings file is read every 5 s; CheckInvariant at the free order, at a stream's end and at a follower's decisions.

--- a/daemons/fleet_programs.cc
+++ b/daemons/fleet_programs.cc
@@ -14,6 +14,7 @@
 
 constexpr int kFailure = 1;
 constexpr int kUsageError = 2;
+constexpr Millis kSettingsInterval{5000};
 
 int Fail(const std::string& message, int code) {
   LogLine("node.start_failed").Add("reason", message).Error();
@@ -36,16 +37,25 @@
   const auto stop = [&node] { (*node)->Stop(); };
   loop.OnSignal(SIGTERM, stop);
   loop.OnSignal(SIGINT, stop);
-  loop.OnSignal(SIGHUP, [&node, &settings_file] {
+  settings::NodeSettings current = *settings;
+  const auto reload = [&node, &settings_file, &current] {
     const auto changed = settings::LoadNodeSettings(settings_file);
-    if (changed) {
-      (*node)->Reload(*changed);
-    } else {
+    if (!changed) {
       LogLine("node.reload_refused")
           .Add("reason", settings::JoinErrors(changed.error()))
           .Error();
+    } else if (!(*changed == current)) {
+      current = *changed;
+      (*node)->Reload(current);
     }
+  };
+  loop.OnSignal(SIGHUP, [&reload] {
+    LogLine("node.reload_asked").Info();
+    reload();
   });
+  // The file may also change without a signal.
+  const auto watch =
+      loop.Every(kSettingsInterval, [&reload](TimePoint) { reload(); });
   loop.Run();
   return 0;
 }
--- a/src/endivecart/base/log.cc
+++ b/src/endivecart/base/log.cc
@@ -41,7 +41,8 @@
 // Kept for the life of the process, like the sink.
 struct Volume {
   std::mutex mutex;
-  std::optional<LogBudget> budget;
+  std::optional<LogBudget> usual;
+  std::optional<LogBudget> warnings;
   std::uint64_t left_out = 0;
 };
 
@@ -118,7 +119,8 @@
     queue->addAppender(appender);
     appender = queue;
     std::scoped_lock lock(ProcessVolume().mutex);
-    ProcessVolume().budget.emplace(options.max_lines_per_s);
+    ProcessVolume().usual.emplace(options.max_lines_per_s);
+    ProcessVolume().warnings.emplace(options.max_lines_per_s);
   }
   root->addAppender(appender);
   root->setLevel(log4cxx::Level::toLevel(options.level));
@@ -131,22 +133,23 @@
 
 namespace {
 
-// Whether a line below a warning may be written now.
-bool TakeLine() {
+// Whether a line may be written now, by the budget of its kind.
+bool TakeLine(std::optional<LogBudget> Volume::*kind) {
   Volume& volume = ProcessVolume();
   std::uint64_t left_out = 0;
   bool may_write = true;
   {
     std::scoped_lock lock(volume.mutex);
-    if (!volume.budget)
+    std::optional<LogBudget>& budget = volume.*kind;
+    if (!budget)
       return true;
     const std::int64_t now = SteadyMillis();
-    left_out = volume.budget->TakeLeftOut(now);
+    left_out = budget->TakeLeftOut(now);
     volume.left_out += left_out;
-    may_write = volume.budget->Take(now);
+    may_write = budget->Take(now);
   }
   if (left_out > 0)
-    LogLine("log.left_out").Add("lines", left_out).Warn();
+    LogLine("log.left_out").Add("lines", left_out).Error();
   return may_write;
 }
 
@@ -196,17 +199,21 @@
 }
 
 void LogLine::Debug() const {
-  if (!SendToTestSink(text_) && Logger()->isDebugEnabled() && TakeLine())
+  if (!SendToTestSink(text_) && Logger()->isDebugEnabled() &&
+      TakeLine(&Volume::usual)) {
     LOG4CXX_DEBUG(Logger(), Finish());
+  }
 }
 
 void LogLine::Info() const {
-  if (!SendToTestSink(text_) && Logger()->isInfoEnabled() && TakeLine())
+  if (!SendToTestSink(text_) && Logger()->isInfoEnabled() &&
+      TakeLine(&Volume::usual)) {
     LOG4CXX_INFO(Logger(), Finish());
+  }
 }
 
 void LogLine::Warn() const {
-  if (!SendToTestSink(text_))
+  if (!SendToTestSink(text_) && TakeLine(&Volume::warnings))
     LOG4CXX_WARN(Logger(), Finish());
 }
 
--- a/src/endivecart/base/log.h
+++ b/src/endivecart/base/log.h
@@ -17,7 +17,8 @@
   std::string level = "info";  // debug, info, warn or error
   // Writing never blocks the caller: lines that the output doesn't take are
   // dropped, and the number is logged. Beyond this many lines a second, those
-  // below a warning are left out, and counted too. 0: neither holds.
+  // below a warning are left out, and counted too; and as many warnings apart
+  // from them. Errors are always written. 0: no bound, and writing may block.
   int max_lines_per_s = 0;
 
   bool operator==(const LogOptions&) const = default;
--- a/src/endivecart/fleet/cache_catalog.cc
+++ b/src/endivecart/fleet/cache_catalog.cc
@@ -122,6 +122,7 @@
   if (part.withdrawn)
     return;
   part.withdrawn = true;
+  part.withdrawn_at = now;
   part.free_at = now + kFreeDelay;
   Note(false, store, name, part.tokens);
 }
@@ -271,7 +272,9 @@
         UnixLike(now) + clock_offset_ms_ + kOrderValid.count());
     for (auto& [name, part] : store.parts) {
       if (part.withdrawn && now >= part.free_at &&
-          order.parts.size() < kMaxPartsPerFree) {
+          order.parts.size() < kMaxPartsPerFree &&
+          CheckInvariant(now - part.withdrawn_at >= kFreeDelay,
+                         Invariant::kCacheBlockSealed, name.id)) {
         order.parts.push_back(name);
         part.free_at = now + kFreeDelay;  // again, should the order be lost
       }
--- a/src/endivecart/fleet/cache_catalog.h
+++ b/src/endivecart/fleet/cache_catalog.h
@@ -130,6 +130,7 @@
   struct Part {
     std::int64_t tokens = 0;
     bool withdrawn = false;
+    TimePoint withdrawn_at{};
     TimePoint free_at{};
   };
   struct Store {
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -8,7 +8,10 @@
 FleetFeed::FleetFeed(std::uint64_t incarnation,
                      const upstreams::AnnouncedRoster* roster,
                      Hooks hooks)
-    : incarnation_(incarnation), roster_(roster), hooks_(std::move(hooks)) {}
+    : incarnation_(incarnation),
+      roster_(roster),
+      hooks_(std::move(hooks)),
+      started_at_(hooks_.now()) {}
 
 void FleetFeed::OnPoll(const HostId& from, const wire::FleetPoll& poll) {
   Follower& follower = followers_[from];
@@ -106,6 +109,8 @@
 }
 
 int FleetFeed::CallerHosts() const {
+  if (hooks_.now() - started_at_ < kLearnCallers)
+    return 0;
   return static_cast<int>(caller_places_.size());
 }
 
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -36,6 +36,9 @@
   // One that serves callers keeps its place among the others for this long: it
   // may be cut off from here and go on with its share of what is rationed.
   static constexpr Millis kKeepPlace{60000};
+  // A voter that started less than this ago hasn't heard of all who serve
+  // callers: it tells no places, so that nobody takes too large a share.
+  static constexpr Millis kLearnCallers{2500};
 
   // `incarnation` tells this process from earlier ones on its host. `roster`
   // must outlive the feed.
@@ -50,7 +53,7 @@
   void Expire();
 
   // Processes that serve callers, those included that are silent for less than
-  // kKeepPlace.
+  // kKeepPlace; 0 while this isn't known.
   int CallerHosts() const;
 
  private:
@@ -67,6 +70,7 @@
   const std::uint64_t incarnation_;
   const upstreams::AnnouncedRoster* const roster_;
   const Hooks hooks_;
+  const TimePoint started_at_;
   Decisions decisions_;
   std::map<HostId, Follower> followers_;
   std::map<HostId, TimePoint> caller_places_;  // when last heard of
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -127,8 +127,15 @@
     poll_due_ = hooks_.now();  // asks for the document
     return;
   }
-  decisions_ =
+  auto decisions =
       std::make_shared<const Decisions>(FromWire(message, decisions_.get()));
+  if (!CheckInvariant(!decisions_ || decisions->routing_version >=
+                                         decisions_->routing_version,
+                      Invariant::kConfigurationMonotone,
+                      "a later decision has an older routing version")) {
+    return;
+  }
+  decisions_ = std::move(decisions);
   hooks_.on_decisions(decisions_);
 }
 
@@ -188,7 +195,8 @@
 }
 
 bool FleetFollower::InContact() const {
-  return Place().hosts > 0;
+  return std::any_of(voters_.begin(), voters_.end(),
+                     [](const auto& entry) { return entry.second.in_contact; });
 }
 
 // Of the voters' views the widest counts: shares by it are the smallest.
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -444,6 +444,10 @@
 
 BOOST_FIXTURE_TEST_CASE(a_follower_out_of_contact_knows_it, FeedAndFollower) {
   Advance(10);
+  BOOST_TEST(follower.InContact());
+  // A voter that has just started doesn't know all who serve callers.
+  BOOST_TEST(follower.Place().hosts == 0);
+  Advance(3000);
   BOOST_TEST(follower.Place().hosts == 1);
   connected = false;
   Advance(2500);
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -131,6 +131,7 @@
   bool started_ = false;
   std::optional<std::uint64_t> last_event_id_;
   std::size_t events_ = 0;
+  std::size_t numbered_events_ = 0;  // as many, by their ids
   TimePoint first_event_at_;
 };
 
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -84,8 +84,13 @@
     exchange_->StartAnswer(
         {head_.status, gateway_.dialect_.fields_for_caller(head_.fields)});
   }
-  if (event.id)
+  if (event.id) {
+    // Counted from the first: every number once, none left out.
+    numbered_events_ += last_event_id_ ? *event.id - *last_event_id_ : 1;
     last_event_id_ = event.id;
+  } else {
+    ++numbered_events_;
+  }
   ++events_;
   exchange_->Write(event.text);
 }
@@ -120,6 +125,12 @@
           {head_.status, gateway_.dialect_.fields_for_caller(head_.fields)});
     }
     EndSend(SendResult::kAnswered);
+    if (!CheckInvariant(!splitter_.HasPartial() && events_ == numbered_events_,
+                        Invariant::kAnswerComplete, request_.id.str())) {
+      exchange_->Abort();
+      Finish(0, "promise");
+      return;
+    }
     exchange_->FinishAnswer();
     Finish(head_.status, "answered");
   } else {
