The rate at which engines read prompts is learned

Cause: read in review: the estimate was documented as learned, but was a fixed 20 tokens a millisecond; deployments with other engines would be placed wrongly. Change: gateway/speed_learner takes prompts that found their engine idle, faster ones for more, since evicted parts only ever make a prompt look slow. Tests: 5, 24, 48 and 200 tokens a millisecond are learned to 0.6 to 1.1 of their rate under a mix of evictions and load.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -199,10 +199,11 @@
   if (is_full_)
     return std::nullopt;
   while (!candidates.empty()) {
-    const auto choice =
-        request_.prompt ? PlacePrompt(candidates, *request_.prompt,
-                                      IsolatedCustomer().str(), gateway_.speed_)
-                        : PlaceByLoad(candidates, gateway_.random_());
+    const auto choice = request_.prompt
+                            ? PlacePrompt(candidates, *request_.prompt,
+                                          IsolatedCustomer().str(),
+                                          gateway_.speeds_.Of(service_))
+                            : PlaceByLoad(candidates, gateway_.random_());
     const UpstreamId id = candidates[choice->index].id;
     const bool is_cold = gateway_.book_.IsCold(id);
     if (is_cold &&
@@ -318,6 +319,7 @@
   passes_on_ = false;
   body_.clear();
   splitter_ = EventSplitter();
+  requests_there_ = chosen.requests_there;
   weights_version_ = request_.prompt ? gateway_.book_.WeightsOf(
                                            *upstream, request_.prompt->model)
                                      : 0;
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -120,6 +120,7 @@
   std::uint64_t weights_version_ = 0;
   TimePoint sent_at_;
   std::int64_t unread_tokens_ = 0;
+  int requests_there_ = 0;          // when it was sent
   std::optional<UpstreamId> home_;  // where shared parts are likely cached
   net::HttpResponseHead head_;
   bool head_seen_ = false;
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -76,6 +76,9 @@
 void Forwarding::PassOnEvent(const StreamEvent& event) {
   if (unread_tokens_ > 0) {
     gateway_.book_.PromptRead(upstream_, unread_tokens_);
+    gateway_.speeds_.Add(service_, unread_tokens_,
+                         MillisBetween(sent_at_, gateway_.loop_.Now()),
+                         requests_there_);
     unread_tokens_ = 0;
   }
   if (!started_) {
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "endivecart/gateway/cold_allowance.h"
 #include "endivecart/gateway/move_watch.h"
 #include "endivecart/gateway/retry_allowance.h"
+#include "endivecart/gateway/speed_learner.h"
 #include "endivecart/gateway/upstream_book.h"
 #include "endivecart/gateway/waiting_room.h"
 #include "endivecart/net/net.h"
@@ -94,7 +95,7 @@
   MoveWatch moves_;
   RetryAllowance retries_;
   ColdAllowance cold_;
-  SpeedEstimate speed_;
+  SpeedLearner speeds_;
   std::mt19937_64 random_;
   const fleet::FleetFollower* follower_ = nullptr;
   fleet::DecisionsPtr decisions_;
--- a/src/endivecart/gateway/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -25,10 +25,11 @@
   bool operator==(const Candidate&) const = default;
 };
 
-// How fast upstreams work, as learned from their answers.
+// How fast a service's engines work.
 struct SpeedEstimate {
-  double prompt_tokens_per_ms = 20;  // until the first answers tell
-  double ms_per_request = 8;         // that one more request costs each other
+  double prompt_tokens_per_ms = 20;  // until answers tell; see SpeedLearner
+  // That one more request costs each other one: a few steps of a batch.
+  double ms_per_request = 8;
 
   bool operator==(const SpeedEstimate&) const = default;
 };
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -4,6 +4,7 @@
 #include "endivecart/gateway/event_splitter.h"
 #include "endivecart/gateway/placement.h"
 #include "endivecart/gateway/retry_allowance.h"
+#include "endivecart/gateway/speed_learner.h"
 #include "endivecart/gateway/waiting_room.h"
 
 namespace endivecart::gateway {
@@ -210,6 +211,39 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_speed, *boost::unit_test::label("gateway"))
+
+// Load: prompts of 2,000 to 12,000 tokens to engines of an unknown rate; a
+// third were evicted and are read whole, half find the engine busy.
+double Learn(double tokens_per_ms) {
+  SpeedLearner learner;
+  const routes::ServiceId service("s");
+  for (int i = 0; i < 300; ++i) {
+    const int tokens = 2000 + i % 11 * 1000;
+    const int read = i % 3 == 0 ? tokens * 4 : tokens;
+    const int there = i % 2;
+    learner.Add(service, tokens, 14 + read / tokens_per_ms + there * 500,
+                there);
+  }
+  return learner.Of(service).prompt_tokens_per_ms;
+}
+
+BOOST_AUTO_TEST_CASE(the_rate_of_engines_is_learned_whatever_it_is) {
+  for (const double rate : {5.0, 24.0, 48.0, 200.0}) {
+    const double learned = Learn(rate);
+    BOOST_TEST(learned > rate * 0.6, rate << " learned as " << learned);
+    BOOST_TEST(learned < rate * 1.1, rate << " learned as " << learned);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(services_are_learned_apart) {
+  SpeedLearner learner;
+  learner.Add(routes::ServiceId("a"), 5000, 50, 0);
+  BOOST_CHECK(learner.Of(routes::ServiceId("b")) == SpeedEstimate());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_waiting, *boost::unit_test::label("gateway"))
 
 // Lets those in for which `fits` holds; returns their tickets.
