Requests and their cache stay in the regions that they are bound to

Cause: routes and customers may name regions; the gateway read and ignored them. Change: gateway/region_map; candidates, stores and the home's cache are limited to allowed domains; another region serves only where this one can't. Tests of the stores' view by hosts (lease, label, leader's term) that were missing.

--- a/src/endivecart/fleet/cache_catalog.cc
+++ b/src/endivecart/fleet/cache_catalog.cc
@@ -307,6 +307,7 @@
   for (const Store& store : stores_) {
     wire::CacheStoreState& state = *news.add_stores();
     state.set_address(store.settings.address.ToString());
+    state.set_domain(store.settings.domain.str());
     state.set_readable(store.listed && store.present);
     state.set_takes_more(
         store.listed && store.present &&
--- a/src/endivecart/gateway/cache_view.cc
+++ b/src/endivecart/gateway/cache_view.cc
@@ -27,7 +27,7 @@
   for (const wire::CacheStoreState& state : news.stores()) {
     const auto address = settings::ParseEndpoint(state.address());
     stores_.push_back({address.value_or(settings::Endpoint()),
-                       address && state.readable(),
+                       DomainId(state.domain()), address && state.readable(),
                        address && state.takes_more()});
   }
   for (const wire::CachedPart& part : news.removed()) {
@@ -47,11 +47,13 @@
   }
 }
 
-const CacheView::Store* CacheView::StoreFor(std::uint64_t key) const {
+const CacheView::Store* CacheView::StoreFor(
+    std::uint64_t key,
+    const std::function<bool(const DomainId&)>& may_hold) const {
   const Store* best = nullptr;
   std::uint64_t best_weight = 0;
   for (const Store& store : stores_) {
-    if (!store.takes_more)
+    if (!store.takes_more || !may_hold(store.domain))
       continue;
     const std::uint64_t weight = StableHash(store.address.ToString(), key);
     if (best == nullptr || weight > best_weight) {
@@ -64,6 +66,7 @@
 
 CachePlan CacheView::Plan(const Prompt& prompt,
                           const std::string& label,
+                          const std::function<bool(const DomainId&)>& may_hold,
                           TimePoint now) const {
   CachePlan plan;
   if (stores_.empty() || now - heard_at_ > fleet::CacheCatalog::kNewsLease)
@@ -81,14 +84,15 @@
     if (it != parts_.end()) {
       const auto holder = std::find_if(
           it->second.begin(), it->second.end(), [&](std::uint32_t store) {
-            return store < stores_.size() && stores_[store].readable;
+            return store < stores_.size() && stores_[store].readable &&
+                   may_hold(stores_[store].domain);
           });
       if (holder == it->second.end())
         continue;
       plan.fetch[i] = stores_[*holder].address;
       plan.fetchable_tokens += part.tokens;
       fetches = true;
-    } else if (const Store* store = StoreFor(key)) {
+    } else if (const Store* store = StoreFor(key, may_hold)) {
       plan.save[i] = store->address;
       saves = true;
     }
--- a/src/endivecart/gateway/cache_view.h
+++ b/src/endivecart/gateway/cache_view.h
@@ -2,6 +2,7 @@
 #define ENDIVECART_GATEWAY_CACHE_VIEW_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -32,8 +33,10 @@
 
   // Parts that stand in a store are fetched from there. Of the others, all but
   // the last, which no other prompt shares, are saved.
+  // Only stores in domains that `may_hold` allows are used.
   CachePlan Plan(const Prompt& prompt,
                  const std::string& label,
+                 const std::function<bool(const DomainId&)>& may_hold,
                  TimePoint now) const;
 
   std::uint64_t term() const { return term_; }
@@ -43,12 +46,15 @@
  private:
   struct Store {
     settings::Endpoint address;
+    DomainId domain;
     bool readable = false;
     bool takes_more = false;
   };
 
   // Where a part is to be saved: the same on every host.
-  const Store* StoreFor(std::uint64_t key) const;
+  const Store* StoreFor(
+      std::uint64_t key,
+      const std::function<bool(const DomainId&)>& may_hold) const;
 
   std::uint64_t term_ = 0;
   std::uint64_t cursor_ = 0;
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -169,6 +169,7 @@
       gateway_.moves_.Choose(service_, move_roll_, gateway_.loop_.Now());
   query.only_version = versions.only;
   query.except_version = versions.except;
+  query.may_run_in = [this](const DomainId& domain) { return MayBeIn(domain); };
   const auto find = [&] {
     return gateway_.book_.Candidates(query, gateway_.follower_, &census);
   };
@@ -182,9 +183,30 @@
     query.only_version.reset();
     candidates = find();
   }
+  PreferOwnRegion(candidates);
   return candidates;
 }
 
+bool Forwarding::MayBeIn(const DomainId& domain) const {
+  return gateway_.options_.regions.Allows(route_, customer_, domain);
+}
+
+// Regions are far apart: another one serves only where this one can't.
+void Forwarding::PreferOwnRegion(std::vector<Candidate>& candidates) const {
+  const RegionMap& regions = gateway_.options_.regions;
+  const std::string& own = regions.RegionOf(gateway_.options_.domain);
+  const auto is_here = [&](const Candidate& candidate) {
+    return regions.RegionOf(candidate.domain) == own;
+  };
+  const bool serves = std::any_of(
+      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        return is_here(candidate) && !candidate.is_doubtful;
+      });
+  if (serves) {
+    std::erase_if(candidates, [&](const Candidate& c) { return !is_here(c); });
+  }
+}
+
 std::optional<Forwarding::Chosen> Forwarding::ChooseUpstream() {
   auto candidates = FindCandidates(census_);
   const routes::Service* service =
@@ -251,8 +273,10 @@
   out.weights_version = weights_version_;
   out.cache_label = fleet::CacheLabel(request_.prompt->model, weights_version_,
                                       IsolatedCustomer());
-  CachePlan plan = gateway_.cache_.Plan(*request_.prompt, out.cache_label,
-                                        gateway_.loop_.Now());
+  CachePlan plan = gateway_.cache_.Plan(
+      *request_.prompt, out.cache_label,
+      [this](const DomainId& domain) { return MayBeIn(domain); },
+      gateway_.loop_.Now());
   out.save_cache_to = std::move(plan.save);
   out.fetch_cache_from = std::move(plan.fetch);
   out.fetch_until_ms = plan.fetch_until_ms;
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -44,6 +44,9 @@
   bool HasRoom(const Candidate& candidate,
                const routes::Service* service) const;
   std::vector<Candidate> FindCandidates(UpstreamCensus& census) const;
+  // Whether the request, and its prompt's cache, may be in the domain.
+  bool MayBeIn(const DomainId& domain) const;
+  void PreferOwnRegion(std::vector<Candidate>& candidates) const;
   // The upstream for the next send, and what spoke for it.
   struct Chosen {
     UpstreamId upstream;
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "endivecart/gateway/caller_request.h"
 #include "endivecart/gateway/cold_allowance.h"
 #include "endivecart/gateway/move_watch.h"
+#include "endivecart/gateway/region_map.h"
 #include "endivecart/gateway/retry_allowance.h"
 #include "endivecart/gateway/speed_learner.h"
 #include "endivecart/gateway/upstream_book.h"
@@ -27,13 +28,12 @@
 struct GatewayOptions {
   HostId host;
   DomainId domain;
+  RegionMap regions;
   double retry_ratio = 0.2;
   Millis retry_window{10000};
   // After newer weights were named, older ones may serve for this long.
   Millis old_weights_grace{8000};
   std::uint64_t seed = 1;
-
-  bool operator==(const GatewayOptions&) const = default;
 };
 
 class Forwarding;
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -90,7 +90,9 @@
     configuration.routes = {MakeRoute("/safe/", RequestKind::kIdempotent),
                             MakeRoute("/once/", RequestKind::kNonIdempotent),
                             MakeRoute("/stream/", RequestKind::kStream),
-                            MakeRoute("/resumable/", RequestKind::kStream)};
+                            MakeRoute("/resumable/", RequestKind::kStream),
+                            MakeRoute("/south/", RequestKind::kIdempotent)};
+    configuration.routes.back().regions = {"south"};
     configuration.services.resize(1);
     configuration.services[0].id = routes::ServiceId("s");
     routes::Customer customer;
@@ -123,6 +125,9 @@
   static GatewayOptions Options() {
     GatewayOptions options;
     options.domain = DomainId("a");
+    options.regions = RegionMap({{DomainId("a"), "north"},
+                                 {DomainId("b"), "north"},
+                                 {DomainId("c"), "south"}});
     options.retry_ratio = 0.5;
     return options;
   }
@@ -131,14 +136,17 @@
     gateway.SetDecisions(std::make_shared<const fleet::Decisions>(decisions),
                          table);
   }
-  void Announce(int i, upstreams::UpstreamState state, std::uint64_t sequence) {
+  void Announce(int i,
+                upstreams::UpstreamState state,
+                std::uint64_t sequence,
+                const char* domain = "a") {
     upstreams::Announcement said;
     said.id = UpstreamId("u" + std::to_string(i));
     said.born_ms = 1;
     said.sequence = sequence;
     said.service = routes::ServiceId("s");
     said.address = upstreams[static_cast<std::size_t>(i)].address();
-    said.domain = DomainId("a");
+    said.domain = DomainId(domain);
     said.slots = 4;
     said.state = state;
     gateway.book().Apply(said, loop.Now());
@@ -306,6 +314,28 @@
   BOOST_TEST(requests.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_request_bound_to_a_region_runs_nowhere_else) {
+  answer = [](auto& connection, auto) { Reply(connection, Whole("1", "yes")); };
+  BOOST_TEST(HasStatus(Ask("/south/"), 503));
+  BOOST_TEST(requests.empty());
+  Announce(1, upstreams::UpstreamState::kReady, 2, "c");
+  BOOST_TEST(HasStatus(Ask("/south/"), 200));
+  BOOST_TEST(requests.at(0).find("Upstream: u1") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(another_region_serves_only_where_this_one_cannot) {
+  answer = [](auto& connection, auto) { Reply(connection, Whole("1", "yes")); };
+  Announce(1, upstreams::UpstreamState::kReady, 2, "c");
+  for (int i = 0; i < 6; ++i)
+    Ask("/safe/");
+  for (const std::string& request : requests)
+    BOOST_TEST(request.find("Upstream: u0") != std::string::npos);
+  requests.clear();
+  Announce(0, upstreams::UpstreamState::kDraining, 3);
+  BOOST_TEST(HasStatus(Ask("/safe/"), 200));
+  BOOST_TEST(requests.at(0).find("Upstream: u1") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(cache_of_unknown_weights_is_shared_with_nobody) {
   answer = [&](auto& connection, std::size_t number) {
     Reply(connection, Whole(std::to_string(number), "yes"));
--- a/src/endivecart/gateway/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -13,6 +13,7 @@
 // An upstream that a request may go to, with what is known of its load.
 struct Candidate {
   UpstreamId id;
+  DomainId domain;
   bool is_near = false;      // in this host's failure domain
   bool is_doubtful = false;  // silent, or failed lately
   int slots = 1;
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -1,8 +1,10 @@
 #include <boost/test/unit_test.hpp>
 
+#include "endivecart/gateway/cache_view.h"
 #include "endivecart/gateway/cold_allowance.h"
 #include "endivecart/gateway/event_splitter.h"
 #include "endivecart/gateway/placement.h"
+#include "endivecart/gateway/region_map.h"
 #include "endivecart/gateway/retry_allowance.h"
 #include "endivecart/gateway/speed_learner.h"
 #include "endivecart/gateway/waiting_room.h"
@@ -211,6 +213,102 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_regions, *boost::unit_test::label("gateway"))
+
+BOOST_AUTO_TEST_CASE(where_route_and_customer_are_bound_both_count) {
+  const RegionMap map({{DomainId("a"), "north"}, {DomainId("b"), "south"}});
+  routes::Route route;
+  routes::Customer customer;
+  BOOST_TEST(map.Allows(route, nullptr, DomainId("unknown")));
+  route.regions = {"north", "south"};
+  customer.regions = {"south"};
+  BOOST_TEST(map.Allows(route, nullptr, DomainId("a")));
+  BOOST_TEST(!map.Allows(route, &customer, DomainId("a")));
+  BOOST_TEST(map.Allows(route, &customer, DomainId("b")));
+  BOOST_TEST(!map.Allows(route, &customer, DomainId("unknown")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+const std::string kLabel = "m.1";
+
+// News of two stores in domains a and b; the second holds the subject.
+wire::CacheNews MakeNews(bool takes_more) {
+  wire::CacheNews news;
+  news.set_term(2);
+  news.set_cursor(5);
+  news.set_reset(true);
+  news.set_servers_clock_ms(7000);
+  for (const char* name : {"a", "b"}) {
+    wire::CacheStoreState& store = *news.add_stores();
+    store.set_address(std::string("10.0.0.") +
+                      (*name == 'a' ? "1:80" : "2:80"));
+    store.set_domain(name);
+    store.set_readable(true);
+    store.set_takes_more(takes_more);
+  }
+  wire::CachedPart& part = *news.add_added();
+  part.set_key(fleet::CacheKey({kLabel, "p"}));
+  part.set_store(1);
+  part.set_tokens(8500);
+  return news;
+}
+
+const auto kAnywhere = [](const DomainId&) { return true; };
+
+BOOST_AUTO_TEST_SUITE(gateway_cache, *boost::unit_test::label("gateway"))
+
+BOOST_AUTO_TEST_CASE(whole_parts_are_fetched_and_missing_shared_ones_saved) {
+  CacheView view;
+  view.Apply(MakeNews(true), At(0));
+  const auto plan = view.Plan(MakePrompt("p"), kLabel, kAnywhere, At(100));
+  BOOST_TEST(plan.fetch.at(1)->ToString() == "10.0.0.2:80");
+  BOOST_TEST(plan.save.at(0).has_value());
+  BOOST_TEST(!plan.save.at(1).has_value());
+  BOOST_TEST(!plan.save.at(2).has_value());  // no other prompt shares it
+  BOOST_TEST(plan.fetch_until_ms.value() ==
+             7000u + 100u + fleet::CacheCatalog::kFetchLimit.count());
+}
+
+BOOST_AUTO_TEST_CASE(old_news_is_not_acted_on) {
+  CacheView view;
+  view.Apply(MakeNews(true), At(0));
+  const auto lease = static_cast<int>(fleet::CacheCatalog::kNewsLease.count());
+  const auto late =
+      view.Plan(MakePrompt("p"), kLabel, kAnywhere, At(lease + 1));
+  BOOST_CHECK(late == CachePlan());
+}
+
+BOOST_AUTO_TEST_CASE(another_label_finds_nothing) {
+  CacheView view;
+  view.Apply(MakeNews(false), At(0));
+  BOOST_CHECK(
+      view.Plan(MakePrompt("p"), "m.2", kAnywhere, At(1)).fetch.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_store_where_the_prompt_may_not_be_is_not_used) {
+  CacheView view;
+  view.Apply(MakeNews(true), At(0));
+  const auto plan = view.Plan(
+      MakePrompt("p"), kLabel,
+      [](const DomainId& domain) { return domain == DomainId("a"); }, At(1));
+  BOOST_TEST(plan.fetch.empty());
+  BOOST_TEST(plan.save.at(0)->ToString() == "10.0.0.1:80");
+}
+
+BOOST_AUTO_TEST_CASE(news_of_an_earlier_leader_changes_nothing) {
+  CacheView view;
+  view.Apply(MakeNews(true), At(0));
+  auto old = MakeNews(true);
+  old.set_term(1);
+  old.clear_added();
+  view.Apply(old, At(1));
+  BOOST_TEST(view.parts() == 1u);
+  BOOST_TEST(view.term() == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_speed, *boost::unit_test::label("gateway"))
 
 // Load: prompts of 2,000 to 12,000 tokens to engines of an unknown rate; a
--- a/src/endivecart/gateway/upstream_book.cc
+++ b/src/endivecart/gateway/upstream_book.cc
@@ -49,6 +49,7 @@
          ",distrusted:" + std::to_string(distrusted) +
          ",old_weights:" + std::to_string(old_weights) +
          ",resting:" + std::to_string(resting) +
+         ",region:" + std::to_string(region) +
          ",tried:" + std::to_string(excluded);
 }
 
@@ -124,7 +125,9 @@
     }
     ++seen.known;
     const Record& record = RecordOf(id);
-    if (query.excluded.contains(id)) {
+    if (query.may_run_in && !query.may_run_in(said.domain)) {
+      ++seen.region;
+    } else if (query.excluded.contains(id)) {
       ++seen.excluded;
     } else if (said.state != UpstreamState::kReady) {
       ++seen.leaving;
@@ -140,6 +143,7 @@
       ++seen.usable;
       Candidate candidate;
       candidate.id = id;
+      candidate.domain = said.domain;
       candidate.is_near = said.domain == own_domain_;
       candidate.is_doubtful = now - upstream.heard_at > kSilentAfter ||
                               (record.refused_at != TimePoint{} &&
--- a/src/endivecart/gateway/upstream_book.h
+++ b/src/endivecart/gateway/upstream_book.h
@@ -36,6 +36,7 @@
   int distrusted = 0;
   int old_weights = 0;
   int resting = 0;
+  int region = 0;  // where the request may not run
   int excluded = 0;
 
   bool operator==(const UpstreamCensus&) const = default;
@@ -58,6 +59,7 @@
     std::set<UpstreamId> excluded;          // were tried before
     std::optional<VersionId> only_version;  // of its software
     std::optional<VersionId> except_version;
+    std::function<bool(const DomainId&)> may_run_in;  // null: anywhere
   };
 
   UpstreamBook(DomainId own_domain, std::function<TimePoint()> now);
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -37,6 +37,7 @@
   gateway::GatewayOptions options;
   options.host = settings.host;
   options.domain = settings.domain;
+  options.regions = gateway::RegionMap(settings.regions);
   options.retry_ratio = settings.bounds.retry_ratio;
   options.retry_window = settings.bounds.retry_window;
   // The last fifth of the deadline is for what is under way.
--- a/src/endivecart/settings/node_settings.cc
+++ b/src/endivecart/settings/node_settings.cc
@@ -79,6 +79,9 @@
   settings.host = HostId(reader.String("host"));
   settings.domain = DomainId(reader.String("domain"));
   settings.region = reader.StringOr("region", "");
+  JsonReader regions = reader.Object("regions", false);
+  for (const std::string& domain : regions.Keys())
+    settings.regions[DomainId(domain)] = regions.String(domain);
   JsonReader listen = reader.Object("listen", true);
   settings.callers = ReadEndpoint(listen, "callers");
   settings.ready = ReadEndpoint(listen, "ready");
--- a/src/endivecart/settings/node_settings.h
+++ b/src/endivecart/settings/node_settings.h
@@ -1,6 +1,7 @@
 #ifndef ENDIVECART_SETTINGS_NODE_SETTINGS_H_
 #define ENDIVECART_SETTINGS_NODE_SETTINGS_H_
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,6 +34,7 @@
   HostId host;       // IP number
   DomainId domain;
   std::string region;
+  std::map<DomainId, std::string> regions;  // of all failure domains
   std::optional<Endpoint> callers;
   std::optional<Endpoint> ready;      // answers whether callers may come
   std::optional<Endpoint> operators;  // operators and upstreams
