The leader's duties and the client's connections stand in files of their own

Cause: voter_node.cc held the start and stop of a voter together with its orders of weights and its reading of cache stores; http_client.cc held the pool and the connection.

Ruled out: a base class of all duties. They share the caller of upstreams and nothing else; a tick with the office as its argument says as much.

Change: node/weights_duty, node/cache_duty, node/upstream_caller, node/incarnation (was written twice), net/http_connection. One difference in behaviour: after an upstream's report on its weights the next order waits for the next tick of 50 ms.

--- a/src/endivecart/net/http_client.h
+++ b/src/endivecart/net/http_client.h
@@ -64,6 +64,8 @@
   bool operator==(const HttpClientLimits&) const = default;
 };
 
+struct HttpConnectionPool;
+
 // Sends requests and keeps connections for later ones. A connection on which
 // anything unexpected comes is closed, never used again.
 class HttpClient {
@@ -86,10 +88,8 @@
   void Forget(const settings::Endpoint& address);
 
  private:
-  class Connection;
   class Call;
-  struct Pool;
-  std::shared_ptr<Pool> pool_;
+  std::shared_ptr<HttpConnectionPool> pool_;
 };
 
 }  // namespace endivecart::net
--- /dev/null
+++ b/src/endivecart/net/http_connection.cc
@@ -0,0 +1,324 @@
+#include "endivecart/net/http_connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <cerrno>
+#include <charconv>
+#include <optional>
+
+#include "endivecart/net/socket_options.h"
+
+namespace endivecart::net {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16UL << 10;
+constexpr std::string_view kTimeoutParameter = "timeout=";
+// A connection is given up this share of its server's idle timeout early, so
+// that a request doesn't cross the server's close.
+constexpr double kIdleShare = 0.6;
+
+// The idle timeout that the answer announces, if it does.
+std::optional<Millis> AnnouncedIdleTimeout(const HttpFields& fields) {
+  const auto value = fields.Find("Keep-Alive");
+  if (!value)
+    return std::nullopt;
+  const auto at = value->find(kTimeoutParameter);
+  if (at == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view digits = value->substr(at + kTimeoutParameter.size());
+  long seconds = 0;
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc() || seconds < 0)
+    return std::nullopt;
+  return Millis(seconds * 1000);
+}
+
+}  // namespace
+
+std::shared_ptr<HttpConnection> HttpConnectionPool::TakeIdle(
+    const std::string& address,
+    TimePoint since) {
+  const auto it = addresses.find(address);
+  if (it == addresses.end() || it->second.idle.empty() ||
+      it->second.idle.back()->idle_since() < since) {
+    return nullptr;
+  }
+  auto connection = it->second.idle.back();
+  it->second.idle.pop_back();
+  return connection;
+}
+
+void HttpConnection::CountClosed() {
+  if (std::exchange(counted_closed_, true))
+    return;
+  const auto it = pool_->addresses.find(address_);
+  if (it == pool_->addresses.end())
+    return;
+  if (--it->second.open == 0 && it->second.idle.empty())
+    pool_->addresses.erase(it);
+}
+
+void HttpConnection::Connect(const settings::Endpoint& to, Millis timeout) {
+  ErrorCode error;
+  const tcp::endpoint endpoint(asio::ip::make_address(to.address, error),
+                               static_cast<unsigned short>(to.port));
+  if (!error)
+    socket_.open(endpoint.protocol(), error);
+  if (error) {
+    pool_->loop.Post(
+        [self = shared_from_this(), error] { self->OnConnected(error); });
+    return;
+  }
+  timer_ = pool_->loop.After(timeout, [weak = weak_from_this()](TimePoint) {
+    if (const auto self = weak.lock())
+      self->OnConnected(asio::error::timed_out);
+  });
+  socket_.async_connect(endpoint,
+                        [self = shared_from_this()](const ErrorCode& result) {
+                          self->OnConnected(result);
+                        });
+}
+
+void HttpConnection::OnConnected(const ErrorCode& error) {
+  if (closed_ || connected_)
+    return;
+  timer_.reset();
+  if (error) {
+    End(CallEnd::kNotSent);
+    return;
+  }
+  connected_ = true;
+  SetConnectionOptions(socket_);
+  WriteRequest();
+  Read();
+}
+
+void HttpConnection::Carry(CallSink* call, const HttpRequest& request) {
+  call_ = call;
+  is_head_ = request.method == "HEAD";
+  head_text_ = RequestHeadText(request);
+  body_ = request.body;
+  request_bytes_out_ = false;
+  answer_done_ = false;
+  keep_ = false;
+  paused_ = false;
+  ResetParser();
+  if (connected_)
+    WriteRequest();
+}
+
+void HttpConnection::ResetParser() {
+  parser_ = std::make_unique<AnswerParser>(
+      is_head_, pool_->limits.max_answer_header_bytes,
+      [this](const HttpResponseHead& head) {
+        const bool interim = head.status < 200;
+        if (call_ != nullptr && !interim)
+          call_->OnHead(head);
+      },
+      [this](std::string_view bytes) {
+        if (call_ != nullptr && !bytes.empty())
+          call_->OnBody(bytes);
+      });
+}
+
+void HttpConnection::WriteRequest() {
+  writing_ = true;
+  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head_text_),
+                                                     asio::buffer(body_)};
+  // A small request leaves at once; whether it did is known then.
+  ErrorCode error;
+  socket_.non_blocking(true, error);
+  const std::size_t sent = error ? 0 : socket_.write_some(buffers, error);
+  if (error == asio::error::would_block)
+    error = {};
+  request_bytes_out_ = sent > 0;
+  const std::size_t total = head_text_.size() + body_.size();
+  if (error || sent == total) {
+    pool_->loop.Post([self = shared_from_this(), error, sent] {
+      self->OnRequestWritten(error, sent);
+    });
+    return;
+  }
+  request_bytes_out_ = true;
+  std::string rest = head_text_ + body_;
+  rest.erase(0, sent);
+  body_ = std::move(rest);
+  asio::async_write(
+      socket_, asio::buffer(body_),
+      [self = shared_from_this()](const ErrorCode& result, std::size_t bytes) {
+        self->OnRequestWritten(result, bytes);
+      });
+}
+
+void HttpConnection::OnRequestWritten(const ErrorCode& error, std::size_t) {
+  writing_ = false;
+  if (closed_)
+    return;
+  if (error) {
+    // An answer may have come before the connection ended: it is read first.
+    if (!request_bytes_out_)
+      End(CallEnd::kNotSent);
+    return;
+  }
+  head_text_.clear();
+  body_.clear();
+  FinishIfDone();
+}
+
+void HttpConnection::Read() {
+  if (reading_ || closed_ || paused_)
+    return;
+  reading_ = true;
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](const ErrorCode& error, std::size_t bytes) {
+        self->reading_ = false;
+        self->OnRead(error, bytes);
+      });
+}
+
+void HttpConnection::OnRead(const ErrorCode& error, std::size_t bytes) {
+  if (closed_)
+    return;
+  if (call_ == nullptr) {
+    // An idle connection has ended, or bears bytes that nobody asked for.
+    Close();
+    return;
+  }
+  if (error == asio::error::eof) {
+    OnEndOfStream();
+    return;
+  }
+  if (error) {
+    End(CallEnd::kBroken);
+    return;
+  }
+  buffer_.commit(bytes);
+  const auto self = shared_from_this();
+  Parse();
+  Read();
+}
+
+void HttpConnection::Parse() {
+  while (call_ != nullptr && buffer_.size() > 0 && !answer_done_) {
+    ErrorCode error;
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error && error != http::error::need_more) {
+      End(CallEnd::kBadAnswer);
+      return;
+    }
+    if (parser_->is_done() && parser_->head().status < 200) {
+      ResetParser();  // an interim answer
+      continue;
+    }
+    if (parser_->is_done()) {
+      answer_done_ = true;
+      keep_ = parser_->keep_alive();
+      break;
+    }
+    if (used == 0)
+      return;
+  }
+  FinishIfDone();
+}
+
+void HttpConnection::OnEndOfStream() {
+  ErrorCode error;
+  if (parser_->got_some())
+    parser_->put_eof(error);
+  if (!error && parser_->is_done() && parser_->head().status >= 200) {
+    answer_done_ = true;
+    keep_ = false;
+    End(CallEnd::kComplete);
+    return;
+  }
+  End(CallEnd::kBroken);
+}
+
+void HttpConnection::FinishIfDone() {
+  // A request that isn't wholly written yet keeps the connection.
+  if (!answer_done_ || writing_ || call_ == nullptr)
+    return;
+  // Bytes after the answer belong to no request.
+  keep_ = keep_ && buffer_.size() == 0;
+  End(CallEnd::kComplete);
+}
+
+void HttpConnection::End(CallEnd end) {
+  const auto self = shared_from_this();
+  CallSink* const call = std::exchange(call_, nullptr);
+  const HttpFields fields = parser_ ? parser_->head().fields : HttpFields();
+  if (end == CallEnd::kComplete && keep_) {
+    idle_timeout_ =
+        AnnouncedIdleTimeout(fields).value_or(pool_->limits.idle_timeout);
+    idle_timeout_ = Millis(static_cast<Millis::rep>(
+        static_cast<double>(idle_timeout_.count()) * kIdleShare));
+    BecomeIdle();
+  } else {
+    Close();
+  }
+  if (call != nullptr)
+    call->OnEnd(end);
+}
+
+void HttpConnection::BecomeIdle() {
+  auto& idle = pool_->addresses[address_].idle;
+  if (pool_->closed || idle_timeout_ <= Millis(0) ||
+      idle.size() >= pool_->limits.max_idle_per_address) {
+    Close();
+    return;
+  }
+  idle_since_ = pool_->loop.Now();
+  parser_.reset();
+  idle.push_back(shared_from_this());
+  timer_ =
+      pool_->loop.After(idle_timeout_, [weak = weak_from_this()](TimePoint) {
+        if (const auto self = weak.lock(); self && self->call_ == nullptr)
+          self->Close();
+      });
+}
+
+void HttpConnection::Drop() {
+  call_ = nullptr;
+  Close();
+}
+
+void HttpConnection::Close() {
+  if (std::exchange(closed_, true))
+    return;
+  const auto self = shared_from_this();
+  timer_.reset();
+  ErrorCode ignored;  // closing is all that can be done with it
+  socket_.close(ignored);
+  const auto it = pool_->addresses.find(address_);
+  if (it != pool_->addresses.end())
+    std::erase(it->second.idle, self);
+  CountClosed();
+}
+
+bool HttpConnection::IsQuiet() {
+  char byte = 0;
+  const auto got = ::recv(socket_.native_handle(), &byte, sizeof byte,
+                          MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpConnection::SetPaused(bool paused) {
+  paused_ = paused;
+  if (connected_ && !paused)
+    Read();
+}
+
+}  // namespace endivecart::net
--- /dev/null
+++ b/src/endivecart/node/cache_duty.cc
@@ -0,0 +1,139 @@
+#include "endivecart/node/cache_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace endivecart::node {
+
+namespace {
+
+constexpr Millis kRetireInterval{5000};
+
+// Labels under which some upstream still works, those of single customers left
+// out.
+std::vector<std::string> LiveLabels(const fleet::Decisions& decisions,
+                                    const upstreams::AnnouncedRoster& roster) {
+  std::vector<std::string> labels;
+  for (const auto& [id, upstream] : roster.all()) {
+    if (upstream.last.state == upstreams::UpstreamState::kGone)
+      continue;
+    for (const upstreams::LoadedModel& loaded : upstream.last.models)
+      labels.push_back(
+          fleet::CacheLabel(loaded.model, loaded.version, CustomerId()));
+  }
+  for (const auto& [model, version] : decisions.weights)
+    labels.push_back(fleet::CacheLabel(model, version, CustomerId()));
+  return labels;
+}
+
+}  // namespace
+
+CacheDuty::CacheDuty(net::EventLoop& loop,
+                     UpstreamCaller& caller,
+                     const VoterNodeHooks& hooks)
+    : loop_(loop), caller_(caller), hooks_(hooks) {}
+
+void CacheDuty::Tick(const fleet::Decisions& decisions,
+                     const upstreams::AnnouncedRoster& roster,
+                     bool has_office,
+                     std::uint64_t term) {
+  const TimePoint now = loop_.Now();
+  if (!has_office) {
+    // Found again in the same term, the office was nobody else's in between.
+    if (term != term_ && std::exchange(term_, 0) != 0)
+      catalog_.StopOffice();
+    return;
+  }
+  if (term_ != term) {
+    term_ = term;
+    catalog_.StartOffice(term, now);
+    retire_due_ = now + kRetireInterval;
+  }
+  if (routing_version_ != decisions.routing_version)
+    TakeStores(decisions);
+  for (const fleet::CacheRead& read : catalog_.NextReads(now))
+    Read(read);
+  if (now >= retire_due_) {
+    retire_due_ = now + kRetireInterval;
+    Retire(decisions, roster);
+  }
+  for (const fleet::CacheFree& order : catalog_.NextFrees(now))
+    Free(order);
+}
+
+void CacheDuty::TakeStores(const fleet::Decisions& decisions) {
+  routing_version_ = decisions.routing_version;
+  const auto configuration = hooks_.decode_routing(decisions.routing_document);
+  if (!configuration) {
+    LogLine("node.configuration_unreadable")
+        .Add("version", decisions.routing_version)
+        .Add("reason", configuration.error().detail)
+        .Error();
+    return;
+  }
+  std::vector<routes::CacheStore> stores;
+  for (const routes::Service& service : configuration->services) {
+    if (service.store)
+      stores.push_back(*service.store);
+  }
+  catalog_.SetStores(stores);
+}
+
+void CacheDuty::Retire(const fleet::Decisions& decisions,
+                       const upstreams::AnnouncedRoster& roster) {
+  const auto live = LiveLabels(decisions, roster);
+  if (live.empty())
+    return;  // nothing is known of the upstreams yet
+  catalog_.Retire(
+      [&live](const std::string& label) {
+        return std::any_of(
+            live.begin(), live.end(), [&](const std::string& prefix) {
+              return label == prefix || label.starts_with(prefix + ".");
+            });
+      },
+      loop_.Now());
+}
+
+void CacheDuty::Read(const fleet::CacheRead& read) {
+  caller_.Call(read.store, hooks_.encode_cache_read(read),
+               [this, read, term = term_](int status, const std::string& body) {
+                 if (term != term_)
+                   return;
+                 if (status == 200 && read.is_list) {
+                   if (const auto list = hooks_.decode_cache_list(body)) {
+                     catalog_.OnList(read.store, *list, loop_.Now());
+                     return;
+                   }
+                 } else if (status == 200) {
+                   if (const auto events = hooks_.decode_cache_events(body)) {
+                     catalog_.OnEvents(read.store, *events, loop_.Now());
+                     return;
+                   }
+                 }
+                 catalog_.OnReadFailed(read.store, loop_.Now());
+               });
+}
+
+void CacheDuty::Free(const fleet::CacheFree& order) {
+  LogLine("node.cache_free")
+      .Add("store", order.store.ToString())
+      .Add("parts", std::uint64_t{order.parts.size()})
+      .Info();
+  caller_.Call(order.store, hooks_.encode_cache_free(order),
+               [order](int status, const std::string&) {
+                 if (status >= 200 && status < 300)
+                   return;
+                 LogLine("node.cache_free_refused")
+                     .Add("store", order.store.ToString())
+                     .Add("status", status)
+                     .Warn();
+               });
+}
+
+std::optional<wire::CacheNews> CacheDuty::NewsSince(
+    std::uint64_t term,
+    std::uint64_t cursor) const {
+  return catalog_.NewsSince(term, cursor, loop_.Now());
+}
+
+}  // namespace endivecart::node
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "endivecart/node/incarnation.h"
 #include "endivecart/node/side_server.h"
 
 namespace endivecart::node {
@@ -27,11 +28,6 @@
   return out;
 }
 
-std::uint64_t SeedOf(const HostId& host, TimePoint now) {
-  return StableHash(host.str(),
-                    static_cast<std::uint64_t>(now.time_since_epoch().count()));
-}
-
 gateway::GatewayOptions OptionsFor(const settings::NodeSettings& settings,
                                    std::uint64_t seed) {
   gateway::GatewayOptions options;
@@ -55,7 +51,7 @@
       : loop(event_loop),
         settings(std::move(node_settings)),
         hooks(std::move(node_hooks)),
-        incarnation(SeedOf(settings.host, loop.Now())),
+        incarnation(IncarnationOf(settings.host, loop.Now())),
         client(loop),
         gateway(OptionsFor(settings, incarnation),
                 hooks.dialect,
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -1,12 +1,15 @@
 #include "endivecart/node/voter_node.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 #include <vector>
 
+#include "endivecart/node/cache_duty.h"
 #include "endivecart/node/disk_thread.h"
+#include "endivecart/node/incarnation.h"
 #include "endivecart/node/side_server.h"
+#include "endivecart/node/upstream_caller.h"
+#include "endivecart/node/weights_duty.h"
 
 namespace endivecart::node {
 
@@ -14,45 +17,31 @@
 
 constexpr Millis kVoterTick{20};
 constexpr Millis kFollowTick{50};
-constexpr Millis kOrdersTick{50};
+constexpr Millis kDutiesTick{50};
 constexpr Millis kExpireInterval{1000};
 constexpr Millis kStopDelay{300};
-// Longer than a store holds back an answer.
-constexpr Millis kOrderTimeout{1500};
-constexpr Millis kRetireInterval{5000};
 constexpr Millis kProposalPatience{900};
 constexpr std::size_t kMaxConnections = 2000;
 // A routing configuration of thousands of routes.
 constexpr std::size_t kMaxCallBytes = 32UL << 20;
 
-fleet::WeightsConductor::Options ConductorOptions(
-    const settings::NodeSettings& settings) {
-  fleet::WeightsConductor::Options options;
-  options.lease = settings.bounds.order_lease;
-  return options;
-}
-
 }  // namespace
 
 struct VoterNode::Parts {
-  struct OpenCall {
-    net::HttpCallPtr call;
-    std::unique_ptr<TimerSubscription> timeout;
-    int status = 0;
-    std::string body;
-  };
-
   Parts(net::EventLoop& event_loop,
         settings::NodeSettings node_settings,
         VoterNodeHooks node_hooks)
       : loop(event_loop),
         settings(std::move(node_settings)),
         hooks(std::move(node_hooks)),
-        incarnation(StableHash(
-            settings.host.str(),
-            static_cast<std::uint64_t>(loop.Now().time_since_epoch().count()))),
-        client(loop),
-        conductor(ConductorOptions(settings)) {}
+        incarnation(IncarnationOf(settings.host, loop.Now())),
+        caller(loop),
+        weights(loop,
+                caller,
+                hooks,
+                settings.name,
+                {settings.bounds.order_lease}),
+        caches(loop, caller, hooks) {}
 
   Result<bool, NodeError> Open();
   Result<bool, NodeError> OpenStorage();
@@ -63,24 +52,17 @@
   void StartTimers();
   void OnEnvelope(const wire::Envelope& envelope);
   void OnCall(const net::HttpExchangePtr& exchange);
-  void GiveOrders();
-  void SendOrder(const fleet::WeightsOrder& order);
-  void SendCheck(const fleet::WeightsCheck& check);
+  void DoLeadersDuties();
   void EndMoves();
-  void KeepCaches();
-  void ReadStore(const fleet::CacheRead& read);
-  void FreeParts(const fleet::CacheFree& order);
-  std::vector<std::string> LiveLabels() const;
-  void Call(const settings::Endpoint& address,
-            const net::HttpRequest& request,
-            std::function<void(int status, const std::string& body)> done);
 
   net::EventLoop& loop;
   settings::NodeSettings settings;
   const VoterNodeHooks hooks;
   const std::uint64_t incarnation;
   MetricsRegistry metrics;
-  net::HttpClient client;
+  UpstreamCaller caller;
+  WeightsDuty weights;
+  CacheDuty caches;
   std::unique_ptr<control::DataFolder> storage;
   upstreams::AnnouncedRoster roster;
   std::unique_ptr<fleet::FleetBus> bus;
@@ -88,17 +70,9 @@
   std::optional<fleet::FleetFeed> feed;
   std::optional<fleet::FleetFollower> follower;
   std::optional<fleet::OperatorDesk> desk;
-  fleet::WeightsConductor conductor;
   fleet::MoveConductor moves;
-  std::vector<UpstreamId> told_resting;
-  fleet::CacheCatalog catalog;
-  std::uint64_t catalog_term = 0;  // 0: not in office
-  std::uint64_t catalog_routing = 0;
-  TimePoint retire_due{};
   std::unique_ptr<net::HttpServer> operators;
   std::unique_ptr<net::HttpServer> metrics_server;
-  std::uint64_t next_call = 1;
-  std::map<std::uint64_t, OpenCall> calls;
   std::vector<std::unique_ptr<TimerSubscription>> timers;
   bool stopping = false;
   // Last: its jobs use the storage.
@@ -181,16 +155,14 @@
     return voter ? voter->VoterHosts() : std::vector<HostId>();
   };
   tell.cache_news = [this](std::uint64_t term, std::uint64_t cursor) {
-    return catalog_term != 0 && voter->HasOffice()
-               ? catalog.NewsSince(term, cursor, loop.Now())
-               : std::nullopt;
+    return voter->HasOffice() ? caches.NewsSince(term, cursor) : std::nullopt;
   };
   tell.on_move_report = [this](const HostId& host,
                                const wire::ServiceMoveReport& report) {
     moves.OnReport(host, report);
   };
   tell.resting = [this] {
-    return voter && voter->HasOffice() ? conductor.Resting()
+    return voter && voter->HasOffice() ? weights.Resting()
                                        : std::vector<UpstreamId>();
   };
   tell.leader_host = [this] { return voter ? voter->LeaderHost() : HostId(); };
@@ -258,11 +230,8 @@
       loop.Every(kVoterTick, [this](TimePoint) { voter->Tick(); }));
   timers.push_back(
       loop.Every(kFollowTick, [this](TimePoint) { follower->Tick(); }));
-  timers.push_back(loop.Every(kOrdersTick, [this](TimePoint) {
-    GiveOrders();
-    EndMoves();
-    KeepCaches();
-  }));
+  timers.push_back(
+      loop.Every(kDutiesTick, [this](TimePoint) { DoLeadersDuties(); }));
   timers.push_back(loop.Every(kExpireInterval, [this](TimePoint now) {
     feed->Expire();
     roster.Expire(now);
@@ -310,52 +279,12 @@
   });
 }
 
-void VoterNode::Parts::GiveOrders() {
-  const TimePoint now = loop.Now();
-  for (const fleet::WeightsOrder& order : conductor.NextOrders(
-           voter->decisions(), roster, !stopping && voter->HasOffice(),
-           voter->term(), now)) {
-    SendOrder(order);
-  }
-  for (const fleet::WeightsCheck& check : conductor.NextChecks(roster, now))
-    SendCheck(check);
-  const auto resting = conductor.Resting();
-  if (resting != told_resting) {
-    told_resting = resting;
+void VoterNode::Parts::DoLeadersDuties() {
+  const bool in_office = !stopping && voter->HasOffice();
+  if (weights.Tick(voter->decisions(), roster, in_office, voter->term()))
     feed->PushAnnouncements();
-  }
-}
-
-void VoterNode::Parts::SendOrder(const fleet::WeightsOrder& order) {
-  LogLine("node.weights_order")
-      .Add("upstream", order.upstream.str())
-      .Add("model", order.model.str())
-      .Add("version", order.version)
-      .Add("fencing_number", order.fencing_number)
-      .Info();
-  Call(order.address, hooks.encode_order(order, settings.name),
-       [this, order](int status, const std::string&) {
-         const auto end = hooks.decode_order_end(status);
-         LogLine("node.weights_order_end")
-             .Add("upstream", order.upstream.str())
-             .Add("version", order.version)
-             .Add("status", status)
-             .Add("end", fleet::WeightsOrderEndName(end))
-             .Info();
-         conductor.OnOrderEnd(order.upstream, end, loop.Now());
-       });
-}
-
-void VoterNode::Parts::SendCheck(const fleet::WeightsCheck& check) {
-  Call(check.address, hooks.encode_check(check),
-       [this, check](int status, const std::string& body) {
-         if (status != 200)
-           return;  // asked again soon
-         if (const auto report = hooks.decode_report(check.model, body)) {
-           conductor.OnReport(check.upstream, check.model, *report, loop.Now());
-           GiveOrders();
-         }
-       });
+  caches.Tick(voter->decisions(), roster, in_office, voter->term());
+  EndMoves();
 }
 
 void VoterNode::Parts::EndMoves() {
@@ -378,129 +307,6 @@
   }
 }
 
-void VoterNode::Parts::KeepCaches() {
-  const TimePoint now = loop.Now();
-  if (stopping || !voter->HasOffice()) {
-    // Found again in the same term, the office was nobody else's in between.
-    if (voter->term() != catalog_term && std::exchange(catalog_term, 0) != 0)
-      catalog.StopOffice();
-    return;
-  }
-  if (catalog_term != voter->term()) {
-    catalog_term = voter->term();
-    catalog.StartOffice(catalog_term, now);
-    retire_due = now + kRetireInterval;
-  }
-  const fleet::Decisions& decisions = voter->decisions();
-  if (catalog_routing != decisions.routing_version) {
-    catalog_routing = decisions.routing_version;
-    std::vector<routes::CacheStore> stores;
-    const auto configuration = hooks.decode_routing(decisions.routing_document);
-    if (configuration) {
-      for (const routes::Service& service : configuration->services) {
-        if (service.store)
-          stores.push_back(*service.store);
-      }
-    }
-    catalog.SetStores(stores);
-  }
-  for (const fleet::CacheRead& read : catalog.NextReads(now))
-    ReadStore(read);
-  if (now >= retire_due) {
-    retire_due = now + kRetireInterval;
-    const auto live = LiveLabels();
-    catalog.Retire(
-        [&live](const std::string& label) {
-          return live.empty() ||
-                 std::any_of(live.begin(), live.end(),
-                             [&](const std::string& prefix) {
-                               return label == prefix ||
-                                      label.starts_with(prefix + ".");
-                             });
-        },
-        now);
-  }
-  for (const fleet::CacheFree& order : catalog.NextFrees(now))
-    FreeParts(order);
-}
-
-// Labels under which some upstream still works, those of single customers left
-// out.
-std::vector<std::string> VoterNode::Parts::LiveLabels() const {
-  std::vector<std::string> labels;
-  for (const auto& [id, upstream] : roster.all()) {
-    if (upstream.last.state == upstreams::UpstreamState::kGone)
-      continue;
-    for (const upstreams::LoadedModel& loaded : upstream.last.models)
-      labels.push_back(
-          fleet::CacheLabel(loaded.model, loaded.version, CustomerId()));
-  }
-  for (const auto& [model, version] : voter->decisions().weights)
-    labels.push_back(fleet::CacheLabel(model, version, CustomerId()));
-  return labels;
-}
-
-void VoterNode::Parts::ReadStore(const fleet::CacheRead& read) {
-  const std::uint64_t term = catalog_term;
-  Call(read.store, hooks.encode_cache_read(read),
-       [this, read, term](int status, const std::string& body) {
-         if (term != catalog_term)
-           return;
-         if (status == 200 && read.is_list) {
-           if (const auto list = hooks.decode_cache_list(body)) {
-             catalog.OnList(read.store, *list, loop.Now());
-             return;
-           }
-         } else if (status == 200) {
-           if (const auto events = hooks.decode_cache_events(body)) {
-             catalog.OnEvents(read.store, *events, loop.Now());
-             return;
-           }
-         }
-         catalog.OnReadFailed(read.store, loop.Now());
-       });
-}
-
-void VoterNode::Parts::FreeParts(const fleet::CacheFree& order) {
-  LogLine("node.cache_free")
-      .Add("store", order.store.ToString())
-      .Add("parts", std::uint64_t{order.parts.size()})
-      .Info();
-  Call(order.store, hooks.encode_cache_free(order),
-       [order](int status, const std::string&) {
-         if (status < 200 || status >= 300) {
-           LogLine("node.cache_free_refused")
-               .Add("store", order.store.ToString())
-               .Add("status", status)
-               .Warn();
-         }
-       });
-}
-
-void VoterNode::Parts::Call(
-    const settings::Endpoint& address,
-    const net::HttpRequest& request,
-    std::function<void(int status, const std::string& body)> done) {
-  const std::uint64_t id = next_call++;
-  OpenCall& open = calls[id];
-  const auto end = [this, id, done = std::move(done)](bool complete) {
-    const auto it = calls.find(id);
-    if (it == calls.end())
-      return;
-    const OpenCall ended = std::move(it->second);
-    calls.erase(it);
-    done(complete ? ended.status : 0, ended.body);
-  };
-  open.timeout = loop.After(kOrderTimeout, [end](TimePoint) { end(false); });
-  open.call = client.Start(
-      address, request, net::CallOptions(),
-      {[this, id](const net::HttpResponseHead& head) {
-         calls.at(id).status = head.status;
-       },
-       [this, id](std::string_view bytes) { calls.at(id).body += bytes; },
-       [end](net::CallEnd result) { end(result == net::CallEnd::kComplete); }});
-}
-
 VoterNode::VoterNode() = default;
 VoterNode::~VoterNode() = default;
 
