Upstreams that announce themselves to a spare of the voters are known to all

Cause: there are at most five voters. Further hosts of control are spares; upstreams announce themselves to them as to any other, but nobody followed their feed. On a site with six hosts of control 12 of 60 engines were unknown to all hosts (census "known:48") until the spare froze and they turned to another. Found by comparing each engine's requests at work with what senders saw: a sixth of the engines had none all along.

Ruled out: answering a spare's announcements with the address of a voter. Upstreams come back to the spare whenever that voter is out of reach.

Change: FleetFeed names spares beside the voters, followers poll them too. The message's field is control_hosts now. Test: a_spare_of_the_voters_is_followed_too, which fails without the change.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -70,8 +70,8 @@
                follower.poll.routing_version() != decisions_.routing_version);
     follower.sent_decisions = decisions_.index;
   }
-  for (const HostId& voter : hooks_.voter_hosts())
-    news.add_voter_hosts(voter.str());
+  for (const HostId& host : ControlHosts())
+    news.add_control_hosts(host.str());
   news.set_leader_host(hooks_.leader_host().str());
   news.set_caller_hosts(static_cast<std::uint32_t>(CallerHosts()));
   news.set_caller_rank(static_cast<std::uint32_t>(
@@ -108,6 +108,17 @@
   }
 }
 
+std::vector<HostId> FleetFeed::ControlHosts() const {
+  std::vector<HostId> hosts = hooks_.voter_hosts();
+  for (const auto& [host, follower] : followers_) {
+    if (!follower.poll.serves_callers() &&
+        std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
+}
+
 int FleetFeed::CallerHosts() const {
   if (hooks_.now() - started_at_ < kLearnCallers)
     return 0;
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -12,8 +12,8 @@
 
 namespace endivecart::fleet {
 
-// Tells followers, from one voter, what was decided and what upstreams said.
-// Followers poll; what changes is sent to them at once.
+// Tells followers, from one voter or spare, what was decided and what upstreams
+// said. Followers poll; what changes is sent to them at once.
 class FleetFeed {
  public:
   struct Hooks {
@@ -52,6 +52,9 @@
   void PushAnnouncements();
   void Expire();
 
+  // The voters, and what else of control polls here: spares hear announcements
+  // too, and nobody would ask them for these unless they were named.
+  std::vector<HostId> ControlHosts() const;
   // Processes that serve callers, those included that are silent for less than
   // kKeepPlace; 0 while this isn't known.
   int CallerHosts() const;
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -9,7 +9,7 @@
     : options_(std::move(options)), hooks_(std::move(hooks)) {
   for (const HostId& contact : options_.contacts) {
     if (contact != options_.self)
-      voters_[contact].named_at = hooks_.now();
+      control_hosts_[contact].named_at = hooks_.now();
   }
 }
 
@@ -45,11 +45,11 @@
     for (wire::ServiceMoveReport& report : hooks_.move_reports())
       *poll.add_move_reports() = std::move(report);
   }
-  const HostId main = MainVoter();
+  const HostId main = MainControlHost();
   const bool asks_all =
       main.empty() ||
       polls_++ % static_cast<std::uint64_t>(options_.others_every) == 0;
-  for (const auto& [host, voter] : voters_) {
+  for (const auto& [host, control] : control_hosts_) {
     if (host != main && !asks_all)
       continue;
     wire::Envelope envelope;
@@ -60,44 +60,46 @@
     } else {
       out.clear_loads();
     }
-    out.set_feed_incarnation(voter.feed_incarnation);
-    out.set_feed_cursor(voter.feed_cursor);
+    out.set_feed_incarnation(control.feed_incarnation);
+    out.set_feed_cursor(control.feed_cursor);
     hooks_.send(host, std::move(envelope));
   }
 }
 
-HostId FleetFollower::MainVoter() const {
-  const auto leader = voters_.find(leader_);
-  if (leader != voters_.end() && leader->second.in_contact)
+HostId FleetFollower::MainControlHost() const {
+  const auto leader = control_hosts_.find(leader_);
+  if (leader != control_hosts_.end() && leader->second.in_contact)
     return leader_;
-  for (const auto& [host, voter] : voters_) {
-    if (voter.in_contact)
+  for (const auto& [host, control] : control_hosts_) {
+    if (control.in_contact)
       return host;
   }
   return HostId();
 }
 
 void FleetFollower::OnNews(const HostId& from, const wire::FleetNews& news) {
-  const auto it = voters_.find(from);
-  if (it == voters_.end())
-    return;  // no longer a voter
-  Voter& voter = it->second;
+  const auto it = control_hosts_.find(from);
+  if (it == control_hosts_.end())
+    return;  // no longer one of control
+  ControlHost& control = it->second;
   const TimePoint now = hooks_.now();
-  if (!std::exchange(voter.in_contact, true))
-    LogLine("fleet.contact").Add("voter", from.str()).Info();
-  voter.heard_at = now;
-  voter.heard = true;
-  voter.place = {static_cast<int>(news.caller_hosts()),
-                 static_cast<int>(news.caller_rank())};
+  if (!std::exchange(control.in_contact, true))
+    LogLine("fleet.contact").Add("control_host", from.str()).Info();
+  control.heard_at = now;
+  control.heard = true;
+  control.place = {static_cast<int>(news.caller_hosts()),
+                   static_cast<int>(news.caller_rank())};
   for (const wire::AnnouncementRecord& record : news.announcements()) {
     if (const auto announcement = upstreams::FromRecord(record)) {
       hooks_.on_announcement(*announcement, now - Millis(record.age_ms()));
     } else {
-      LogLine("fleet.announcement_unusable").Add("voter", from.str()).Warn();
+      LogLine("fleet.announcement_unusable")
+          .Add("control_host", from.str())
+          .Warn();
     }
   }
-  voter.feed_incarnation = news.feed_incarnation();
-  voter.feed_cursor = news.feed_cursor();
+  control.feed_incarnation = news.feed_incarnation();
+  control.feed_cursor = news.feed_cursor();
   if (news.loads_size() > 0) {
     loads_.clear();
     for (const wire::UpstreamLoad& load : news.loads())
@@ -114,7 +116,10 @@
     hooks_.on_cache(news.cache());
   if (news.has_decisions())
     TakeDecisions(news.decisions());
-  TakeVoters(news);
+  std::vector<HostId> named;
+  for (const std::string& host : news.control_hosts())
+    named.emplace_back(host);
+  NoteControlHosts(named);
 }
 
 void FleetFollower::TakeDecisions(const wire::FleetDecisions& message) {
@@ -139,35 +144,34 @@
   hooks_.on_decisions(decisions_);
 }
 
-void FleetFollower::TakeVoters(const wire::FleetNews& news) {
+void FleetFollower::NoteControlHosts(const std::vector<HostId>& hosts) {
   const TimePoint now = hooks_.now();
   bool is_new = false;
-  for (const std::string& name : news.voter_hosts()) {
-    const HostId host(name);
+  for (const HostId& host : hosts) {
     if (host == options_.self)
       continue;
-    const auto [it, added] = voters_.try_emplace(host);
+    const auto [it, added] = control_hosts_.try_emplace(host);
     it->second.named_at = now;
     is_new = is_new || added;
   }
-  const auto forgotten = std::erase_if(voters_, [&](const auto& entry) {
+  const auto forgotten = std::erase_if(control_hosts_, [&](const auto& entry) {
     const bool is_contact =
         std::find(options_.contacts.begin(), options_.contacts.end(),
                   entry.first) != options_.contacts.end();
-    return !is_contact && now - entry.second.named_at > kForgetVoter;
+    return !is_contact && now - entry.second.named_at > kForgetControlHost;
   });
   if (!is_new && forgotten == 0)
     return;
-  TellVoters();
+  TellControlHosts();
   if (is_new)
     poll_due_ = now;
 }
 
-void FleetFollower::TellVoters() const {
+void FleetFollower::TellControlHosts() const {
   std::vector<HostId> hosts;
-  for (const auto& [host, voter] : voters_)
+  for (const auto& [host, known] : control_hosts_)
     hosts.push_back(host);
-  hooks_.on_voters(hosts);
+  hooks_.on_control_hosts(hosts);
 }
 
 void FleetFollower::AddContacts(const std::vector<HostId>& contacts) {
@@ -175,38 +179,38 @@
   for (const HostId& contact : contacts) {
     if (contact == options_.self)
       continue;
-    const auto [it, added] = voters_.try_emplace(contact);
+    const auto [it, added] = control_hosts_.try_emplace(contact);
     it->second.named_at = hooks_.now();
     is_new = is_new || added;
   }
   options_.contacts = contacts;
   if (is_new)
-    TellVoters();
+    TellControlHosts();
 }
 
 void FleetFollower::NoteLostContacts() {
   const TimePoint now = hooks_.now();
-  for (auto& [host, voter] : voters_) {
-    if (voter.in_contact && now - voter.heard_at > kContactLost) {
-      voter.in_contact = false;
-      LogLine("fleet.contact_lost").Add("voter", host.str()).Warn();
+  for (auto& [host, control] : control_hosts_) {
+    if (control.in_contact && now - control.heard_at > kContactLost) {
+      control.in_contact = false;
+      LogLine("fleet.contact_lost").Add("control_host", host.str()).Warn();
     }
   }
 }
 
 bool FleetFollower::InContact() const {
-  return std::any_of(voters_.begin(), voters_.end(),
+  return std::any_of(control_hosts_.begin(), control_hosts_.end(),
                      [](const auto& entry) { return entry.second.in_contact; });
 }
 
-// Of the voters' views the widest counts: shares by it are the smallest.
+// Of all views the widest counts: shares by it are the smallest.
 FleetFollower::CallerPlace FleetFollower::Place() const {
   CallerPlace widest;
-  for (const auto& [host, voter] : voters_) {
+  for (const auto& [host, control] : control_hosts_) {
     const bool is_fresh =
-        voter.heard && hooks_.now() - voter.heard_at <= kContactLost;
-    if (is_fresh && voter.place.hosts > widest.hosts)
-      widest = voter.place;
+        control.heard && hooks_.now() - control.heard_at <= kContactLost;
+    if (is_fresh && control.place.hosts > widest.hosts)
+      widest = control.place;
   }
   return widest;
 }
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -34,15 +34,15 @@
   bool operator==(const OwnLoad&) const = default;
 };
 
-// Follows all voters, one of them closely: a decision, or an upstream's word,
-// that reaches one of them reaches this process. Goes on with what it knows
-// while none answers.
+// Follows all voters and their spares, one voter closely: a decision, or an
+// upstream's word, that reaches one of them reaches this process. Goes on with
+// what it knows while none answers.
 class FleetFollower {
  public:
   struct Hooks {
     std::function<void(const HostId&, wire::Envelope)> send;
-    // Voters to be reachable from now on, this process left out.
-    std::function<void(const std::vector<HostId>&)> on_voters;
+    // To be reachable from now on, this process left out.
+    std::function<void(const std::vector<HostId>&)> on_control_hosts;
     std::function<void(DecisionsPtr)> on_decisions;
     std::function<void(const upstreams::Announcement&, TimePoint received_at)>
         on_announcement;
@@ -55,24 +55,26 @@
     std::function<TimePoint()> now;
   };
 
-  // A voter that is silent for longer counts as out of reach.
+  // A control host that is silent for longer counts as out of reach.
   static constexpr Millis kContactLost{2000};
-  // A voter that nobody names any more is polled for this long still.
-  static constexpr Millis kForgetVoter{30000};
+  // One that nobody names any more is polled for this long still.
+  static constexpr Millis kForgetControlHost{30000};
 
   FleetFollower(FleetFollowerOptions options, Hooks hooks);
 
   void Tick();
   void OnNews(const HostId& from, const wire::FleetNews& news);
+  // These hosts are voters or spares now.
+  void NoteControlHosts(const std::vector<HostId>& hosts);
   // More hosts that may be voters.
   void AddContacts(const std::vector<HostId>& contacts);
 
   // Null until the first news.
   const DecisionsPtr& decisions() const { return decisions_; }
-  // Whether any voter was heard lately.
+  // Whether any control host was heard lately.
   bool InContact() const;
   // Processes that serve callers, this one included, and this one's place among
-  // them. No hosts if no voter was heard lately.
+  // them. No hosts if no control host was heard lately.
   struct CallerPlace {
     int hosts = 0;
     int rank = 0;
@@ -86,7 +88,7 @@
   const wire::UpstreamLoad* LoadOfOthers(const UpstreamId& upstream) const;
 
  private:
-  struct Voter {
+  struct ControlHost {
     TimePoint named_at;
     TimePoint heard_at{};
     bool heard = false;
@@ -97,17 +99,16 @@
   };
 
   void Poll();
-  // The voter that all processes tell their loads to: the leader, if in reach.
-  HostId MainVoter() const;
+  // The one that all processes tell their loads to: the leader, if in reach.
+  HostId MainControlHost() const;
   void TakeDecisions(const wire::FleetDecisions& message);
-  void TakeVoters(const wire::FleetNews& news);
-  void TellVoters() const;
+  void TellControlHosts() const;
   void NoteLostContacts();
 
   FleetFollowerOptions options_;
   const Hooks hooks_;
   DecisionsPtr decisions_;
-  std::map<HostId, Voter> voters_;
+  std::map<HostId, ControlHost> control_hosts_;
   TimePoint poll_due_{};
   std::uint64_t polls_ = 0;
   HostId leader_;
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -383,8 +383,8 @@
       if (connected && to == HostId("v"))
         feed.OnPoll(HostId("e"), envelope.fleet_poll());
     };
-    hooks.on_voters = [this](const std::vector<HostId>& hosts) {
-      voters = hosts;
+    hooks.on_control_hosts = [this](const std::vector<HostId>& hosts) {
+      control_hosts = hosts;
     };
     hooks.on_decisions = [this](const DecisionsPtr& decisions) {
       seen.push_back(decisions->routing_version);
@@ -410,7 +410,7 @@
   TimePoint now = At(0);
   bool connected = true;
   std::vector<UpstreamId> resting;
-  std::vector<HostId> voters;
+  std::vector<HostId> control_hosts;
   std::vector<std::uint64_t> seen;
   std::vector<std::pair<upstreams::Announcement, TimePoint>> heard;
   DecisionLog log;
@@ -427,7 +427,7 @@
   BOOST_TEST(seen == std::vector<std::uint64_t>{5},
              boost::test_tools::per_element());
   BOOST_TEST(follower.decisions()->routing_document == "document 5");
-  BOOST_TEST(voters.size() == 2u);
+  BOOST_TEST(control_hosts.size() == 2u);
 }
 
 BOOST_FIXTURE_TEST_CASE(a_push_that_was_lost_is_made_up_for_by_the_next_poll,
@@ -455,6 +455,25 @@
   BOOST_TEST(follower.Place().hosts == 0);
 }
 
+// More hosts of control than voters: upstreams announce themselves to any.
+BOOST_FIXTURE_TEST_CASE(a_spare_of_the_voters_is_followed_too,
+                        FeedAndFollower) {
+  const HostId spare("x");
+  wire::FleetPoll poll;
+  poll.set_member("x@1");
+  feed.OnPoll(spare, poll);
+  Advance(300);
+  BOOST_TEST((std::find(control_hosts.begin(), control_hosts.end(), spare) !=
+              control_hosts.end()));
+  // One that no longer polls isn't named any more, and forgotten in time.
+  now += FleetFeed::kForgetFollower + Millis(1);
+  feed.Expire();
+  Advance(300);
+  now += FleetFollower::kForgetControlHost;
+  Advance(300);
+  BOOST_TEST(control_hosts.size() == 2u);
+}
+
 BOOST_FIXTURE_TEST_CASE(announcements_come_with_their_age, FeedAndFollower) {
   upstreams::Announcement said;
   said.id = UpstreamId("u");
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -93,8 +93,8 @@
   follow.send = [this](const HostId& to, wire::Envelope envelope) {
     bus->Send(to, std::move(envelope));
   };
-  follow.on_voters = [this](const std::vector<HostId>& voters) {
-    bus->ConnectTo(voters);
+  follow.on_control_hosts = [this](const std::vector<HostId>& hosts) {
+    bus->ConnectTo(hosts);
   };
   follow.on_decisions = [this](const fleet::DecisionsPtr& decisions) {
     TakeDecisions(decisions);
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -186,8 +186,8 @@
   follow.send = [this](const HostId& to, wire::Envelope envelope) {
     bus->Send(to, std::move(envelope));
   };
-  follow.on_voters = [this](const std::vector<HostId>& voters) {
-    bus->ConnectTo(voters);
+  follow.on_control_hosts = [this](const std::vector<HostId>& hosts) {
+    bus->ConnectTo(hosts);
   };
   follow.on_decisions = [](const fleet::DecisionsPtr&) {
     // A voter takes decisions from its own log only.
@@ -247,6 +247,8 @@
     if (!poll.member().empty())
       voter->OnMember(control::MemberId(poll.member()));
     feed->OnPoll(from, poll);
+    if (!poll.serves_callers())
+      follower->NoteControlHosts({from});
   } else if (envelope.has_fleet_news()) {
     follower->OnNews(from, envelope.fleet_news());
   }
