Hosts together send an engine about what it holds, the most urgent first

Cause: on a site of 70 hosts the same few engines got all prompts for a quarter of a second, then others. Each host hears of the others' work 250 ms late on average; it took the least loaded engine of all, and only engines with room, which in a crowd are few: all hosts chose alike. Seen in the senders' logs: in 250 ms the median engine got nothing, one got 43; senders saw 13 requests at an engine that had 46. Such engines drop fetched cache before it is used, and read it again. Besides, customers of one priority queued in order of arrival: long drafts before verdicts with a time limit of 3 s, though the routes' priorities say otherwise.

Change: a prompt considers its two homes and two engines drawn at random. RoomOdds, without network: room is counted on with a chance such that what all hosts send until the next news about fits; more urgent prompts as if there were no others. Within one customer priority the route's priority decides. Waiting prompts look again with each news. Others' work that is older than 2 s is forgotten: it stayed for ever after a last report. An upstream that has just answered this host isn't doubtful because control doesn't hear of it.

--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -101,9 +101,12 @@
   control.feed_incarnation = news.feed_incarnation();
   control.feed_cursor = news.feed_cursor();
   if (news.loads_size() > 0) {
+    loads_heard_at_ = now;
     loads_.clear();
     for (const wire::UpstreamLoad& load : news.loads())
       loads_[UpstreamId(load.upstream())] = load;
+    if (hooks_.on_loads)
+      hooks_.on_loads();
   }
   if (news.leader_host() == from.str()) {
     leader_ = from;
@@ -223,7 +226,9 @@
 const wire::UpstreamLoad* FleetFollower::LoadOfOthers(
     const UpstreamId& upstream) const {
   const auto it = loads_.find(upstream);
-  return it == loads_.end() ? nullptr : &it->second;
+  return it == loads_.end() || hooks_.now() - loads_heard_at_ > kContactLost
+             ? nullptr
+             : &it->second;
 }
 
 }  // namespace endivecart::fleet
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -48,6 +48,8 @@
         on_announcement;
     std::function<std::vector<OwnLoad>()> own_loads;
     std::function<std::vector<wire::ServiceMoveReport>()> move_reports;
+    // The work of others at upstreams is known anew; may be left out.
+    std::function<void()> on_loads;
     // Leave these out where cache stores are of no concern.
     std::function<void(const wire::CacheNews&)> on_cache;
     // The term and the cursor of the cache news that are held.
@@ -113,6 +115,7 @@
   std::uint64_t polls_ = 0;
   HostId leader_;
   std::map<UpstreamId, wire::UpstreamLoad> loads_;
+  TimePoint loads_heard_at_{};
   std::set<UpstreamId> resting_;
   TimePoint resting_heard_at_{};
 };
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -101,7 +101,7 @@
 
 void Forwarding::Wait() {
   const TimePoint now = gateway_.loop_.Now();
-  ticket_ = gateway_.waiting_room_.Enter(Urgency(), now);
+  ticket_ = gateway_.waiting_room_.Enter(Rank(), now);
   gateway_.waiting_[*ticket_] = weak_from_this();
   const Millis patience = TimeLeft() / kWaitingShare;
   LogLine("gateway.wait")
@@ -137,10 +137,29 @@
   return true;
 }
 
-bool Forwarding::HasRoom(const Candidate& candidate,
-                         const routes::Service* service) const {
-  return !request_.prompt || service == nullptr || !service->engine ||
-         HasRoomFor(candidate, HeldTokens(), service->engine->cache_tokens);
+void Forwarding::NoteRoom(std::vector<Candidate>& candidates,
+                          const routes::Service* service,
+                          int hosts) const {
+  if (!request_.prompt || service == nullptr || !service->engine)
+    return;
+  const std::int64_t cache_tokens = service->engine->cache_tokens;
+  const TimePoint now = gateway_.loop_.Now();
+  gateway_.room_odds_.Add(Rank(), HeldTokens(), now);
+  std::vector<std::int64_t> free_tokens;
+  free_tokens.reserve(candidates.size());
+  for (Candidate& candidate : candidates) {
+    candidate.has_room = HasRoomFor(candidate, HeldTokens(), cache_tokens);
+    free_tokens.push_back(candidate.has_room && !candidate.is_doubtful
+                              ? FreeTokens(candidate, cache_tokens)
+                              : 0);
+  }
+  const auto chances =
+      gateway_.room_odds_.Chances(Rank(), free_tokens, hosts, now);
+  std::uniform_real_distribution<double> draw(0, 1);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (!candidates[i].is_doubtful && draw(gateway_.random_) >= chances[i])
+      candidates[i].has_room = false;
+  }
 }
 
 std::int64_t Forwarding::HeldTokens() const {
@@ -152,6 +171,10 @@
                    : route_.priority;
 }
 
+int Forwarding::Rank() const {
+  return RankOf(Urgency(), route_.priority);
+}
+
 CustomerId Forwarding::IsolatedCustomer() const {
   return customer_ && customer_->isolated ? customer_->id : CustomerId();
 }
@@ -213,19 +236,19 @@
       routes_->configuration().FindService(service_);
   const auto place = gateway_.follower_ ? gateway_.follower_->Place()
                                         : fleet::FleetFollower::CallerPlace();
-  const std::size_t known = candidates.size();
-  std::erase_if(candidates, [&](const Candidate& candidate) {
-    return !HasRoom(candidate, service);
-  });
-  is_full_ = known > 0 && candidates.empty();
-  if (is_full_)
-    return std::nullopt;
+  NoteRoom(candidates, service, place.hosts);
+  is_full_ = false;
   while (!candidates.empty()) {
-    const auto choice = request_.prompt
-                            ? PlacePrompt(candidates, *request_.prompt,
-                                          IsolatedCustomer().str(),
-                                          gateway_.speeds_.Of(service_))
-                            : PlaceByLoad(candidates, gateway_.random_());
+    const auto choice =
+        request_.prompt
+            ? PlacePrompt(candidates, *request_.prompt,
+                          IsolatedCustomer().str(),
+                          gateway_.speeds_.Of(service_), gateway_.random_())
+            : PlaceByLoad(candidates, gateway_.random_());
+    if (!choice) {
+      is_full_ = true;
+      return std::nullopt;
+    }
     const UpstreamId id = candidates[choice->index].id;
     const bool is_cold = gateway_.book_.IsCold(id);
     if (is_cold &&
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -41,8 +41,10 @@
   // Waits for room at an upstream, unless that is hopeless.
   void Wait();
   void StopWaiting();
-  bool HasRoom(const Candidate& candidate,
-               const routes::Service* service) const;
+  // Marks which of them may be counted on to have room for this prompt.
+  void NoteRoom(std::vector<Candidate>& candidates,
+                const routes::Service* service,
+                int hosts) const;
   std::vector<Candidate> FindCandidates(UpstreamCensus& census) const;
   // Whether the request, and its prompt's cache, may be in the domain.
   bool MayBeIn(const DomainId& domain) const;
@@ -91,7 +93,10 @@
   Millis TimeLeft() const;
   std::int64_t PromptTokens() const;
   std::int64_t HeldTokens() const;
+  // The customer's priority, or else the route's; 0 is the most urgent.
   int Urgency() const;
+  // Who goes first where not all can.
+  int Rank() const;
   // The customer if it shares its cache with no other; else empty.
   CustomerId IsolatedCustomer() const;
 
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "endivecart/gateway/move_watch.h"
 #include "endivecart/gateway/region_map.h"
 #include "endivecart/gateway/retry_allowance.h"
+#include "endivecart/gateway/room_odds.h"
 #include "endivecart/gateway/speed_learner.h"
 #include "endivecart/gateway/upstream_book.h"
 #include "endivecart/gateway/waiting_room.h"
@@ -66,6 +67,8 @@
   bool HasRoutes() const { return routes_ != nullptr; }
   // Requests that were accepted and aren't answered yet.
   std::size_t active() const { return active_.size(); }
+  // Lets waiting requests try again, soon: room may have come up.
+  void AdmitSoon();
   // Forgets upstreams that are gone. To be called every second or so.
   void Expire();
 
@@ -81,8 +84,6 @@
   // The oldest weights that a request may run with; 0: any.
   std::uint64_t LeastWeights(const ModelId& model) const;
   void Remove(const std::shared_ptr<Forwarding>& forwarding);
-  // Lets waiting requests try again, soon.
-  void AdmitSoon();
   void Admit();
 
   const GatewayOptions options_;
@@ -96,6 +97,7 @@
   RetryAllowance retries_;
   ColdAllowance cold_;
   SpeedLearner speeds_;
+  RoomOdds room_odds_;
   std::mt19937_64 random_;
   const fleet::FleetFollower* follower_ = nullptr;
   fleet::DecisionsPtr decisions_;
--- a/src/endivecart/gateway/placement.cc
+++ b/src/endivecart/gateway/placement.cc
@@ -1,6 +1,7 @@
 #include "endivecart/gateway/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <numeric>
 
@@ -10,6 +11,9 @@
 
 // Homes of one key: the first, and one that takes over when it is busy.
 constexpr std::size_t kHomes = 2;
+// The others are drawn. Two are enough to avoid the busy ones; more would make
+// hosts with the same late news choose alike.
+static_assert(kConsideredEngines == kHomes + 2);
 // Of an engine's memory, for running requests; the rest is for the cache.
 constexpr double kRunningShare = 0.75;
 // A doubtful upstream is used only if all others are this much slower.
@@ -24,6 +28,16 @@
          (candidate.is_doubtful ? kDoubtPenaltyMs : 0);
 }
 
+// Leaves the homes and a few of the others, drawn by `random`.
+void Draw(std::vector<std::size_t>& order, std::uint64_t random) {
+  const std::size_t left = std::min(order.size(), kConsideredEngines);
+  for (std::size_t at = kHomes; at < left; ++at) {
+    std::swap(order[at], order[at + random % (order.size() - at)]);
+    random = StableHash("", random);
+  }
+  order.resize(left);
+}
+
 }  // namespace
 
 std::vector<std::size_t> RankByKey(const std::vector<Candidate>& candidates,
@@ -59,17 +73,26 @@
     const std::vector<Candidate>& candidates,
     const Prompt& prompt,
     const std::string& cache_label,
-    const SpeedEstimate& speed) {
+    const SpeedEstimate& speed,
+    std::uint64_t random) {
   if (candidates.empty())
     return std::nullopt;
-  const auto order =
-      RankByKey(candidates, cache_label + "/" + SharedKeyOf(prompt));
+  auto order = RankByKey(candidates, cache_label + "/" + SharedKeyOf(prompt));
+  // A doubtful upstream is considered only if all are doubtful.
+  const auto doubtful = std::stable_partition(
+      order.begin(), order.end(),
+      [&](std::size_t index) { return !candidates[index].is_doubtful; });
+  if (doubtful != order.begin())
+    order.erase(doubtful, order.end());
+  Draw(order, random);
   const auto shared = static_cast<double>(SharedTokensOf(prompt));
   const auto all = static_cast<double>(prompt.input_tokens);
   PlacementChoice choice;
   double least = std::numeric_limits<double>::infinity();
   for (std::size_t rank = 0; rank < order.size(); ++rank) {
     const Candidate& candidate = candidates[order[rank]];
+    if (!candidate.has_room)
+      continue;
     const double to_read = rank < kHomes ? all - shared : all;
     const double first_bonus = rank == 0 ? 0 : speed.ms_per_request;
     const double cost = LoadMs(candidate, speed) +
@@ -79,6 +102,8 @@
       choice.index = order[rank];
     }
   }
+  if (std::isinf(least))
+    return std::nullopt;
   choice.expected_wait_ms = least;
   if (choice.index != order.front())
     choice.home = order.front();
@@ -88,10 +113,14 @@
 bool HasRoomFor(const Candidate& candidate,
                 std::int64_t tokens,
                 std::int64_t cache_tokens) {
-  if (cache_tokens <= 0 || candidate.requests == 0)
-    return true;
-  return static_cast<double>(candidate.held_tokens + tokens) <=
-         kRunningShare * static_cast<double>(cache_tokens);
+  return cache_tokens <= 0 || candidate.requests == 0 ||
+         tokens <= FreeTokens(candidate, cache_tokens);
+}
+
+std::int64_t FreeTokens(const Candidate& candidate, std::int64_t cache_tokens) {
+  return static_cast<std::int64_t>(kRunningShare *
+                                   static_cast<double>(cache_tokens)) -
+         candidate.held_tokens;
 }
 
 std::int64_t HeldTokensOf(const Prompt& prompt) {
--- a/src/endivecart/gateway/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -16,6 +16,7 @@
   DomainId domain;
   bool is_near = false;      // in this host's failure domain
   bool is_doubtful = false;  // silent, or failed lately
+  bool has_room = true;      // for the request in question; see HasRoomFor()
   int slots = 1;
   int requests = 0;                // at work there, of all hosts
   std::int64_t prompt_tokens = 0;  // that it has still to read, of all hosts
@@ -55,19 +56,27 @@
 // Tokens of the parts up to and including that one.
 std::int64_t SharedTokensOf(const Prompt& prompt);
 
-// For returning prompts: to the home of the shared beginning, which has it in
-// its cache, unless it is so busy that reading the prompt anew elsewhere is
-// sooner done. Nothing if there are no candidates.
+// For returning prompts: to a home of the shared beginning, which has it in its
+// cache, unless it is so busy that reading the prompt anew elsewhere is sooner
+// done. For many hosts that learn of each other's work late: elsewhere means
+// one of a few candidates drawn by `random`. Were it the least loaded of all,
+// or any with room, every host would choose the same one until it hears of the
+// others' choices. Nothing if none of these has room.
 std::optional<PlacementChoice> PlacePrompt(
     const std::vector<Candidate>& candidates,
     const Prompt& prompt,
     const std::string& cache_label,
-    const SpeedEstimate& speed);
+    const SpeedEstimate& speed,
+    std::uint64_t random);
+
+// How many engines are considered for one prompt, at most.
+inline constexpr std::size_t kConsideredEngines = 4;
 
-// Whether an engine has room for one more prompt. Beyond this share of its
-// memory it would drop the cache of returning prompts, and in the end put back
-// running ones, which are then read a second time: under a burst that feeds
-// itself. An engine without work takes any prompt.
+// Tokens of an engine's memory that more prompts may take. Beyond this it would
+// drop the cache of returning prompts, and in the end put back running ones,
+// which are then read a second time: under a burst that feeds itself.
+std::int64_t FreeTokens(const Candidate& candidate, std::int64_t cache_tokens);
+// Whether an engine has room for one more prompt. One without work takes any.
 bool HasRoomFor(const Candidate& candidate,
                 std::int64_t tokens,
                 std::int64_t cache_tokens);
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -1,4 +1,6 @@
 #include <boost/test/unit_test.hpp>
+#include <deque>
+#include <random>
 
 #include "endivecart/gateway/cache_view.h"
 #include "endivecart/gateway/cold_allowance.h"
@@ -6,6 +8,7 @@
 #include "endivecart/gateway/placement.h"
 #include "endivecart/gateway/region_map.h"
 #include "endivecart/gateway/retry_allowance.h"
+#include "endivecart/gateway/room_odds.h"
 #include "endivecart/gateway/speed_learner.h"
 #include "endivecart/gateway/waiting_room.h"
 
@@ -130,10 +133,10 @@
 
 BOOST_AUTO_TEST_CASE(a_returning_prompt_goes_to_the_same_upstream) {
   const auto candidates = MakeCandidates(12);
-  const auto first = PlacePrompt(candidates, MakePrompt("p"), "", {});
+  const auto first = PlacePrompt(candidates, MakePrompt("p"), "", {}, 0);
   auto other = MakePrompt("p");
   other.parts.back().id = "another request";
-  BOOST_TEST(PlacePrompt(candidates, other, "", {})->index == first->index);
+  BOOST_TEST(PlacePrompt(candidates, other, "", {}, 0)->index == first->index);
   BOOST_TEST(!first->home.has_value());
 }
 
@@ -144,8 +147,8 @@
   int moved = 0;
   for (int i = 0; i < 500; ++i) {
     const auto prompt = MakePrompt("p" + std::to_string(i));
-    const auto before = all[PlacePrompt(all, prompt, "", {})->index].id;
-    const auto after = fewer[PlacePrompt(fewer, prompt, "", {})->index].id;
+    const auto before = all[PlacePrompt(all, prompt, "", {}, 0)->index].id;
+    const auto after = fewer[PlacePrompt(fewer, prompt, "", {}, 0)->index].id;
     moved += before != after && before != all.back().id ? 1 : 0;
   }
   BOOST_TEST(moved == 0);
@@ -154,9 +157,9 @@
 BOOST_AUTO_TEST_CASE(a_busy_home_is_left_for_another) {
   auto candidates = MakeCandidates(4);
   const auto prompt = MakePrompt("p");
-  const std::size_t home = PlacePrompt(candidates, prompt, "", {})->index;
+  const std::size_t home = PlacePrompt(candidates, prompt, "", {}, 0)->index;
   candidates[home].prompt_tokens = 1000000;
-  const auto choice = PlacePrompt(candidates, prompt, "", {});
+  const auto choice = PlacePrompt(candidates, prompt, "", {}, 0);
   BOOST_TEST(choice->index != home);
   BOOST_TEST(choice->home.value() == home);
 }
@@ -166,12 +169,48 @@
   candidates[0].is_doubtful = candidates[1].is_doubtful = true;
   for (int i = 0; i < 50; ++i) {
     const auto prompt = MakePrompt("p" + std::to_string(i));
-    BOOST_TEST(PlacePrompt(candidates, prompt, "", {})->index == 2u);
+    BOOST_TEST(PlacePrompt(candidates, prompt, "", {}, 0)->index == 2u);
     BOOST_TEST(PlaceByLoad(candidates, static_cast<std::uint64_t>(i))->index ==
                2u);
   }
 }
 
+// Many hosts, each of which knows its own work at once and that of the others
+// only after an interval. In each interval come `requests` prompts that share
+// little; all work of an interval ends with the next one. Returns the most
+// requests that one upstream got in an interval.
+int MostAtOneUpstream(int hosts, int upstreams, int requests) {
+  const auto none = MakeCandidates(upstreams);
+  auto told = none;
+  std::mt19937_64 random(7);
+  int most = 0;
+  for (int interval = 0; interval < 40; ++interval) {
+    std::vector<std::vector<Candidate>> seen(static_cast<std::size_t>(hosts),
+                                             told);
+    auto now = none;
+    for (int i = 0; i < requests; ++i) {
+      Prompt prompt = MakePrompt("p" + std::to_string(random() % 200));
+      prompt.input_tokens = 800;
+      prompt.parts = {{"head", 100}, {prompt.parts[1].id, 500}, {"own", 200}};
+      auto& view = seen[random() % seen.size()];
+      const std::size_t index =
+          PlacePrompt(view, prompt, "", {}, random())->index;
+      for (Candidate* candidate : {&view[index], &now[index]}) {
+        ++candidate->requests;
+        candidate->prompt_tokens += prompt.input_tokens;
+      }
+      most = std::max(most, now[index].requests);
+    }
+    told = now;
+  }
+  return most;
+}
+
+BOOST_AUTO_TEST_CASE(hosts_with_late_news_do_not_all_choose_the_same_upstream) {
+  // No upstream gets more than a sixth of what all hosts send.
+  BOOST_TEST(MostAtOneUpstream(70, 45, 132) <= 132 / 6);
+}
+
 BOOST_AUTO_TEST_CASE(plain_requests_go_to_the_least_loaded_upstream) {
   auto candidates = MakeCandidates(3);
   for (Candidate& candidate : candidates)
@@ -211,6 +250,138 @@
   BOOST_TEST(sent >= 9);
 }
 
+// Many hosts that hear of each other's work once an interval, and a load that
+// looks for more room than there is: what finds none looks again with the next
+// news, eight times at most. A prompt stays for four intervals.
+class CrowdedEngines {
+ public:
+  static constexpr int kHosts = 70;
+  static constexpr std::size_t kEngines = 45;
+  static constexpr std::int64_t kCacheTokens = 93000;
+
+  // Prompts of each rank, of 12,000 tokens, that come in an interval.
+  void Run(int intervals, const std::vector<int>& coming) {
+    for (int i = 0; i < intervals; ++i) {
+      now_ += RoomOdds::kNewsDelay;
+      LeaveAndTell();
+      std::vector<Waiting> looking = std::exchange(waiting_, {});
+      for (std::size_t rank = 0; rank < coming.size(); ++rank) {
+        for (int n = 0; n < coming[rank]; ++n) {
+          looking.push_back({static_cast<int>(rank), random_() % kHosts});
+        }
+      }
+      std::shuffle(looking.begin(), looking.end(), random_);
+      for (const Waiting& prompt : looking)
+        Look(prompt);
+    }
+  }
+
+  std::int64_t most_held() const { return most_held_; }
+  int admitted(int rank) { return admitted_[rank]; }
+  // Of the part of the engines' memory that prompts may take.
+  double MeanUse() const { return use_ / static_cast<double>(intervals_); }
+
+ private:
+  struct Waiting {
+    int rank = 0;
+    std::size_t host = 0;
+    int looked = 0;
+  };
+
+  void LeaveAndTell() {
+    auto engines = MakeCandidates(static_cast<int>(kEngines));
+    stays_.push_front({});
+    stays_.resize(4);
+    double held = 0;
+    for (const auto& sent : stays_) {
+      for (const std::size_t index : sent) {
+        ++engines[index].requests;
+        engines[index].held_tokens += HeldTokensOf(prompt_);
+        held += static_cast<double>(HeldTokensOf(prompt_));
+      }
+    }
+    use_ += held / (0.75 * kCacheTokens * kEngines);
+    ++intervals_;
+    now_held_ = engines;
+    seen_.assign(kHosts, engines);
+  }
+
+  void Look(const Waiting& prompt) {
+    auto& view = seen_[prompt.host];
+    RoomOdds& odds = odds_[prompt.host];
+    odds.Add(prompt.rank, HeldTokensOf(prompt_), now_);
+    std::vector<std::int64_t> free;
+    for (const Candidate& engine : view) {
+      free.push_back(HasRoomFor(engine, HeldTokensOf(prompt_), kCacheTokens)
+                         ? FreeTokens(engine, kCacheTokens)
+                         : 0);
+    }
+    const auto chances = odds.Chances(prompt.rank, free, kHosts, now_);
+    std::uniform_real_distribution<double> draw(0, 1);
+    for (std::size_t i = 0; i < view.size(); ++i)
+      view[i].has_room = free[i] > 0 && draw(random_) < chances[i];
+    const auto choice =
+        PlacePrompt(view, MakePrompt("p" + std::to_string(random_() % 300)), "",
+                    {}, random_());
+    if (!choice) {
+      if (prompt.looked < 8)
+        waiting_.push_back({prompt.rank, prompt.host, prompt.looked + 1});
+      return;
+    }
+    for (Candidate* engine :
+         {&view[choice->index], &now_held_[choice->index]}) {
+      ++engine->requests;
+      engine->held_tokens += HeldTokensOf(prompt_);
+    }
+    most_held_ = std::max(most_held_, now_held_[choice->index].held_tokens);
+    stays_.front().push_back(choice->index);
+    ++admitted_[prompt.rank];
+  }
+
+  const Prompt prompt_ = MakePrompt("p");
+  std::mt19937_64 random_{11};
+  TimePoint now_ = At(0);
+  std::vector<RoomOdds> odds_{kHosts};
+  std::vector<std::vector<Candidate>> seen_;
+  std::vector<Candidate> now_held_;
+  std::deque<std::vector<std::size_t>> stays_;
+  std::vector<Waiting> waiting_;
+  std::map<int, int> admitted_;
+  std::int64_t most_held_ = 0;
+  double use_ = 0;
+  int intervals_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(
+    hosts_with_late_news_fill_no_engine_far_beyond_its_memory) {
+  CrowdedEngines engines;
+  engines.Run(60, {100});  // about 60 fit
+  BOOST_TEST(engines.most_held() <= 2 * CrowdedEngines::kCacheTokens);
+  BOOST_TEST(engines.MeanUse() >= 0.6);
+}
+
+BOOST_AUTO_TEST_CASE(urgent_prompts_find_room_before_the_others) {
+  CrowdedEngines engines;
+  engines.Run(60, {25, 75});
+  BOOST_TEST(engines.admitted(0) >= 60 * 25 * 95 / 100);
+}
+
+BOOST_AUTO_TEST_CASE(one_host_alone_counts_on_all_room) {
+  RoomOdds odds;
+  odds.Add(0, 100000, At(0));
+  BOOST_TEST(odds.Chances(0, {1, 5}, 1, At(0)) == std::vector<double>({1, 1}),
+             boost::test_tools::per_element());
+  // The hosts aren't known yet.
+  BOOST_TEST(odds.Chances(0, {1}, 0, At(0)) == std::vector<double>{1},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_customers_priority_comes_before_the_routes) {
+  BOOST_TEST(RankOf(0, 9) < RankOf(1, 0));
+  BOOST_TEST(RankOf(1, 0) < RankOf(1, 2));
+  BOOST_TEST(RankOf(1, 50) < RankOf(2, 0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(gateway_regions, *boost::unit_test::label("gateway"))
--- a/src/endivecart/gateway/upstream_book.cc
+++ b/src/endivecart/gateway/upstream_book.cc
@@ -145,9 +145,11 @@
       candidate.id = id;
       candidate.domain = said.domain;
       candidate.is_near = said.domain == own_domain_;
-      candidate.is_doubtful = now - upstream.heard_at > kSilentAfter ||
-                              (record.refused_at != TimePoint{} &&
-                               now - record.refused_at < kAvoidRefusing);
+      candidate.is_doubtful =
+          now - std::max(upstream.heard_at, record.answered_at) >
+              kSilentAfter ||
+          (record.refused_at != TimePoint{} &&
+           now - record.refused_at < kAvoidRefusing);
       candidate.slots = said.slots;
       candidate.requests = record.requests;
       candidate.prompt_tokens = record.prompt_tokens;
@@ -200,6 +202,7 @@
   Millis distrust{0};
   switch (result) {
     case SendResult::kAnswered:
+      record.answered_at = now;
       record.failures_in_row = 0;
       record.distrusted_since = TimePoint{};
       record.latency_ms = record.latency_ms == 0
--- a/src/endivecart/gateway/upstream_book.h
+++ b/src/endivecart/gateway/upstream_book.h
@@ -47,7 +47,8 @@
 // there, and how that went.
 class UpstreamBook {
  public:
-  // An upstream that isn't heard of for this long is doubtful.
+  // An upstream that isn't heard of for this long, and has answered nothing
+  // here, is doubtful.
   static constexpr Millis kSilentAfter{4000};
 
   struct Query {
@@ -110,7 +111,8 @@
     TimePoint distrusted_since{};
     std::map<ModelId, std::uint64_t> weights;  // as its answers told
     std::uint64_t weights_born_ms = 0;
-    TimePoint refused_at{};  // the last time that it had no room
+    TimePoint answered_at{};  // the last whole answer to this host
+    TimePoint refused_at{};   // the last time that it had no room
   };
 
   bool IsDistrusted(const upstreams::AnnouncedUpstream& upstream,
--- a/src/endivecart/gateway/waiting_room.cc
+++ b/src/endivecart/gateway/waiting_room.cc
@@ -4,9 +4,20 @@
 
 namespace endivecart::gateway {
 
-WaitingRoom::Ticket WaitingRoom::Enter(int urgency, TimePoint now) {
+namespace {
+
+// Priorities are below this, as upstreams take them.
+constexpr int kPriorities = 10;
+
+}  // namespace
+
+int RankOf(int urgency, int route_priority) {
+  return urgency * kPriorities + std::min(route_priority, kPriorities - 1);
+}
+
+WaitingRoom::Ticket WaitingRoom::Enter(int rank, TimePoint now) {
   const Ticket ticket = next_++;
-  waiting_[ticket] = {urgency, now};
+  waiting_[ticket] = {rank, now};
   return ticket;
 }
 
@@ -19,7 +30,7 @@
   for (const auto& [ticket, entry] : waiting_)
     order.push_back(ticket);  // tickets grow with time
   std::stable_sort(order.begin(), order.end(), [this](Ticket a, Ticket b) {
-    return waiting_.at(a).urgency < waiting_.at(b).urgency;
+    return waiting_.at(a).rank < waiting_.at(b).rank;
   });
   return order;
 }
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -104,6 +104,7 @@
     gateway.book().Apply(announcement, received_at);
   };
   follow.own_loads = [this] { return gateway.book().OwnLoads(); };
+  follow.on_loads = [this] { gateway.AdmitSoon(); };
   follow.move_reports = [this] { return gateway.moves().Reports(); };
   follow.on_cache = [this](const wire::CacheNews& news) {
     gateway.cache().Apply(news, loop.Now());
