Requests that may run twice leave an upstream that has fallen silent

Ruled out: giving up on answers that merely take long: under load first events come after seconds. Leaving is bound to silence in both directions: no announcement heard by anyone, no byte to this host, for 4 s.

Change: UpstreamBook::IsSilent, Forwarding::LeaveSilentUpstream, looked at every 500 ms; only where route, attempts and the retry allowance let the request go on elsewhere. A host's own bytes from an upstream count as a sign of life.

--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -474,6 +474,26 @@
   BOOST_TEST(control_hosts.size() == 2u);
 }
 
+BOOST_FIXTURE_TEST_CASE(others_work_at_an_upstream_is_forgotten_when_it_is_old,
+                        FeedAndFollower) {
+  Advance(10);
+  wire::FleetPoll poll;
+  poll.set_serves_callers(true);
+  wire::UpstreamLoad& load = *poll.add_loads();
+  load.set_upstream("u");
+  load.set_requests(3);
+  feed.OnPoll(HostId("f"), poll);
+  Advance(300);
+  BOOST_REQUIRE(follower.LoadOfOthers(UpstreamId("u")) != nullptr);
+  BOOST_TEST(follower.LoadOfOthers(UpstreamId("u"))->requests() == 3u);
+  // The last of them ends: there is no load left to be told of.
+  poll.clear_loads();
+  feed.OnPoll(HostId("f"), poll);
+  Advance(300);
+  Advance(static_cast<int>(FleetFollower::kContactLost.count()));
+  BOOST_TEST(follower.LoadOfOthers(UpstreamId("u")) == nullptr);
+}
+
 BOOST_FIXTURE_TEST_CASE(announcements_come_with_their_age, FeedAndFollower) {
   upstreams::Announcement said;
   said.id = UpstreamId("u");
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -30,6 +30,9 @@
   ~Forwarding();
 
   void Start();
+  // Sends the request to another upstream, if that is allowed and its upstream
+  // has fallen silent.
+  void LeaveSilentUpstream();
   // The request waits for room: whether it has been sent now.
   bool TryAgain();
 
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -20,6 +20,7 @@
 }  // namespace
 
 void Forwarding::OnHead(const net::HttpResponseHead& head) {
+  gateway_.book_.NoteBytes(upstream_);
   const AnswerFacts facts = gateway_.dialect_.read_answer(head);
   if (facts.request_id != request_.id) {
     OnBadAnswer("answers_another_request");
@@ -42,6 +43,7 @@
 void Forwarding::OnBody(std::string_view bytes) {
   if (!head_seen_ || !call_)
     return;
+  gateway_.book_.NoteBytes(upstream_);
   if (!passes_on_) {
     if (body_.size() + bytes.size() > kMaxAnswerBytes) {
       OnBadAnswer("too_large");
@@ -141,6 +143,19 @@
   }
 }
 
+// The connection to an upstream that has died, or is cut off, may stay open
+// until the time limit.
+void Forwarding::LeaveSilentUpstream() {
+  if (!call_ || !call_->may_have_been_sent() ||
+      !gateway_.book_.IsSilent(upstream_) || !MayRepeat() ||
+      runs_ + 1 >= route_.max_attempts ||
+      !gateway_.retries_.Allows(service_, gateway_.loop_.Now())) {
+    return;
+  }
+  call_.reset();
+  OnBrokenRun(SendResult::kSilent, "silent");
+}
+
 void Forwarding::OnWholeAnswer() {
   if (gateway_.dialect_.read_answer(head_).not_run) {
     OnNotRun(head_);
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -140,8 +140,11 @@
       loop_.Now());
 }
 
-void Gateway::Expire() {
+void Gateway::Tick() {
   book_.Expire();
+  const auto active = active_;  // changes as requests end
+  for (const auto& forwarding : active)
+    forwarding->LeaveSilentUpstream();
 }
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -69,8 +69,9 @@
   std::size_t active() const { return active_.size(); }
   // Lets waiting requests try again, soon: room may have come up.
   void AdmitSoon();
-  // Forgets upstreams that are gone. To be called every second or so.
-  void Expire();
+  // Forgets upstreams that are gone, and moves requests away from those that
+  // have fallen silent. To be called every second or so.
+  void Tick();
 
  private:
   friend class Forwarding;
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -394,6 +394,44 @@
   BOOST_TEST(received.ends_with("0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_leaves_an_upstream_that_has_fallen_silent) {
+  // An upstream that died before it said anything to this host.
+  upstreams::Announcement dead = gateway.book().Find(UpstreamId("u0"))->last;
+  dead.id = UpstreamId("dead");
+  dead.born_ms = 2;
+  gateway.book().Apply(dead,
+                       loop.Now() - UpstreamBook::kSilentAfter - Millis(1000));
+  Announce(1, upstreams::UpstreamState::kDraining, 2);
+  answer = [](auto& connection, std::size_t number) {
+    if (number == 2) {
+      Reply(connection,
+            StreamHead("1") + Chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n");
+    }
+  };
+  RawCaller caller(loop, server->port());
+  caller.Write(
+      "GET /resumable/ HTTP/1.1\r\nHost: a\r\nId: 1\r\nKey: k\r\n"
+      "Connection: close\r\n\r\n");
+  RunUntil([&] { return requests.size() == 1; });
+  // There is none to go to; then there is one.
+  Announce(1, upstreams::UpstreamState::kReady, 3);
+  gateway.Tick();
+  RunUntil([&] { return caller.ended(); });
+  BOOST_TEST(requests.size() == 2u);
+  BOOST_TEST(caller.received().ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_waits_for_an_upstream_that_is_heard_of) {
+  answer = [](auto&, auto) {};
+  RawCaller caller(loop, server->port());
+  caller.Write(
+      "GET /resumable/ HTTP/1.1\r\nHost: a\r\nId: 1\r\nKey: k\r\n\r\n");
+  RunUntil([&] { return requests.size() == 1; });
+  gateway.Tick();
+  BOOST_TEST(gateway.active() == 1u);
+  BOOST_TEST(requests.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_that_may_not_be_resumed_ends_without_its_end) {
   answer = [](auto& connection, auto) {
     Reply(connection, StreamHead("1") + Chunk("id: 1\ndata: a\n\n"));
--- a/src/endivecart/gateway/retry_allowance.cc
+++ b/src/endivecart/gateway/retry_allowance.cc
@@ -27,13 +27,17 @@
   counts.requests.push_back(now);
 }
 
-bool RetryAllowance::Take(const routes::ServiceId& service, TimePoint now) {
+bool RetryAllowance::Allows(const routes::ServiceId& service, TimePoint now) {
   Counts& counts = services_[service];
   Expire(counts, now);
   const double allowed = ratio_ * static_cast<double>(counts.requests.size());
-  if (static_cast<double>(counts.retries.size() + 1) > allowed)
+  return static_cast<double>(counts.retries.size() + 1) <= allowed;
+}
+
+bool RetryAllowance::Take(const routes::ServiceId& service, TimePoint now) {
+  if (!Allows(service, now))
     return false;
-  counts.retries.push_back(now);
+  services_[service].retries.push_back(now);
   return true;
 }
 
--- a/src/endivecart/gateway/retry_allowance.h
+++ b/src/endivecart/gateway/retry_allowance.h
@@ -19,7 +19,9 @@
   RetryAllowance(double ratio, Millis window);
 
   void CountRequest(const routes::ServiceId& service, TimePoint now);
-  // Takes one send beyond the first; false if that would be too many.
+  // Whether one more send beyond the first wouldn't be too many.
+  bool Allows(const routes::ServiceId& service, TimePoint now);
+  // Takes it; false if it isn't allowed.
   bool Take(const routes::ServiceId& service, TimePoint now);
 
  private:
--- a/src/endivecart/gateway/upstream_book.cc
+++ b/src/endivecart/gateway/upstream_book.cc
@@ -99,6 +99,21 @@
   return std::max(announced, it->second);
 }
 
+bool UpstreamBook::IsSilent(const AnnouncedUpstream& upstream,
+                            const Record& record) const {
+  return now_() - std::max(upstream.heard_at, record.sent_bytes_at) >
+         kSilentAfter;
+}
+
+bool UpstreamBook::IsSilent(const UpstreamId& id) const {
+  const AnnouncedUpstream* upstream = roster_.Find(id);
+  return upstream != nullptr && IsSilent(*upstream, RecordOf(id));
+}
+
+void UpstreamBook::NoteBytes(const UpstreamId& id) {
+  records_[id].sent_bytes_at = now_();
+}
+
 bool UpstreamBook::IsDistrusted(const AnnouncedUpstream& upstream,
                                 const Record& record) const {
   if (record.distrusted_since == TimePoint{})
@@ -145,11 +160,10 @@
       candidate.id = id;
       candidate.domain = said.domain;
       candidate.is_near = said.domain == own_domain_;
-      candidate.is_doubtful =
-          now - std::max(upstream.heard_at, record.answered_at) >
-              kSilentAfter ||
-          (record.refused_at != TimePoint{} &&
-           now - record.refused_at < kAvoidRefusing);
+      candidate.is_doubtful = IsSilent(upstream, record) ||
+
+                              (record.refused_at != TimePoint{} &&
+                               now - record.refused_at < kAvoidRefusing);
       candidate.slots = said.slots;
       candidate.requests = record.requests;
       candidate.prompt_tokens = record.prompt_tokens;
@@ -202,7 +216,6 @@
   Millis distrust{0};
   switch (result) {
     case SendResult::kAnswered:
-      record.answered_at = now;
       record.failures_in_row = 0;
       record.distrusted_since = TimePoint{};
       record.latency_ms = record.latency_ms == 0
--- a/src/endivecart/gateway/upstream_book.h
+++ b/src/endivecart/gateway/upstream_book.h
@@ -47,8 +47,8 @@
 // there, and how that went.
 class UpstreamBook {
  public:
-  // An upstream that isn't heard of for this long, and has answered nothing
-  // here, is doubtful.
+  // An upstream that neither announced itself nor sent this host a byte for
+  // this long is silent.
   static constexpr Millis kSilentAfter{4000};
 
   struct Query {
@@ -83,6 +83,9 @@
                                     UpstreamCensus* census) const;
   const upstreams::AnnouncedUpstream* Find(const UpstreamId& id) const;
   bool IsCold(const UpstreamId& id) const;
+  bool IsSilent(const UpstreamId& id) const;
+  // The upstream has sent this host something.
+  void NoteBytes(const UpstreamId& id);
 
   // Work begins and ends; `prompt_tokens` count until the first event.
   // `held_tokens` until the work ends.
@@ -111,10 +114,12 @@
     TimePoint distrusted_since{};
     std::map<ModelId, std::uint64_t> weights;  // as its answers told
     std::uint64_t weights_born_ms = 0;
-    TimePoint answered_at{};  // the last whole answer to this host
-    TimePoint refused_at{};   // the last time that it had no room
+    TimePoint sent_bytes_at{};  // the last time, to this host
+    TimePoint refused_at{};     // the last time that it had no room
   };
 
+  bool IsSilent(const upstreams::AnnouncedUpstream& upstream,
+                const Record& record) const;
   bool IsDistrusted(const upstreams::AnnouncedUpstream& upstream,
                     const Record& record) const;
   const Record& RecordOf(const UpstreamId& id) const;
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Millis kFollowTick{50};
-constexpr Millis kExpireInterval{1000};
+constexpr Millis kGatewayTick{500};
 constexpr Millis kStopTick{50};
 // The balancer notices within two of its questions, a second apart.
 constexpr Millis kStillSentTo{2500};
@@ -155,7 +155,7 @@
   timers.push_back(
       loop.Every(kFollowTick, [this](TimePoint) { follower->Tick(); }));
   timers.push_back(
-      loop.Every(kExpireInterval, [this](TimePoint) { gateway.Expire(); }));
+      loop.Every(kGatewayTick, [this](TimePoint) { gateway.Tick(); }));
   follower->Tick();
   return true;
 }
