Short prompts give up slow fetches while reading still meets the target

Change: FetchPatience: half of the latency target, less what has passed, where reading takes a tenth of the target at most. Test: a_fetch_is_given_up_while_reading_still_meets_the_target.

--- a/src/endivecart/gateway/cache_view.cc
+++ b/src/endivecart/gateway/cache_view.cc
@@ -8,9 +8,23 @@
 
 // Shorter parts are read as fast as they are fetched.
 constexpr std::int64_t kLeastTokens = 64;
+// A fetch that nothing holds up takes a part of this.
+constexpr Millis kLeastPatience{100};
+// Of the latency target, for fetching; the rest is for reading and a reserve.
+constexpr int kFetchShare = 2;
+// Prompts that take more of the target than this to read are dear to read, and
+// slow down all others at the engine.
+constexpr int kReadingShare = 10;
 
 }  // namespace
 
+Millis FetchPatience(Millis elapsed, Millis latency_target, Millis reading) {
+  if (latency_target <= elapsed || reading > latency_target / kReadingShare)
+    return fleet::CacheCatalog::kFetchLimit;
+  return std::clamp(latency_target / kFetchShare - elapsed, kLeastPatience,
+                    fleet::CacheCatalog::kFetchLimit);
+}
+
 void CacheView::Apply(const wire::CacheNews& news, TimePoint now) {
   // A leader of an earlier term may still speak.
   if (news.term() < term_)
@@ -67,6 +81,7 @@
 CachePlan CacheView::Plan(const Prompt& prompt,
                           const std::string& label,
                           const std::function<bool(const DomainId&)>& may_hold,
+                          Millis patience,
                           TimePoint now) const {
   CachePlan plan;
   if (stores_.empty() || now - heard_at_ > fleet::CacheCatalog::kNewsLease)
@@ -103,9 +118,11 @@
     plan.save.clear();
   if (fetches && servers_clock_ms_ != 0) {
     const auto age = std::chrono::duration_cast<Millis>(now - heard_at_);
-    plan.fetch_until_ms = servers_clock_ms_ +
-                          static_cast<std::uint64_t>(
-                              (age + fleet::CacheCatalog::kFetchLimit).count());
+    plan.fetch_until_ms =
+        servers_clock_ms_ +
+        static_cast<std::uint64_t>(
+            (age + std::min(patience, fleet::CacheCatalog::kFetchLimit))
+                .count());
   }
   return plan;
 }
--- a/src/endivecart/gateway/cache_view.h
+++ b/src/endivecart/gateway/cache_view.h
@@ -25,6 +25,13 @@
   bool operator==(const CachePlan&) const = default;
 };
 
+// How long a request that came this long ago may wait for cache that is
+// fetched, if it is to be answered within `latency_target` (0: there is none).
+// For stores whose links turn slow: past half of the target, reading the prompt
+// is the surer way, if that is soon done. A prompt that takes long to read, or
+// is late already, waits as long as a fetch may take.
+Millis FetchPatience(Millis elapsed, Millis latency_target, Millis reading);
+
 // What this host knows of the cache stores, by the leader's news. Old news
 // isn't acted on.
 class CacheView {
@@ -33,10 +40,12 @@
 
   // Parts that stand in a store are fetched from there. Of the others, all but
   // the last, which no other prompt shares, are saved.
-  // Only stores in domains that `may_hold` allows are used.
+  // Only stores in domains that `may_hold` allows are used. Fetches are given
+  // up after `patience`.
   CachePlan Plan(const Prompt& prompt,
                  const std::string& label,
                  const std::function<bool(const DomainId&)>& may_hold,
+                 Millis patience,
                  TimePoint now) const;
 
   std::uint64_t term() const { return term_; }
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -296,10 +296,13 @@
   out.weights_version = weights_version_;
   out.cache_label = fleet::CacheLabel(request_.prompt->model, weights_version_,
                                       IsolatedCustomer());
+  const TimePoint now = gateway_.loop_.Now();
   CachePlan plan = gateway_.cache_.Plan(
       *request_.prompt, out.cache_label,
       [this](const DomainId& domain) { return MayBeIn(domain); },
-      gateway_.loop_.Now());
+      FetchPatience(std::chrono::duration_cast<Millis>(now - accepted_at_),
+                    route_.latency_target, ReadingTime()),
+      now);
   out.save_cache_to = std::move(plan.save);
   out.fetch_cache_from = std::move(plan.fetch);
   out.fetch_until_ms = plan.fetch_until_ms;
@@ -312,6 +315,12 @@
     out.fetch_cache_from[i] = home->last.address;
 }
 
+Millis Forwarding::ReadingTime() const {
+  return Millis(static_cast<std::int64_t>(
+      static_cast<double>(SharedTokensOf(*request_.prompt)) /
+      gateway_.speeds_.Of(service_).prompt_tokens_per_ms));
+}
+
 bool Forwarding::IsSound(const Chosen& chosen,
                          const UpstreamRequest& request) const {
   SendFacts facts;
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -96,6 +96,8 @@
   Millis TimeLeft() const;
   std::int64_t PromptTokens() const;
   std::int64_t HeldTokens() const;
+  // How long an engine takes to read the prompt's shared parts.
+  Millis ReadingTime() const;
   // The customer's priority, or else the route's; 0 is the most urgent.
   int Urgency() const;
   // Who goes first where not all can.
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -426,13 +426,15 @@
 }
 
 const auto kAnywhere = [](const DomainId&) { return true; };
+constexpr Millis kPatient = fleet::CacheCatalog::kFetchLimit;
 
 BOOST_AUTO_TEST_SUITE(gateway_cache, *boost::unit_test::label("gateway"))
 
 BOOST_AUTO_TEST_CASE(whole_parts_are_fetched_and_missing_shared_ones_saved) {
   CacheView view;
   view.Apply(MakeNews(true), At(0));
-  const auto plan = view.Plan(MakePrompt("p"), kLabel, kAnywhere, At(100));
+  const auto plan =
+      view.Plan(MakePrompt("p"), kLabel, kAnywhere, kPatient, At(100));
   BOOST_TEST(plan.fetch.at(1)->ToString() == "10.0.0.2:80");
   BOOST_TEST(plan.save.at(0).has_value());
   BOOST_TEST(!plan.save.at(1).has_value());
@@ -441,20 +443,40 @@
              7000u + 100u + fleet::CacheCatalog::kFetchLimit.count());
 }
 
+// Load: some stores' links turn slow, so that fetches wait in line there.
+BOOST_AUTO_TEST_CASE(a_fetch_is_given_up_while_reading_still_meets_the_target) {
+  BOOST_TEST(FetchPatience(Millis(0), Millis(800), Millis(40)).count() == 400);
+  BOOST_TEST(FetchPatience(Millis(250), Millis(800), Millis(40)).count() ==
+             150);
+  BOOST_TEST(FetchPatience(Millis(700), Millis(800), Millis(40)).count() ==
+             100);
+  BOOST_CHECK(FetchPatience(Millis(0), Millis(60000), Millis(40)) == kPatient);
+  // Late already, or with no target.
+  BOOST_CHECK(FetchPatience(Millis(800), Millis(800), Millis(40)) == kPatient);
+  BOOST_CHECK(FetchPatience(Millis(0), Millis(0), Millis(40)) == kPatient);
+  // Dear to read.
+  BOOST_CHECK(FetchPatience(Millis(0), Millis(800), Millis(90)) == kPatient);
+  CacheView view;
+  view.Apply(MakeNews(true), At(0));
+  const auto plan =
+      view.Plan(MakePrompt("p"), kLabel, kAnywhere, Millis(400), At(100));
+  BOOST_TEST(plan.fetch_until_ms.value() == 7000u + 100u + 400u);
+}
+
 BOOST_AUTO_TEST_CASE(old_news_is_not_acted_on) {
   CacheView view;
   view.Apply(MakeNews(true), At(0));
   const auto lease = static_cast<int>(fleet::CacheCatalog::kNewsLease.count());
   const auto late =
-      view.Plan(MakePrompt("p"), kLabel, kAnywhere, At(lease + 1));
+      view.Plan(MakePrompt("p"), kLabel, kAnywhere, kPatient, At(lease + 1));
   BOOST_CHECK(late == CachePlan());
 }
 
 BOOST_AUTO_TEST_CASE(another_label_finds_nothing) {
   CacheView view;
   view.Apply(MakeNews(false), At(0));
-  BOOST_CHECK(
-      view.Plan(MakePrompt("p"), "m.2", kAnywhere, At(1)).fetch.empty());
+  BOOST_CHECK(view.Plan(MakePrompt("p"), "m.2", kAnywhere, kPatient, At(1))
+                  .fetch.empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_store_where_the_prompt_may_not_be_is_not_used) {
@@ -462,7 +484,8 @@
   view.Apply(MakeNews(true), At(0));
   const auto plan = view.Plan(
       MakePrompt("p"), kLabel,
-      [](const DomainId& domain) { return domain == DomainId("a"); }, At(1));
+      [](const DomainId& domain) { return domain == DomainId("a"); }, kPatient,
+      At(1));
   BOOST_TEST(plan.fetch.empty());
   BOOST_TEST(plan.save.at(0)->ToString() == "10.0.0.1:80");
 }
