Before a planned stop ends, what waits for a cut-off upstream is answered

Ruled out: waiting longer; the process is killed then.

Change: 300 ms before the end of a stop Gateway::AnswerAll gives the final answer: 503 where nothing was sent, 504 where it may have run. A stream that has begun can't be told; the promise counts it as cut still. Test: before_its_host_ends_a_request_has_its_answer.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -479,6 +479,15 @@
 }
 
 void Forwarding::OnDeadline() {
+  EndNow("time_limit");
+}
+
+void Forwarding::AnswerForStop() {
+  if (!started_)
+    EndNow("stopping");
+}
+
+void Forwarding::EndNow(const char* reason) {
   StopWaiting();
   const bool reached = call_ && call_->may_have_been_sent();
   if (reached)
@@ -486,11 +495,11 @@
   EndSend(reached && !started_ ? SendResult::kSilent : SendResult::kAbandoned);
   if (started_) {
     exchange_->Abort();
-    Finish(0, "time_limit");
+    Finish(0, reason);
   } else if (run_state_ == RunState::kNotRun) {
-    Refuse(503, "time_limit", kDefaultRetryAfter);
+    Refuse(503, reason, kDefaultRetryAfter);
   } else {
-    Refuse(504, "time_limit", std::nullopt);
+    Refuse(504, reason, std::nullopt);
   }
 }
 
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -33,6 +33,8 @@
   // Sends the request to another upstream, if that is allowed and its upstream
   // has fallen silent.
   void LeaveSilentUpstream();
+  // Gives a final answer if none has begun.
+  void AnswerForStop();
   // The request waits for room: whether it has been sent now.
   bool TryAgain();
 
@@ -77,6 +79,8 @@
   void OnNotRun(const net::HttpResponseHead& head);
   void OnBrokenRun(SendResult result, const char* reason);
   void OnDeadline();
+  // Ends the request wherever it stands.
+  void EndNow(const char* reason);
   void OnCallerGone();
 
   // Tells a move of the service how its version did.
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -140,6 +140,12 @@
       loop_.Now());
 }
 
+void Gateway::AnswerAll() {
+  const auto active = active_;  // changes as requests end
+  for (const auto& forwarding : active)
+    forwarding->AnswerForStop();
+}
+
 void Gateway::Tick() {
   book_.Expire();
   const auto active = active_;  // changes as requests end
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -69,6 +69,9 @@
   std::size_t active() const { return active_.size(); }
   // Lets waiting requests try again, soon: room may have come up.
   void AdmitSoon();
+  // This process ends very soon: gives a final answer to each request that has
+  // none yet. Streams that have begun can't be told.
+  void AnswerAll();
   // Forgets upstreams that are gone, and moves requests away from those that
   // have fallen silent. To be called every second or so.
   void Tick();
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -353,6 +353,20 @@
   BOOST_TEST(HasStatus(received, 504));
 }
 
+// Load: a host is stopped while upstreams are cut off and say nothing.
+BOOST_AUTO_TEST_CASE(before_its_host_ends_a_request_has_its_answer) {
+  answer = [](auto&, auto) {};
+  RawCaller caller(loop, server->port());
+  caller.Write(
+      "GET /once/ HTTP/1.1\r\nHost: a\r\nId: 1\r\nKey: k\r\n"
+      "Connection: close\r\n\r\n");
+  RunUntil([&] { return requests.size() == 1; });
+  gateway.AnswerAll();
+  RunUntil([&] { return caller.ended(); });
+  BOOST_TEST(HasStatus(caller.received(), 504));  // it may have run
+  BOOST_TEST(gateway.active() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(the_upstream_learns_that_the_caller_has_gone) {
   RawUpstream::Connection* work = nullptr;
   answer = [&](auto& connection, auto) { work = &connection; };
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -16,6 +16,9 @@
 constexpr Millis kStillSentTo{2500};
 // Before the platform's kill.
 constexpr Millis kStopMargin{700};
+// Before this process ends: what still waits for an upstream, which may be cut
+// off, is answered. Many times what it takes to send the answers.
+constexpr Millis kLastAnswers{300};
 constexpr std::size_t kMaxCallerConnections = 2500;
 
 net::HttpServerLimits ServerLimits(const routes::CallerLimits& limits) {
@@ -190,7 +193,10 @@
   callers->StopAccepting();
   callers->CloseIdle();
   const bool done = gateway.active() == 0 && callers->connections() == 0;
-  if (!done && elapsed < settings.bounds.stop_time - kStopMargin)
+  const Millis limit = settings.bounds.stop_time - kStopMargin;
+  if (!done && elapsed >= limit - kLastAnswers)
+    gateway.AnswerAll();
+  if (!done && elapsed < limit)
     return;
   CheckInvariant(gateway.active() == 0, Invariant::kGracefulStop,
                  "requests are cut by a planned stop");
