Routing documents and news aren't sent again while they are on their way

Cause: after power was lost on all, hosts of a grown site served nothing for three seconds more: nine in ten connections to upstreams timed out. Every control host replays its log and pushed the whole routing document (15 KB) with each index, and answered each poll, sent every 250 ms, with the full state as long as the first answer was still on its way: 4,441 messages, 68 MB, in half a second, 2.3 MB to each host behind 10 Mbit/s.

Ruled out: full tables of connections at the upstreams, places of cold upstreams, missing routes (the hosts knew all within 0.4 s); all upstreams in all domains failed alike, and it ended when the news had become small again.

Change: the document goes along where the follower lacks it, follows this host closely or has asked, and it wasn't sent in the last 250 ms. A host in contact is not polled again before it has answered, or for a second. Tests: a_document_that_is_on_its_way_is_not_sent_again, a_host_is_not_polled_again_before_it_can_have_answered.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -66,8 +66,7 @@
   follower.sent_cursor = roster_->newest_change();
   if (decisions_.index > follower.sent_decisions) {
     *news.mutable_decisions() =
-        ToWire(decisions_,
-               follower.poll.routing_version() != decisions_.routing_version);
+        ToWire(decisions_, TakeDocument(follower, is_answer, now));
     follower.sent_decisions = decisions_.index;
   }
   for (const HostId& host : ControlHosts())
@@ -89,6 +88,24 @@
   hooks_.send(to, std::move(envelope));
 }
 
+bool FleetFeed::TakeDocument(Follower& follower,
+                             bool is_answer,
+                             TimePoint now) {
+  const std::uint64_t version = decisions_.routing_version;
+  if (follower.poll.routing_version() == version)
+    return false;
+  // Others push it to those that follow them closely.
+  if (!is_answer && !follower.poll.wants_loads())
+    return false;
+  if (follower.sent_document == version &&
+      now - follower.document_sent_at < kDocumentOnItsWay) {
+    return false;
+  }
+  follower.sent_document = version;
+  follower.document_sent_at = now;
+  return true;
+}
+
 void FleetFeed::AddLoadsOfOthers(const HostId& receiver,
                                  wire::FleetNews& news) const {
   std::map<std::string, wire::UpstreamLoad> sums;
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -40,6 +40,10 @@
   // callers: it tells no places, so that nobody takes too large a share.
   static constexpr Millis kLearnCallers{2500};
 
+  // A routing document that was sent less than a poll interval ago is not sent
+  // again: the link may still carry it.
+  static constexpr Millis kDocumentOnItsWay{250};
+
   // `incarnation` tells this process from earlier ones on its host. `roster`
   // must outlive the feed.
   FleetFeed(std::uint64_t incarnation,
@@ -65,8 +69,14 @@
     wire::FleetPoll poll;
     std::uint64_t sent_cursor = 0;
     std::uint64_t sent_decisions = 0;
+    std::uint64_t sent_document = 0;  // the routing version
+    TimePoint document_sent_at{};
   };
 
+  // Whether the routing document goes along with the decisions: it may be far
+  // larger than all else, and hosts' links are narrow.
+  bool TakeDocument(Follower& follower, bool is_answer, TimePoint now);
+
   void Send(const HostId& to, Follower& follower, bool is_answer);
   void AddLoadsOfOthers(const HostId& receiver, wire::FleetNews& news) const;
 
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -49,23 +49,29 @@
   const bool asks_all =
       main.empty() ||
       polls_++ % static_cast<std::uint64_t>(options_.others_every) == 0;
-  for (const auto& [host, control] : control_hosts_) {
-    if (host != main && !asks_all)
+  for (auto& [host, control] : control_hosts_) {
+    if ((host != main && !asks_all) || IsAnswerOnItsWay(control))
       continue;
     wire::Envelope envelope;
     wire::FleetPoll& out = *envelope.mutable_fleet_poll();
     out = poll;
-    if (host == main) {
-      out.set_wants_loads(options_.serves_callers);
-    } else {
+    out.set_wants_loads(options_.serves_callers &&
+                        (host == main || main.empty()));
+    if (host != main)
       out.clear_loads();
-    }
     out.set_feed_incarnation(control.feed_incarnation);
     out.set_feed_cursor(control.feed_cursor);
+    control.polled_at = hooks_.now();
     hooks_.send(host, std::move(envelope));
   }
 }
 
+bool FleetFollower::IsAnswerOnItsWay(const ControlHost& control) const {
+  // One that starts just now may have missed the first poll.
+  return control.in_contact && control.polled_at > control.heard_at &&
+         hooks_.now() - control.polled_at < kAnswerLost;
+}
+
 HostId FleetFollower::MainControlHost() const {
   const auto leader = control_hosts_.find(leader_);
   if (leader != control_hosts_.end() && leader->second.in_contact)
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -59,6 +59,8 @@
 
   // A control host that is silent for longer counts as out of reach.
   static constexpr Millis kContactLost{2000};
+  // After this a poll, or its answer, is taken to be lost.
+  static constexpr Millis kAnswerLost{1000};
   // One that nobody names any more is polled for this long still.
   static constexpr Millis kForgetControlHost{30000};
 
@@ -92,6 +94,7 @@
  private:
   struct ControlHost {
     TimePoint named_at;
+    TimePoint polled_at{};
     TimePoint heard_at{};
     bool heard = false;
     bool in_contact = false;
@@ -101,6 +104,8 @@
   };
 
   void Poll();
+  // An answer to a second poll would hold all that the first one's holds.
+  bool IsAnswerOnItsWay(const ControlHost& control) const;
   // The one that all processes tell their loads to: the leader, if in reach.
   HostId MainControlHost() const;
   void TakeDecisions(const wire::FleetDecisions& message);
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -363,6 +363,8 @@
   }
   FleetFeed::Hooks FeedHooks() {
     return {[this](const HostId&, const wire::Envelope& envelope) {
+              document_bytes +=
+                  envelope.fleet_news().decisions().routing_document().size();
               if (connected)
                 follower.OnNews(HostId("v"), envelope.fleet_news());
             },
@@ -380,6 +382,7 @@
   FleetFollower::Hooks FollowHooks() {
     FleetFollower::Hooks hooks;
     hooks.send = [this](const HostId& to, const wire::Envelope& envelope) {
+      polls += to == HostId("v") ? 1 : 0;
       if (connected && to == HostId("v"))
         feed.OnPoll(HostId("e"), envelope.fleet_poll());
     };
@@ -410,6 +413,8 @@
   TimePoint now = At(0);
   bool connected = true;
   std::vector<UpstreamId> resting;
+  int polls = 0;
+  std::size_t document_bytes = 0;
   std::vector<HostId> control_hosts;
   std::vector<std::uint64_t> seen;
   std::vector<std::pair<upstreams::Announcement, TimePoint>> heard;
@@ -430,6 +435,41 @@
   BOOST_TEST(control_hosts.size() == 2u);
 }
 
+// Load: all hosts start at once behind narrow links while the log is replayed.
+BOOST_FIXTURE_TEST_CASE(a_document_that_is_on_its_way_is_not_sent_again,
+                        FeedAndFollower) {
+  Advance(10);
+  connected = false;  // answers take long
+  document_bytes = 0;
+  wire::FleetPoll poll;
+  poll.set_serves_callers(true);
+  poll.set_wants_loads(true);
+  Decide(5, 1);
+  for (int i = 0; i < 50; ++i) {
+    feed.OnPoll(HostId("f"), poll);
+    log.Apply(Replace(5, "document 5"), 2 + static_cast<std::uint64_t>(i));
+    feed.PushDecisions(log.decisions());
+  }
+  // One to the follower whose first poll came before, one to this one.
+  BOOST_TEST(document_bytes == 2 * std::string("document 5").size());
+  now += FleetFeed::kDocumentOnItsWay;
+  feed.OnPoll(HostId("f"), poll);
+  BOOST_TEST(document_bytes == 3 * std::string("document 5").size());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_host_is_not_polled_again_before_it_can_have_answered,
+                        FeedAndFollower) {
+  Advance(10);
+  Advance(300);
+  connected = false;
+  polls = 0;
+  for (int i = 0; i < 15; ++i)
+    Advance(50);
+  BOOST_TEST(polls == 1);
+  Advance(static_cast<int>(FleetFollower::kAnswerLost.count()));
+  BOOST_TEST(polls == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_push_that_was_lost_is_made_up_for_by_the_next_poll,
                         FeedAndFollower) {
   Advance(10);
