A domain whose upstreams can't be reached is doubtful as a whole

Cause: a host cut off from other domains finds out with each of their upstreams in turn, at 400 ms and one repeated send each, until its allowance of repeated sends is used up; then requests are refused (unreachable) while its own domain's upstreams have room.

Ruled out: a shorter limit for connecting; under load connections take that long.

Change: two upstreams of a domain unreachable in turn, no byte from any of its upstreams in between: all of the domain are doubtful for a second, then tried again. Doubtful ones are used only where there are no others. Tests: a_domain_that_cannot_be_reached_is_doubtful_as_a_whole, an_upstream_that_cannot_be_reached_casts_no_doubt.

--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -381,6 +381,68 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_upstream_book,
+                      *boost::unit_test::label("gateway"))
+
+// Two domains of three upstreams each, by the clock of the test.
+struct BookOfTwoDomains {
+  BookOfTwoDomains() {
+    for (const char* domain : {"a", "b"}) {
+      for (int i = 0; i < 3; ++i) {
+        upstreams::Announcement said;
+        said.id = UpstreamId(domain + std::to_string(i));
+        said.born_ms = 1;
+        said.sequence = 1;
+        said.service = routes::ServiceId("s");
+        said.address = {"10.0.0.1",
+                        static_cast<std::uint16_t>(said.id.str()[0] * 10 + i)};
+        said.domain = DomainId(domain);
+        book.Apply(said, now);
+      }
+    }
+  }
+  void Fail(const char* id) {
+    book.StartWork(UpstreamId(id), 0, 0);
+    book.EndWork(UpstreamId(id), SendResult::kUnreachable, 1, 0);
+  }
+  int Doubtful(const char* domain) {
+    UpstreamBook::Query query;
+    query.service = routes::ServiceId("s");
+    int count = 0;
+    for (const Candidate& candidate : book.Candidates(query, nullptr, nullptr))
+      count += candidate.domain == DomainId(domain) && candidate.is_doubtful;
+    return count;
+  }
+
+  TimePoint now = TimePoint(Millis(1000000));
+  UpstreamBook book{DomainId("a"), [this] { return now; }};
+};
+
+BOOST_FIXTURE_TEST_CASE(a_domain_that_cannot_be_reached_is_doubtful_as_a_whole,
+                        BookOfTwoDomains) {
+  Fail("b0");
+  BOOST_TEST(Doubtful("b") == 0);
+  Fail("b1");
+  BOOST_TEST(Doubtful("b") == 1);  // the other two aren't usable at all
+  BOOST_TEST(Doubtful("a") == 0);
+  now += Millis(1000);
+  BOOST_TEST(Doubtful("b") == 0);  // is tried again
+  Fail("b2");
+  now += Millis(300);
+  book.NoteBytes(UpstreamId("b0"));
+  BOOST_TEST(Doubtful("b") == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_upstream_that_cannot_be_reached_casts_no_doubt,
+                        BookOfTwoDomains) {
+  Fail("b0");
+  book.NoteBytes(UpstreamId("b2"));
+  Fail("b1");
+  BOOST_TEST(Doubtful("b") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(gateway_streams,
                          GatewayFixture,
                          *boost::unit_test::label("gateway"))
--- a/src/endivecart/gateway/upstream_book.cc
+++ b/src/endivecart/gateway/upstream_book.cc
@@ -14,6 +14,10 @@
 constexpr int kFailuresToDistrust = 3;
 constexpr Millis kDistrustBroken{1000};
 constexpr Millis kDistrustUnreachable{300};
+// After this many of its upstreams couldn't be reached, and nothing came from
+// any of them, a whole domain is doubtful for a while.
+constexpr std::size_t kUnreachableInDomain = 2;
+constexpr Millis kDoubtDomain{1000};
 // An upstream that had no room is avoided this long.
 constexpr Millis kAvoidRefusing{300};
 // Weight of the newest latency in the running mean.
@@ -112,6 +116,26 @@
 
 void UpstreamBook::NoteBytes(const UpstreamId& id) {
   records_[id].sent_bytes_at = now_();
+  if (const AnnouncedUpstream* upstream = roster_.Find(id))
+    reach_.erase(upstream->last.domain);
+}
+
+void UpstreamBook::NoteUnreachable(const UpstreamId& id) {
+  const AnnouncedUpstream* upstream = roster_.Find(id);
+  if (upstream == nullptr)
+    return;
+  DomainReach& reach = reach_[upstream->last.domain];
+  reach.unreachable.insert(id);
+  reach.failed_at = now_();
+}
+
+// Load: this host is cut off from a domain, and would find out with each of its
+// upstreams in turn.
+bool UpstreamBook::IsOutOfReach(const DomainId& domain) const {
+  const auto it = reach_.find(domain);
+  return it != reach_.end() &&
+         it->second.unreachable.size() >= kUnreachableInDomain &&
+         now_() - it->second.failed_at < kDoubtDomain;
 }
 
 bool UpstreamBook::IsDistrusted(const AnnouncedUpstream& upstream,
@@ -161,6 +185,7 @@
       candidate.domain = said.domain;
       candidate.is_near = said.domain == own_domain_;
       candidate.is_doubtful = IsSilent(upstream, record) ||
+                              IsOutOfReach(said.domain) ||
 
                               (record.refused_at != TimePoint{} &&
                                now - record.refused_at < kAvoidRefusing);
@@ -229,6 +254,7 @@
     case SendResult::kAbandoned:
       return;
     case SendResult::kUnreachable:
+      NoteUnreachable(id);
       distrust = kDistrustUnreachable;
       break;
     case SendResult::kFailed:
--- a/src/endivecart/gateway/upstream_book.h
+++ b/src/endivecart/gateway/upstream_book.h
@@ -118,6 +118,14 @@
     TimePoint refused_at{};     // the last time that it had no room
   };
 
+  // Upstreams of one domain that couldn't be reached one after the other.
+  struct DomainReach {
+    std::set<UpstreamId> unreachable;
+    TimePoint failed_at{};
+  };
+
+  bool IsOutOfReach(const DomainId& domain) const;
+  void NoteUnreachable(const UpstreamId& id);
   bool IsSilent(const upstreams::AnnouncedUpstream& upstream,
                 const Record& record) const;
   bool IsDistrusted(const upstreams::AnnouncedUpstream& upstream,
@@ -129,6 +137,7 @@
   upstreams::AnnouncedRoster roster_;
   fleet::DecisionsPtr decisions_;
   std::map<UpstreamId, Record> records_;
+  std::map<DomainId, DomainReach> reach_;
 };
 
 }  // namespace endivecart::gateway
