Only the side that connects sends heartbeats

Cause: a host that connects anew takes over from its former connection at the bus (router handover). The former one's input stops, as its queue is gone; when it fails, libzmq removes it from its poller but leaves its heartbeat timer on, and the next beat ends the process: "Assertion failed: !_io_error".

Ruled out: a full receiving queue (played without a bound, the same end).

Change: no heartbeats from the side that listens. The connecting side's beats carry their time to live, by which the listening side gives a dead connection up. Test: a_host_that_connects_anew_takes_over_from_itself, which ended the test program with SIGABRT before.

--- a/src/endivecart/transport/message_bus.cc
+++ b/src/endivecart/transport/message_bus.cc
@@ -31,8 +31,16 @@
   socket.set(zmq::sockopt::rcvhwm, kQueuedMessagesPerPeer);
   socket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   socket.set(zmq::sockopt::handshake_ivl, kHandshakeMillis);
-  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMillis);
-  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMillis);
+}
+
+// Only the side that connects sends beats; by them the other side, too, knows
+// when to give up. It must not send any: where a host has connected anew, the
+// input of its former connection stops, and libzmq 4.3 ends the process at the
+// next beat after that connection has failed.
+void SetHeartbeat(zmq::socket_t& outbound) {
+  outbound.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMillis);
+  outbound.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMillis);
+  outbound.set(zmq::sockopt::heartbeat_ttl, kHeartbeatTimeoutMillis);
 }
 
 std::string Address(const settings::Endpoint& endpoint) {
@@ -111,6 +119,7 @@
 void MessageBus::Data::Connect(const BusPeer& peer) {
   zmq::socket_t socket(context, zmq::socket_type::dealer);
   SetCommonOptions(socket);
+  SetHeartbeat(socket);
   // Messages for a peer that is away are dropped: they would be stale later.
   socket.set(zmq::sockopt::immediate, true);
   socket.set(zmq::sockopt::reconnect_ivl, kReconnectMillis);
--- a/src/endivecart/transport/message_bus_unittest.cc
+++ b/src/endivecart/transport/message_bus_unittest.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 #include "endivecart/transport/transport.h"
 
@@ -98,6 +99,46 @@
   BOOST_TEST((bus.error().code == TransportErrorCode::kBadKey));
 }
 
+// Load: a cut heals. A host that has connected anew meanwhile still has its
+// former connection, and what was sent there arrives late.
+BOOST_AUTO_TEST_CASE(a_host_that_connects_anew_takes_over_from_itself) {
+  const settings::Endpoint address{"127.0.0.1", kFirstPort + 30};
+  BusOptions options;
+  options.self = HostId("s");
+  options.listen = address;
+  const auto server = MessageBus::Open(options);
+  BOOST_REQUIRE(server.has_value());
+  options.self = HostId("a");
+  options.listen.reset();
+  options.peers = {{HostId("s"), address, ""}};
+  auto former = MessageBus::Open(options);
+  BOOST_REQUIRE(former.has_value());
+  std::uint64_t received = 0;
+  const auto count = [&](const wire::Envelope&) { ++received; };
+  const auto send_until = [&](MessageBus& bus, std::uint64_t least) {
+    for (int i = 0; i < 500 && received < least; ++i) {
+      bus.Send(HostId("s"), wire::Envelope());
+      (*server)->Poll(Millis(10), count);
+    }
+  };
+  send_until(**former, 1);
+  BOOST_REQUIRE(received > 0);
+  const auto latter = MessageBus::Open(options);
+  BOOST_REQUIRE(latter.has_value());
+  send_until(**latter, received + 5);
+  for (int i = 0; i < 100; ++i) {
+    (*former)->Send(HostId("s"), wire::Envelope());
+    (*server)->Poll(Millis(1), count);
+  }
+  former->reset();
+  // Longer than the interval of the bus's own signs of life.
+  std::this_thread::sleep_for(Millis(2900));
+  (*server)->Poll(Millis(10), count);
+  const std::uint64_t before = received;
+  send_until(**latter, before + 1);
+  BOOST_TEST(received > before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
