One control host at a time sends a follower the routing document

Control's memory held what waited: 94 to 96 MB.

Change: while none is in contact one is guessed, another one with each poll; the others send the document if the follower has lacked it for a second. Tests: one_control_host_at_a_time_is_asked_for_the_document, others_send_a_document_only_if_it_stays_away.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -23,6 +23,11 @@
   follower.sent_cursor =
       poll.feed_incarnation() == incarnation_ ? poll.feed_cursor() : 0;
   follower.sent_decisions = poll.decisions_index();
+  if (poll.routing_version() != decisions_.routing_version &&
+      follower.lacking_version != decisions_.routing_version) {
+    follower.lacking_version = decisions_.routing_version;
+    follower.lacking_since = follower.polled_at;
+  }
   for (const wire::ServiceMoveReport& report : poll.move_reports())
     hooks_.on_move_report(from, report);
   Send(from, follower, true);
@@ -65,8 +70,7 @@
   }
   follower.sent_cursor = roster_->newest_change();
   if (decisions_.index > follower.sent_decisions) {
-    *news.mutable_decisions() =
-        ToWire(decisions_, TakeDocument(follower, is_answer, now));
+    *news.mutable_decisions() = ToWire(decisions_, TakeDocument(follower, now));
     follower.sent_decisions = decisions_.index;
   }
   for (const HostId& host : ControlHosts())
@@ -88,14 +92,14 @@
   hooks_.send(to, std::move(envelope));
 }
 
-bool FleetFeed::TakeDocument(Follower& follower,
-                             bool is_answer,
-                             TimePoint now) {
+bool FleetFeed::TakeDocument(Follower& follower, TimePoint now) {
   const std::uint64_t version = decisions_.routing_version;
   if (follower.poll.routing_version() == version)
     return false;
-  // Others push it to those that follow them closely.
-  if (!is_answer && !follower.poll.wants_loads())
+  const bool lacks_it_long =
+      follower.lacking_version == version &&
+      now - follower.lacking_since >= kDocumentFromOthers;
+  if (!follower.poll.wants_loads() && !lacks_it_long)
     return false;
   if (follower.sent_document == version &&
       now - follower.document_sent_at < kDocumentOnItsWay) {
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -44,6 +44,10 @@
   // again: the link may still carry it.
   static constexpr Millis kDocumentOnItsWay{250};
 
+  // Only the control host that a follower follows closely sends it a document;
+  // others do so if it lacks it for this long.
+  static constexpr Millis kDocumentFromOthers{1000};
+
   // `incarnation` tells this process from earlier ones on its host. `roster`
   // must outlive the feed.
   FleetFeed(std::uint64_t incarnation,
@@ -69,13 +73,16 @@
     wire::FleetPoll poll;
     std::uint64_t sent_cursor = 0;
     std::uint64_t sent_decisions = 0;
-    std::uint64_t sent_document = 0;  // the routing version
+    // Routing versions: that it hasn't, and of the document sent last.
+    std::uint64_t lacking_version = 0;
+    TimePoint lacking_since{};
+    std::uint64_t sent_document = 0;
     TimePoint document_sent_at{};
   };
 
   // Whether the routing document goes along with the decisions: it may be far
   // larger than all else, and hosts' links are narrow.
-  bool TakeDocument(Follower& follower, bool is_answer, TimePoint now);
+  bool TakeDocument(Follower& follower, TimePoint now);
 
   void Send(const HostId& to, Follower& follower, bool is_answer);
   void AddLoadsOfOthers(const HostId& receiver, wire::FleetNews& news) const;
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -45,18 +45,20 @@
     for (wire::ServiceMoveReport& report : hooks_.move_reports())
       *poll.add_move_reports() = std::move(report);
   }
-  const HostId main = MainControlHost();
+  HostId main = MainControlHost();
   const bool asks_all =
       main.empty() ||
-      polls_++ % static_cast<std::uint64_t>(options_.others_every) == 0;
+      polls_ % static_cast<std::uint64_t>(options_.others_every) == 0;
+  if (main.empty())
+    main = GuessedControlHost();
+  ++polls_;
   for (auto& [host, control] : control_hosts_) {
     if ((host != main && !asks_all) || IsAnswerOnItsWay(control))
       continue;
     wire::Envelope envelope;
     wire::FleetPoll& out = *envelope.mutable_fleet_poll();
     out = poll;
-    out.set_wants_loads(options_.serves_callers &&
-                        (host == main || main.empty()));
+    out.set_wants_loads(options_.serves_callers && host == main);
     if (host != main)
       out.clear_loads();
     out.set_feed_incarnation(control.feed_incarnation);
@@ -207,6 +209,16 @@
   }
 }
 
+// Another one with each poll, and other ones than other processes guess.
+HostId FleetFollower::GuessedControlHost() const {
+  if (control_hosts_.empty())
+    return HostId();
+  const std::uint64_t at =
+      (options_.incarnation + polls_) % control_hosts_.size();
+  return std::next(control_hosts_.begin(), static_cast<std::ptrdiff_t>(at))
+      ->first;
+}
+
 bool FleetFollower::InContact() const {
   return std::any_of(control_hosts_.begin(), control_hosts_.end(),
                      [](const auto& entry) { return entry.second.in_contact; });
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -108,6 +108,8 @@
   bool IsAnswerOnItsWay(const ControlHost& control) const;
   // The one that all processes tell their loads to: the leader, if in reach.
   HostId MainControlHost() const;
+  // While none is in contact.
+  HostId GuessedControlHost() const;
   void TakeDecisions(const wire::FleetDecisions& message);
   void TellControlHosts() const;
   void NoteLostContacts();
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -457,6 +457,48 @@
   BOOST_TEST(document_bytes == 3 * std::string("document 5").size());
 }
 
+BOOST_FIXTURE_TEST_CASE(others_send_a_document_only_if_it_stays_away,
+                        FeedAndFollower) {
+  Advance(10);
+  Decide(5, 1);
+  connected = false;
+  document_bytes = 0;
+  wire::FleetPoll poll;
+  poll.set_serves_callers(true);
+  feed.OnPoll(HostId("f"), poll);
+  BOOST_TEST(document_bytes == 0u);
+  now += FleetFeed::kDocumentFromOthers;
+  feed.OnPoll(HostId("f"), poll);
+  BOOST_TEST(document_bytes > 0u);
+}
+
+// Load: all hosts start at once; each document comes over a narrow link.
+BOOST_AUTO_TEST_CASE(one_control_host_at_a_time_is_asked_for_the_document) {
+  TimePoint now = At(0);
+  std::vector<HostId> asked;
+  FleetFollowerOptions options;
+  options.self = HostId("e");
+  options.serves_callers = true;
+  options.contacts = {HostId("v"), HostId("w"), HostId("x")};
+  FleetFollower::Hooks hooks;
+  hooks.send = [&](const HostId& to, const wire::Envelope& envelope) {
+    if (envelope.fleet_poll().wants_loads())
+      asked.push_back(to);
+  };
+  hooks.on_control_hosts = [](const std::vector<HostId>&) {};
+  hooks.own_loads = [] { return std::vector<OwnLoad>(); };
+  hooks.move_reports = [] { return std::vector<wire::ServiceMoveReport>(); };
+  hooks.now = [&] { return now; };
+  FleetFollower follower(options, std::move(hooks));
+  for (int i = 0; i < 3; ++i) {
+    follower.Tick();
+    now += Millis(300);
+    BOOST_TEST(asked.size() == static_cast<std::size_t>(i) + 1);
+  }
+  // The first ones may be away: each has its turn.
+  BOOST_TEST((std::set<HostId>(asked.begin(), asked.end()).size() == 3u));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_host_is_not_polled_again_before_it_can_have_answered,
                         FeedAndFollower) {
   Advance(10);
