Reads: a new leader's read waits until it has applied what earlier leaders committed

"Confirmed leader" had the same fault, so orders, moves and the cache catalogue could act on old decisions; it now also means caught up.

Ruled out: a lost entry.

A host with a slow disk may lead, so periods with one are not counted as stable.

--- a/src/endivecart/control/raft_core.cc
+++ b/src/endivecart/control/raft_core.cc
@@ -405,6 +405,22 @@
   return ready;
 }
 
+std::vector<wire::RaftMessage> RaftCore::TakeAppendRequests() {
+  std::vector<wire::RaftMessage> requests;
+  const bool has_vote =
+      std::any_of(ready_.records.begin(), ready_.records.end(),
+                  [](const auto& record) { return record.has_vote(); });
+  if (has_vote)
+    return requests;
+  std::erase_if(ready_.messages, [&](wire::RaftMessage& message) {
+    if (!message.has_append_request())
+      return false;
+    requests.push_back(std::move(message));
+    return true;
+  });
+  return requests;
+}
+
 void RaftCore::OnPersisted(TimePoint) {
   synced_index_ = std::max(synced_index_, ready_index_);
   if (role_ == RaftRole::kLeader)
--- a/src/endivecart/control/raft_core.h
+++ b/src/endivecart/control/raft_core.h
@@ -99,6 +99,11 @@
   void RequestBroadcast(TimePoint now) { heartbeat_due_ = now; }
 
   RaftReady TakeReady();
+  // Removes and returns the append requests among the messages that the next
+  // TakeReady() would return. They may be sent before the records are
+  // persisted, unless these contain a vote: the leader counts its own copy of
+  // an entry only once it is persisted.
+  std::vector<wire::RaftMessage> TakeAppendRequests();
   // Called when everything from the last TakeReady() is synced.
   void OnPersisted(TimePoint now);
   // Drops the entries covered by `snapshot`, which the owner has synced.
--- a/src/endivecart/fleet/fleet_random_run_unittest.cc
+++ b/src/endivecart/fleet/fleet_random_run_unittest.cc
@@ -22,8 +22,9 @@
   return HostId("h" + std::to_string(i));
 }
 
-// Three voters with a lossy network and with disks that crash, fill up or
-// are lost, while operators write versions and read them back.
+// Three voters with a lossy network and with disks that crash, fill up, turn
+// slow or are lost, while operators write versions and read them back. Each new
+// leader is asked for a read and a write at once.
 class FleetRun {
  public:
   explicit FleetRun(std::uint64_t seed) : dice_(seed), network_(dice_) {
@@ -64,6 +65,7 @@
 
   int acks() const { return acks_; }
   int stable_periods() const { return stable_periods_; }
+  int confirmed_reads() const { return confirmed_reads_; }
 
  private:
   struct Node {
@@ -73,6 +75,8 @@
     std::int64_t starts_at = 0;  // if the node is down
     bool lost_disk = false;
     bool disk_full = false;
+    bool disk_slow = false;
+    bool was_leader = false;
     std::uint64_t newest_seen = 0;  // version, by this incarnation
     std::deque<std::pair<std::function<DiskResult()>,
                          std::function<void(const DiskResult&)>>>
@@ -104,6 +108,7 @@
     hooks.on_disk_failure = [](const control::StorageError&) {};
     hooks.now = [this] { return Now(); };
     node.newest_seen = 0;
+    node.was_leader = false;
     node.jobs.clear();
     node.voter = std::make_unique<FleetVoter>(options, node.disk.get(),
                                               std::move(hooks));
@@ -128,7 +133,7 @@
       return;
     undisturbed_since_ms_ = now_ms_;
     Node& node = nodes_[static_cast<std::size_t>(dice_.Below(kHosts))];
-    switch (dice_.Below(7)) {
+    switch (dice_.Below(8)) {
       case 0:
         network_.Isolate(node.host);
         isolated_.insert(node.host);
@@ -152,6 +157,9 @@
         node.disk_full = dice_.Chance(0.5);
         node.disk->SetFull(node.disk_full);
         break;
+      case 7:
+        node.disk_slow = dice_.Chance(0.5);
+        break;
       case 6:
         // One disk at a time: its member must be replaced before another is
         // lost.
@@ -178,20 +186,21 @@
   }
 
   // Whenever a majority of the voters has been healthy, connected and
-  // undisturbed for kStableMillis, one of them must be the confirmed leader.
+  // undisturbed for kStableMillis, one of them must be the confirmed leader. A
+  // host with a slow disk may lead too, and lose leadership at each slow write.
   void CheckMajorityHasLeader() {
     int healthy = 0;
     bool in_repair = false;
     bool leads = false;
     for (const Node& node : nodes_) {
-      const bool is_healthy =
-          node.voter && !node.disk_full && !isolated_.contains(node.host);
+      const bool is_healthy = node.voter && !node.disk_full &&
+                              !node.disk_slow && !isolated_.contains(node.host);
       healthy += is_healthy && !node.lost_disk ? 1 : 0;
       // Until the former member is removed there are four voters, one of them
       // lost for good, so all others are required for a quorum.
       in_repair = in_repair || (node.lost_disk && !is_healthy);
       leads = leads || (is_healthy && node.voter->IsConfirmedLeader());
-      if (!node.voter)
+      if (!node.voter || node.disk_slow)
         undisturbed_since_ms_ = now_ms_;
     }
     if (healthy < 2 || in_repair) {
@@ -209,6 +218,7 @@
     network_.SetLossy(0, 0, 2);
     for (Node& node : nodes_) {
       node.disk->SetFull(false);
+      node.disk_slow = false;
       node.starts_at = std::min(node.starts_at, now_ms_);
     }
     for (int step = 0; step < 1500; ++step) {
@@ -223,12 +233,17 @@
         Start(node);
       if (!node.voter)
         continue;
-      if (!node.jobs.empty() && dice_.Chance(0.7)) {
+      if (!node.jobs.empty() && dice_.Chance(node.disk_slow ? 0.05 : 0.7)) {
         const auto job = std::move(node.jobs.front());
         node.jobs.pop_front();
         job.second(job.first());
       }
       node.voter->Tick();
+      if (!std::exchange(node.was_leader, node.voter->IsLeader()) &&
+          node.was_leader) {
+        ReadAt(node);
+        Propose();
+      }
       // Stands in for followers' polls, through which members learn of each
       // other.
       for (Node& other : nodes_) {
@@ -247,15 +262,19 @@
     }
   }
 
-  // Returns whether the leader counts the node's new member among the voters.
+  // Returns whether a committed change made the node's new member one of the
+  // voters, in place of its former member.
   bool IsVoter(const Node& node) const {
     const MemberId member =
         control::MakeMemberId(node.host, node.disk->identity());
     for (const Node& other : nodes_) {
-      if (other.voter && other.voter->IsLeader() &&
-          other.voter->core().IsVoter(member) &&
-          other.voter->core().voters().voters_size() == kHosts &&
-          other.voter->core().MatchIndexOf(member) > 0) {
+      if (!other.voter || !other.voter->IsLeader())
+        continue;
+      const control::RaftCore& core = other.voter->core();
+      const auto voters = core.VotersAt(core.commit_index()).voters();
+      if (voters.size() == kHosts && core.MatchIndexOf(member) > 0 &&
+          std::find(voters.begin(), voters.end(), member.str()) !=
+              voters.end()) {
         return true;
       }
     }
@@ -283,13 +302,18 @@
 
   void Read() {
     Node& node = nodes_[static_cast<std::size_t>(dice_.Below(kHosts))];
-    if (!node.voter || !node.voter->IsLeader())
-      return;
+    if (node.voter && node.voter->IsLeader())
+      ReadAt(node);
+  }
+
+  void ReadAt(Node& node) {
     const std::uint64_t expected = acked_;
     FleetVoter* const voter = node.voter.get();
-    voter->Confirm(Millis(900), [voter, expected](bool confirmed) {
-      if (confirmed)
-        BOOST_TEST(voter->decisions().routing_version >= expected);
+    voter->Confirm(Millis(900), [this, voter, expected](bool confirmed) {
+      if (!confirmed)
+        return;
+      ++confirmed_reads_;
+      BOOST_TEST(voter->decisions().routing_version >= expected);
     });
   }
 
@@ -300,6 +324,7 @@
   std::uint64_t proposed_ = 0;
   std::uint64_t acked_ = 0;
   int acks_ = 0;
+  int confirmed_reads_ = 0;
   int identities_ = 0;
   std::set<HostId> isolated_;
   std::int64_t undisturbed_since_ms_ = 0;
@@ -312,6 +337,7 @@
     no_acknowledged_change_is_lost_and_every_stable_majority_has_a_leader) {
   int acks = 0;
   int stable_periods = 0;
+  int confirmed_reads = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       FleetRun run(seed);
@@ -319,11 +345,13 @@
       BOOST_TEST(run.acks() > 0);
       acks += run.acks();
       stable_periods += run.stable_periods();
+      confirmed_reads += run.confirmed_reads();
     }
   }
   // The checks above are meaningful only if enough happened.
   BOOST_TEST(acks > static_cast<int>(kSeeds) * 10);
   BOOST_TEST(stable_periods > static_cast<int>(kSeeds));
+  BOOST_TEST(confirmed_reads > static_cast<int>(kSeeds) * 10);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/endivecart/fleet/fleet_voter.cc
+++ b/src/endivecart/fleet/fleet_voter.cc
@@ -20,6 +20,9 @@
 // than the time after which voters elect another leader, even if their clocks
 // run faster.
 constexpr Millis kLeaderLease{240};
+// A leader whose disk is slower, or refuses a write for longer, stops sending
+// heartbeats, so that another takes over: it can't apply what is committed.
+constexpr Millis kMaxDiskDelay = kElectionMin;
 static_assert(kLeaderLease < kElectionMin && kLeaderLease > 2 * kHeartbeat);
 
 wire::DurableVote MakeDurableVote(const control::RaftCore& core) {
@@ -67,6 +70,7 @@
   snapshot_state_ = state.snapshot.state();
   if (!log_.Restore(snapshot_state_))
     LogLine("fleet.snapshot_unreadable").Error();
+  applied_index_ = state.snapshot.last_index();
   core_.emplace(raft, state, hooks_.now());
 }
 
@@ -99,7 +103,23 @@
   voter_set_manager_.RecordContact(member, hooks_.now());
 }
 
+void FleetVoter::SendAppendRequests() {
+  if (!IsLeader())
+    return;
+  const bool is_stuck = (disk_busy_ || persisting_) &&
+                        hooks_.now() - disk_work_since_ >= kMaxDiskDelay;
+  const bool writes_vote =
+      persisting_ &&
+      std::any_of(persisting_->records.begin(), persisting_->records.end(),
+                  [](const auto& r) { return r.has_vote(); });
+  if (is_stuck || writes_vote)
+    return;
+  for (const wire::RaftMessage& message : core_->TakeAppendRequests())
+    SendRaft(message);
+}
+
 void FleetVoter::Pump() {
+  SendAppendRequests();
   while (!disk_busy_) {
     if (persisting_) {
       if (hooks_.now() < retry_disk_at_)
@@ -116,6 +136,7 @@
         continue;
       }
       persisting_ = std::move(ready);
+      disk_work_since_ = hooks_.now();
     }
     disk_busy_ = true;
     hooks_.run_on_disk(
@@ -153,6 +174,7 @@
     snapshot_state_ = ready.snapshot->state();
     if (!log_.Restore(snapshot_state_))
       LogLine("fleet.snapshot_unreadable").Error();
+    applied_index_ = ready.snapshot->last_index();
     hooks_.on_decisions(log_.decisions());
   }
   for (const wire::RaftMessage& message : ready.messages)
@@ -171,6 +193,7 @@
 }
 
 void FleetVoter::Apply(const wire::LogEntry& entry) {
+  applied_index_ = entry.index();
   bytes_since_snapshot_ += entry.ByteSizeLong();
   if (entry.has_command() && log_.Apply(entry.command(), entry.index())) {
     hooks_.on_decisions(log_.decisions());
@@ -205,6 +228,7 @@
     rest.push_back(core_->log().At(i));
   bytes_since_snapshot_ = 0;
   disk_busy_ = true;
+  disk_work_since_ = hooks_.now();
   hooks_.run_on_disk(
       [storage = storage_, snapshot, rest = std::move(rest),
        vote = MakeDurableVote(*core_)]() {
@@ -300,7 +324,7 @@
   }
   const TimePoint now = hooks_.now();
   confirmations_.push_back(
-      {now, now + timeout, core_->commit_index(), std::move(callback)});
+      {now, now + timeout, std::nullopt, std::move(callback)});
   core_->RequestBroadcast(now);
   Tick();
 }
@@ -310,9 +334,11 @@
   const auto contact = core_->QuorumContact(now);
   std::vector<std::pair<ConfirmCallback, bool>> resolved;
   std::erase_if(confirmations_, [&](Confirmation& confirmation) {
-    const bool confirmed =
-        contact && *contact >= confirmation.asked_at &&
-        core_->delivered_index() >= confirmation.commit_index;
+    // There is no quorum contact before an entry of this term is committed.
+    if (contact && !confirmation.read_index)
+      confirmation.read_index = core_->commit_index();
+    const bool confirmed = contact && *contact >= confirmation.asked_at &&
+                           applied_index_ >= *confirmation.read_index;
     if (!confirmed && IsLeader() && now < confirmation.deadline)
       return false;
     resolved.emplace_back(std::move(confirmation.callback), confirmed);
@@ -342,7 +368,10 @@
 bool FleetVoter::IsConfirmedLeader() const {
   const TimePoint now = hooks_.now();
   const auto contact = core_->QuorumContact(now);
-  return IsLeader() && contact && now - *contact < kLeaderLease;
+  const bool has_caught_up =
+      core_->log().TermAt(applied_index_) == core_->term();
+  return IsLeader() && has_caught_up && contact &&
+         now - *contact < kLeaderLease;
 }
 
 HostId FleetVoter::LeaderHost() const {
--- a/src/endivecart/fleet/fleet_voter.h
+++ b/src/endivecart/fleet/fleet_voter.h
@@ -79,8 +79,9 @@
   void Confirm(Millis timeout, ConfirmCallback callback);
 
   bool IsLeader() const;
-  // Returns whether this process leads and a quorum has answered it recently
-  // enough that no other leader can have been elected.
+  // Returns whether this process leads, a quorum has answered it recently
+  // enough that no other leader can have been elected, and decisions() includes
+  // everything that earlier leaders committed.
   bool IsConfirmedLeader() const;
   // Returns an empty id if the leader is unknown.
   HostId LeaderHost() const;
@@ -98,12 +99,18 @@
   struct Confirmation {
     TimePoint asked_at;
     TimePoint deadline;
-    std::uint64_t commit_index = 0;
+    // Set at the first commit of this leader's own term that is seen after the
+    // request: only from then on does the commit index cover everything that
+    // earlier leaders committed.
+    std::optional<std::uint64_t> read_index;
     ConfirmCallback callback;
   };
 
   void LoadState();
   void Pump();
+  // Sends heartbeats and entries to followers without waiting for this host's
+  // own disk.
+  void SendAppendRequests();
   void OnReadyPersisted(const DiskResult& result);
   void DispatchReady(const control::RaftReady& ready);
   void Apply(const wire::LogEntry& entry);
@@ -121,8 +128,13 @@
   DecisionLog log_;
   VoterSetManager voter_set_manager_;
   std::string snapshot_state_;
+  // The last entry that decisions() includes. Lags behind the core's delivered
+  // index while the disk writes the batch that contains the entries.
+  std::uint64_t applied_index_ = 0;
   bool disk_busy_ = false;
   std::optional<control::RaftReady> persisting_;
+  // When the batch that is not persisted yet, or the snapshot, was begun.
+  TimePoint disk_work_since_{};
   TimePoint retry_disk_at_{};
   std::size_t bytes_since_snapshot_ = 0;
   control::RaftRole last_role_ = control::RaftRole::kFollower;
