Gateway: the load that servers report with their answers

X-Server-Load is parsed strictly; what is malformed or implausible is ignored, counted, and logged once a minute at most.

Ruled out as a cause of rejections at plain services: a herd of hosts with views a quarter of a second old.

--- a/src/endivecart/gateway/caller_request.h
+++ b/src/endivecart/gateway/caller_request.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "endivecart/base/base.h"
+#include "endivecart/gateway/server_load.h"
 #include "endivecart/net/net.h"
 
 namespace endivecart::gateway {
@@ -73,6 +74,8 @@
   bool not_run = false;  // the upstream states that it did not run the request
   bool has_unrequested_encoding = false;  // the body was re-encoded on the way
   std::optional<std::uint64_t> weights_version;
+  std::optional<ServerLoad> server_load;
+  bool has_bad_server_load = false;  // a load was sent, but is malformed
 
   bool operator==(const AnswerMetadata&) const = default;
 };
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -33,6 +33,10 @@
     gateway_.upstreams_.RecordWeights(upstream_, request_.prompt->model,
                                       *metadata.weights_version);
   }
+  if (metadata.server_load)
+    gateway_.upstreams_.RecordServerLoad(upstream_, *metadata.server_load);
+  if (metadata.has_bad_server_load)
+    gateway_.CountBadServerLoad(upstream_);
   const bool success = head.status >= 200 && head.status < 300;
   if (success && (!metadata.is_signed || metadata.has_unrequested_encoding)) {
     OnBadAnswer("unsigned_or_coded");
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -12,6 +12,7 @@
 constexpr Millis kRetryAfterStart{500};
 // Capacity may also become free through updates on other hosts' load.
 constexpr Millis kAdmitInterval{40};
+constexpr Millis kBadServerLoadLogInterval{60000};
 
 }  // namespace
 
@@ -118,6 +119,17 @@
   return route.services.front().service;
 }
 
+void Gateway::CountBadServerLoad(const UpstreamId& upstream) {
+  metrics_.Add("endivecart_bad_server_loads_total", "");
+  const TimePoint now = loop_.Now();
+  if (bad_server_load_logged_at_ &&
+      now - *bad_server_load_logged_at_ < kBadServerLoadLogInterval) {
+    return;
+  }
+  bad_server_load_logged_at_ = now;
+  LogLine("gateway.bad_server_load").Add("upstream", upstream.str()).Warn();
+}
+
 void Gateway::Remove(const std::shared_ptr<Forwarding>& forwarding) {
   active_.erase(forwarding);
 }
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -89,6 +89,7 @@
   // Returns the oldest version of the weights that may serve a request; 0: any.
   std::uint64_t MinWeights(const ModelId& model) const;
   void Remove(const std::shared_ptr<Forwarding>& forwarding);
+  void CountBadServerLoad(const UpstreamId& upstream);
   void Admit();
 
   const GatewayOptions options_;
@@ -112,6 +113,7 @@
   std::set<std::shared_ptr<Forwarding>> active_;
   RequestQueue request_queue_;
   std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
+  std::optional<TimePoint> bad_server_load_logged_at_;
   std::unique_ptr<TimerSubscription> admit_soon_;
   std::unique_ptr<TimerSubscription> admit_timer_;
 };
