--- a/src/endivecart/fleet/cache_catalog.cc
+++ b/src/endivecart/fleet/cache_catalog.cc
@@ -20,7 +20,11 @@
 constexpr Millis kPartialTimeout{10000};
 // A store filled beyond this fraction of its capacity gets no more parts.
 constexpr double kMaxFillRatio = 0.97;
-constexpr std::size_t kMaxChanges = 20000;
+// A follower that is behind by more removals discards what it has.
+constexpr std::size_t kMaxRemovals = 20000;
+// How often the states of the stores are determined anew while no store was
+// listed or lost.
+constexpr Millis kStoreStatesInterval{20};
 constexpr std::size_t kMaxPartsPerFree = 500;
 
 std::int64_t ToMillis(TimePoint now) {
@@ -48,7 +52,11 @@
   // may be published.
   reads_allowed_at_ = now + kOldOrdersExpired;
   changes_.clear();
-  changes_end_ = 1;
+  latest_changes_.clear();
+  removals_.clear();
+  newest_change_ = 0;
+  dropped_removal_ = 0;
+  store_states_due_ = now;
   for (Store& store : stores_) {
     store.listed = false;
     store.reading = false;
@@ -64,6 +72,7 @@
 }
 
 void CacheCatalog::SetStores(const std::vector<routes::CacheStore>& stores) {
+  store_states_due_ = TimePoint{};
   for (Store& known : stores_)
     known.present = false;
   for (const routes::CacheStore& store : stores) {
@@ -99,10 +108,21 @@
   part.set_key(CacheKey(name));
   part.set_store(IndexOf(store));
   part.set_tokens(static_cast<std::uint32_t>(tokens));
-  changes_.push_back({added, part});
-  ++changes_end_;
-  if (changes_.size() > kMaxChanges)
-    changes_.pop_front();
+  std::uint64_t& latest = latest_changes_[{part.key(), part.store()}];
+  changes_.erase(latest);
+  removals_.erase(latest);
+  latest = ++newest_change_;
+  changes_[latest] = {added, part};
+  if (added)
+    return;
+  removals_.insert(latest);
+  if (removals_.size() <= kMaxRemovals)
+    return;
+  dropped_removal_ = *removals_.begin();
+  removals_.erase(removals_.begin());
+  const wire::CachedPart& dropped = changes_.at(dropped_removal_).part;
+  latest_changes_.erase({dropped.key(), dropped.store()});
+  changes_.erase(dropped_removal_);
 }
 
 void CacheCatalog::Add(Store& store,
@@ -139,6 +159,7 @@
   store.partial.clear();
   store.used = 0;
   store.listed = false;
+  store_states_due_ = TimePoint{};
 }
 
 void CacheCatalog::Retire(
@@ -222,6 +243,7 @@
     store->readable_since = now;
   }
   store->listed = true;
+  store_states_due_ = TimePoint{};
   store->epoch = list.epoch;
   store->next = list.next;
   std::map<CachePartName, TimePoint> partial;
@@ -295,21 +317,13 @@
   return frees;
 }
 
-std::optional<wire::CacheUpdate> CacheCatalog::UpdateSince(
-    std::uint64_t term,
-    std::uint64_t cursor,
-    TimePoint now) const {
-  if (!term_)
-    return std::nullopt;
-  wire::CacheUpdate update;
-  update.set_term(*term_);
-  update.set_cursor(changes_end_);
-  if (has_clock_) {
-    update.set_servers_clock_ms(
-        static_cast<std::uint64_t>(ToMillis(now) + clock_offset_ms_));
-  }
+void CacheCatalog::UpdateStoreStates(TimePoint now) {
+  if (now < store_states_due_)
+    return;
+  store_states_due_ = now + kStoreStatesInterval;
+  std::vector<wire::CacheStoreState> states;
   for (const Store& store : stores_) {
-    wire::CacheStoreState& state = *update.add_stores();
+    wire::CacheStoreState& state = states.emplace_back();
     state.set_address(store.settings.address.ToString());
     state.set_domain(store.settings.domain.str());
     state.set_readable(store.listed && store.present);
@@ -319,31 +333,52 @@
         static_cast<double>(store.used) <
             kMaxFillRatio * static_cast<double>(store.settings.cache_tokens));
   }
-  const std::uint64_t oldest = changes_end_ - changes_.size();
-  if (term != *term_ || cursor < oldest || cursor > changes_end_) {
-    update.set_reset(true);
-    for (const Store& store : stores_) {
-      for (const auto& [name, part] : store.parts) {
-        if (part.withdrawn)
-          continue;
-        wire::CachedPart& added = *update.add_added();
-        added.set_key(CacheKey(name));
-        added.set_store(IndexOf(store));
-        added.set_tokens(static_cast<std::uint32_t>(part.tokens));
-      }
-    }
-    return update;
+  const bool is_same = std::equal(
+      states.begin(), states.end(), store_states_.begin(), store_states_.end(),
+      [](const wire::CacheStoreState& a, const wire::CacheStoreState& b) {
+        return a.SerializeAsString() == b.SerializeAsString();
+      });
+  if (is_same)
+    return;
+  store_states_ = std::move(states);
+  ++store_states_version_;
+}
+
+std::optional<wire::CacheUpdate> CacheCatalog::UpdateSince(
+    const CachePosition& position,
+    TimePoint now) {
+  if (!term_)
+    return std::nullopt;
+  UpdateStoreStates(now);
+  wire::CacheUpdate update;
+  update.set_term(*term_);
+  if (has_clock_) {
+    update.set_servers_clock_ms(
+        static_cast<std::uint64_t>(ToMillis(now) + clock_offset_ms_));
   }
-  // Sends only the last change of each part, since followers apply removals
-  // before additions.
-  std::map<std::pair<std::uint64_t, std::uint32_t>, const Change*> last;
-  for (std::size_t i = cursor - oldest; i < changes_.size(); ++i)
-    last[{changes_[i].part.key(), changes_[i].part.store()}] = &changes_[i];
-  for (const auto& [key, change] : last) {
-    if (change->added) {
-      *update.add_added() = change->part;
-    } else {
-      *update.add_removed() = change->part;
+  update.set_stores_version(store_states_version_);
+  if (position.term != *term_ ||
+      position.stores_version != store_states_version_) {
+    for (const wire::CacheStoreState& state : store_states_)
+      *update.add_stores() = state;
+  }
+  const bool is_reset =
+      position.term != *term_ || position.cursor > newest_change_ ||
+      std::max(position.cursor, position.floor) < dropped_removal_;
+  update.set_reset(is_reset);
+  update.set_floor(is_reset ? newest_change_ : position.floor);
+  update.set_cursor(newest_change_);
+  auto it = changes_.upper_bound(is_reset ? 0 : position.cursor);
+  for (int count = 0; it != changes_.end(); ++it, ++count) {
+    if (count == kMaxPartsPerUpdate) {
+      update.set_cursor(std::prev(it)->first);
+      update.set_has_more(true);
+      break;
+    }
+    if (it->second.added) {
+      *update.add_added() = it->second.part;
+    } else if (!is_reset) {
+      *update.add_removed() = it->second.part;
     }
   }
   return update;
--- a/src/endivecart/fleet/cache_catalog.h
+++ b/src/endivecart/fleet/cache_catalog.h
@@ -2,10 +2,10 @@
 #define ENDIVECART_FLEET_CACHE_CATALOG_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,6 +85,17 @@
   bool operator==(const CacheFree&) const = default;
 };
 
+// How far a follower has received the leader's cache updates.
+struct CachePosition {
+  std::uint64_t term = 0;
+  std::uint64_t cursor = 0;
+  // Removals up to this change are of parts that the follower never had.
+  std::uint64_t floor = 0;
+  std::uint64_t stores_version = 0;  // of the list of stores
+
+  bool operator==(const CachePosition&) const = default;
+};
+
 // The leader's index of the complete parts in each store. Stores don't track
 // their readers, so a part is published only once it is complete, and freed
 // only when no process can still be reading it.
@@ -124,12 +135,12 @@
   void OnReadFailed(const settings::Endpoint& store, TimePoint now);
   std::vector<CacheFree> NextFrees(TimePoint now);
 
-  // Returns the changes that a follower with updates of `term` up to `cursor`
-  // is missing. Returns nullopt if this process isn't the leader.
-  std::optional<wire::CacheUpdate> UpdateSince(std::uint64_t term,
-                                               std::uint64_t cursor,
-                                               TimePoint now) const;
-  std::uint64_t cursor() const { return changes_end_; }
+  // Returns changes that a follower at `position` is missing, at most
+  // kMaxPartsPerUpdate: a new leader has to bring hundreds of followers up to
+  // date at once. Returns nullopt if this process isn't the leader.
+  std::optional<wire::CacheUpdate> UpdateSince(const CachePosition& position,
+                                               TimePoint now);
+  static constexpr int kMaxPartsPerUpdate = 1000;
 
  private:
   struct Part {
@@ -153,10 +164,12 @@
     std::map<CachePartName, TimePoint> partial;
     std::int64_t used = 0;
   };
+  // The latest change of a part of a store.
   struct Change {
     bool added = false;
     wire::CachedPart part;
   };
+  using PartKey = std::pair<std::uint64_t, std::uint32_t>;  // key, store
 
   Store* Find(const settings::Endpoint& address);
   std::uint32_t IndexOf(const Store& store) const;
@@ -170,12 +183,23 @@
                     const Store& store,
                     const CachePartName& name,
                     std::int64_t tokens);
+  void UpdateStoreStates(TimePoint now);
 
   std::optional<std::uint64_t> term_;
   TimePoint reads_allowed_at_{};
   std::vector<Store> stores_;
-  std::deque<Change> changes_;  // the newest kMaxChanges
-  std::uint64_t changes_end_ = 0;
+  // By number, so that the same list serves followers that lack everything and
+  // those that lack the newest changes. Holds all parts that are published, and
+  // the newest removals.
+  std::map<std::uint64_t, Change> changes_;
+  std::map<PartKey, std::uint64_t> latest_changes_;
+  std::set<std::uint64_t> removals_;
+  std::uint64_t newest_change_ = 0;
+  // The newest removal that is no longer held.
+  std::uint64_t dropped_removal_ = 0;
+  std::vector<wire::CacheStoreState> store_states_;
+  std::uint64_t store_states_version_ = 0;
+  TimePoint store_states_due_{};
   std::int64_t clock_offset_ms_ = 0;  // cache servers' clock minus this clock
   bool has_clock_ = false;
 };
--- a/src/endivecart/fleet/fleet_bus.cc
+++ b/src/endivecart/fleet/fleet_bus.cc
@@ -74,7 +74,8 @@
 }
 
 void FleetBus::Drain() {
-  bus_->Poll(Millis(0), receiver_);
+  if (bus_->Poll(Millis(0), receiver_, kMessagesPerTurn))
+    ScheduleDrain();
 }
 
 void FleetBus::ScheduleDrain() {
--- a/src/endivecart/fleet/fleet_bus.h
+++ b/src/endivecart/fleet/fleet_bus.h
@@ -11,7 +11,9 @@
 
 namespace endivecart::fleet {
 
-// Drives a transport::MessageBus from an event loop.
+// Drives a transport::MessageBus from an event loop. Handles a bounded number
+// of messages at a time, so that a flood of them delays no other bus, timer or
+// connection of the loop.
 class FleetBus {
  public:
   using Receiver = transport::MessageBus::Receiver;
@@ -34,6 +36,7 @@
   FleetBus(net::EventLoop& loop, HostId self, int port, Receiver receiver);
   void WatchDescriptors();
   void Drain();
+  static constexpr std::size_t kMessagesPerTurn = 8;
   void ScheduleDrain();
 
   net::EventLoop& loop_;
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -11,14 +11,20 @@
     : incarnation_(incarnation),
       roster_(roster),
       hooks_(std::move(hooks)),
-      started_at_(hooks_.now()) {}
+      started_at_(hooks_.now()),
+      loads_(incarnation) {}
 
 void FleetFeed::OnPoll(const HostId& from, const wire::FleetPoll& poll) {
-  Follower& follower = followers_[from];
+  const auto [it, is_new] = followers_.try_emplace(from);
+  Follower& follower = it->second;
   follower.polled_at = hooks_.now();
   follower.poll = poll;
+  bool is_new_caller = false;
   if (poll.serves_callers())
-    caller_seen_at_[from] = hooks_.now();
+    is_new_caller = caller_seen_at_.insert_or_assign(from, hooks_.now()).second;
+  if (is_new || is_new_caller)
+    UpdateMembership();
+  loads_.Set(from, {poll.loads().begin(), poll.loads().end()});
   // Trusts the poll rather than what was pushed, which may have been lost.
   follower.sent_cursor =
       poll.feed_incarnation() == incarnation_ ? poll.feed_cursor() : 0;
@@ -39,7 +45,9 @@
     Send(host, follower, false);
 }
 
-void FleetFeed::PushAnnouncements() {
+void FleetFeed::FlushPushes() {
+  if (!std::exchange(push_requested_, false))
+    return;
   for (auto& [host, follower] : followers_)
     Send(host, follower, false);
 }
@@ -53,22 +61,29 @@
     if (now - entry.second.polled_at <= kFollowerTimeout)
       return false;
     LogLine("fleet.follower_lost").Add("host", entry.first.str()).Info();
+    loads_.Set(entry.first, {});
     return true;
   });
+  UpdateMembership();
+  loads_.DropUnused(*roster_);
+}
+
+void FleetFeed::UpdateMembership() {
+  caller_ranks_.clear();
+  for (const auto& [host, seen_at] : caller_seen_at_)
+    caller_ranks_.emplace(host, caller_ranks_.size());
+  spares_.clear();
+  for (const auto& [host, follower] : followers_) {
+    if (!follower.poll.serves_callers())
+      spares_.push_back(host);
+  }
 }
 
 void FleetFeed::Send(const HostId& to, Follower& follower, bool is_answer) {
   const TimePoint now = hooks_.now();
   wire::Envelope envelope;
   wire::FleetUpdate& update = *envelope.mutable_fleet_news();
-  update.set_feed_incarnation(incarnation_);
-  update.set_feed_cursor(roster_->newest_change());
-  for (const auto* upstream : roster_->ChangedSince(follower.sent_cursor)) {
-    *update.add_announcements() = upstreams::ToRecord(
-        upstream->last,
-        std::chrono::duration_cast<Millis>(now - upstream->received_at));
-  }
-  follower.sent_cursor = roster_->newest_change();
+  AddAnnouncements(follower, update);
   if (decisions_.index > follower.sent_decisions) {
     *update.mutable_decisions() =
         ToWire(decisions_, IncludeDocument(follower, now));
@@ -78,15 +93,19 @@
     update.add_control_hosts(host.str());
   update.set_leader_host(hooks_.leader_host().str());
   update.set_caller_hosts(static_cast<std::uint32_t>(CallerHosts()));
-  update.set_caller_rank(static_cast<std::uint32_t>(
-      std::distance(caller_seen_at_.begin(), caller_seen_at_.lower_bound(to))));
+  const auto rank = caller_ranks_.find(to);
+  update.set_caller_rank(rank == caller_ranks_.end() ? 0 : rank->second);
   for (const UpstreamId& upstream : hooks_.quiesced())
     update.add_resting_upstreams(upstream.str());
   if (is_answer && follower.poll.serves_callers()) {
-    if (follower.poll.wants_loads())
-      AddRemoteLoads(to, update);
-    auto cache = hooks_.cache_update(follower.poll.cache_term(),
-                                     follower.poll.cache_cursor());
+    if (follower.poll.wants_loads()) {
+      *update.mutable_fleet_loads() = loads_.Encode(
+          to, {follower.poll.names_epoch(), follower.poll.names()}, *roster_,
+          now);
+    }
+    auto cache = hooks_.cache_update(
+        {follower.poll.cache_term(), follower.poll.cache_cursor(),
+         follower.poll.cache_floor(), follower.poll.cache_stores_version()});
     if (cache)
       *update.mutable_cache() = std::move(*cache);
   }
@@ -111,32 +130,33 @@
   return true;
 }
 
-void FleetFeed::AddRemoteLoads(const HostId& receiver,
-                               wire::FleetUpdate& update) const {
-  std::map<std::string, wire::UpstreamLoad> sums;
-  for (const auto& [host, follower] : followers_) {
-    if (host == receiver)
-      continue;
-    for (const wire::UpstreamLoad& load : follower.poll.loads()) {
-      wire::UpstreamLoad& sum = sums[load.upstream()];
-      sum.set_requests(sum.requests() + load.requests());
-      sum.set_prompt_tokens(sum.prompt_tokens() + load.prompt_tokens());
-      sum.set_held_tokens(sum.held_tokens() + load.held_tokens());
-    }
-  }
-  for (auto& [upstream, sum] : sums) {
-    sum.set_upstream(upstream);
-    *update.add_loads() = std::move(sum);
+// Followers that serve callers get changes only: that unchanged upstreams are
+// alive is part of the loads. Other control hosts get each refresh, so that all
+// of them know when an upstream was last heard.
+void FleetFeed::AddAnnouncements(Follower& follower,
+                                 wire::FleetUpdate& update) const {
+  update.set_feed_incarnation(incarnation_);
+  update.set_feed_base(follower.sent_cursor);
+  update.set_feed_cursor(roster_->newest_change());
+  if (follower.sent_cursor == roster_->newest_change())
+    return;
+  const auto upstreams =
+      follower.poll.serves_callers()
+          ? roster_->ChangedSince(follower.sent_cursor)
+          : roster_->ChangedOrRefreshedSince(follower.sent_cursor);
+  for (const auto* upstream : upstreams) {
+    *update.add_announcements() = upstreams::ToRecord(
+        upstream->last, std::chrono::duration_cast<Millis>(
+                            hooks_.now() - upstream->received_at));
   }
+  follower.sent_cursor = roster_->newest_change();
 }
 
 std::vector<HostId> FleetFeed::ControlHosts() const {
   std::vector<HostId> hosts = hooks_.voter_hosts();
-  for (const auto& [host, follower] : followers_) {
-    if (!follower.poll.serves_callers() &&
-        std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
-      hosts.push_back(host);
-    }
+  for (const HostId& spare : spares_) {
+    if (std::find(hosts.begin(), hosts.end(), spare) == hosts.end())
+      hosts.push_back(spare);
   }
   return hosts;
 }
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "endivecart/fleet/cache_catalog.h"
 #include "endivecart/fleet/decisions.h"
+#include "endivecart/fleet/load_table.h"
 #include "endivecart/upstreams/upstreams.h"
 
 namespace endivecart::fleet {
@@ -27,10 +29,9 @@
     // Returns the upstreams that should get no new requests. Empty unless this
     // process leads.
     std::function<std::vector<UpstreamId>()> quiesced;
-    // Returns the cache changes after this term and cursor, or nullopt if this
-    // process doesn't lead.
-    std::function<std::optional<wire::CacheUpdate>(std::uint64_t term,
-                                                   std::uint64_t cursor)>
+    // Returns the cache changes after this position, or nullopt if this process
+    // doesn't lead.
+    std::function<std::optional<wire::CacheUpdate>(const CachePosition&)>
         cache_update;
   };
 
@@ -63,8 +64,13 @@
   void OnPoll(const HostId& from, const wire::FleetPoll& poll);
   // Sends all followers the decisions that they haven't been sent yet.
   void PushDecisions(const Decisions& decisions);
-  // Sends all followers the announcements that they haven't been sent yet.
-  void PushAnnouncements();
+  // Requests that the followers are sent the announcements, and the list of
+  // quiesced upstreams, before their next poll.
+  void PushAnnouncements() { push_requested_ = true; }
+  // Sends what PushAnnouncements() requested since the last call. To be called
+  // at short intervals: with hundreds of followers, one push for each change
+  // would take all of this process's time when many upstreams start.
+  void FlushPushes();
   // Removes followers that have stopped polling.
   void Expire();
 
@@ -95,7 +101,8 @@
   bool IncludeDocument(Follower& follower, TimePoint now);
 
   void Send(const HostId& to, Follower& follower, bool is_answer);
-  void AddRemoteLoads(const HostId& receiver, wire::FleetUpdate& update) const;
+  void AddAnnouncements(Follower& follower, wire::FleetUpdate& update) const;
+  void UpdateMembership();
 
   const std::uint64_t incarnation_;
   const upstreams::UpstreamRegistry* const roster_;
@@ -104,6 +111,11 @@
   Decisions decisions_;
   std::map<HostId, Follower> followers_;
   std::map<HostId, TimePoint> caller_seen_at_;  // by last poll
+  // Derived from the two maps above.
+  std::map<HostId, std::uint32_t> caller_ranks_;
+  std::vector<HostId> spares_;
+  LoadTable loads_;
+  bool push_requested_ = false;
 };
 
 }  // namespace endivecart::fleet
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -38,9 +38,11 @@
       load.set_held_tokens(static_cast<std::uint32_t>(own.held_tokens));
     }
     if (hooks_.cache_position) {
-      const auto [term, cursor] = hooks_.cache_position();
-      poll.set_cache_term(term);
-      poll.set_cache_cursor(cursor);
+      const CachePosition position = hooks_.cache_position();
+      poll.set_cache_term(position.term);
+      poll.set_cache_cursor(position.cursor);
+      poll.set_cache_floor(position.floor);
+      poll.set_cache_stores_version(position.stores_version);
     }
     for (wire::ServiceMoveReport& report : hooks_.move_reports())
       *poll.add_move_reports() = std::move(report);
@@ -59,8 +61,12 @@
     wire::FleetPoll& out = *envelope.mutable_fleet_poll();
     out = poll;
     out.set_wants_loads(options_.serves_callers && host == primary);
-    if (host != primary)
+    if (host != primary) {
       out.clear_loads();
+    } else if (host == loads_sender_) {
+      out.set_names_epoch(loads_.known_names().epoch);
+      out.set_names(static_cast<std::uint32_t>(loads_.known_names().count));
+    }
     out.set_feed_incarnation(control.feed_incarnation);
     out.set_feed_cursor(control.feed_cursor);
     control.polled_at = hooks_.now();
@@ -108,13 +114,19 @@
           .Warn();
     }
   }
-  control.feed_incarnation = update.feed_incarnation();
-  control.feed_cursor = update.feed_cursor();
-  if (update.loads_size() > 0) {
+  if (control.feed_incarnation != update.feed_incarnation()) {
+    control.feed_incarnation = update.feed_incarnation();
+    control.feed_cursor = 0;
+  }
+  // After a lost update the cursor stays, so that the next poll asks for what
+  // is missing.
+  if (update.feed_base() <= control.feed_cursor)
+    control.feed_cursor = std::max(control.feed_cursor, update.feed_cursor());
+  if (update.has_fleet_loads()) {
+    if (std::exchange(loads_sender_, from) != from)
+      loads_.Clear();
     loads_updated_at_ = now;
-    loads_.clear();
-    for (const wire::UpstreamLoad& load : update.loads())
-      loads_[UpstreamId(load.upstream())] = load;
+    loads_.Apply(update.fleet_loads(), now, hooks_.on_heard);
     if (hooks_.on_loads)
       hooks_.on_loads();
   }
@@ -245,11 +257,9 @@
 
 const wire::UpstreamLoad* FleetFollower::RemoteLoad(
     const UpstreamId& upstream) const {
-  const auto it = loads_.find(upstream);
-  return it == loads_.end() ||
-                 hooks_.now() - loads_updated_at_ > kContactTimeout
+  return hooks_.now() - loads_updated_at_ > kContactTimeout
              ? nullptr
-             : &it->second;
+             : loads_.Find(upstream);
 }
 
 }  // namespace endivecart::fleet
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "endivecart/fleet/cache_catalog.h"
 #include "endivecart/fleet/decisions.h"
+#include "endivecart/fleet/load_table.h"
 #include "endivecart/upstreams/upstreams.h"
 
 namespace endivecart::fleet {
@@ -47,6 +49,9 @@
     std::function<void(DecisionsPtr)> on_decisions;
     std::function<void(const upstreams::Announcement&, TimePoint received_at)>
         on_announcement;
+    // Called with upstreams that are known to have announced themselves, maybe
+    // unchanged, at that time or later. Optional.
+    RemoteLoads::HeardCallback on_heard;
     std::function<std::vector<LocalLoad>()> local_loads;
     std::function<std::vector<wire::ServiceMoveReport>()> move_reports;
     // Called when remote loads were updated. Optional.
@@ -54,8 +59,7 @@
     // This and cache_position are optional, for processes that use cache
     // stores.
     std::function<void(const wire::CacheUpdate&)> on_cache;
-    // Returns the term and cursor of the last cache update.
-    std::function<std::pair<std::uint64_t, std::uint64_t>()> cache_position;
+    std::function<CachePosition()> cache_position;
     std::function<TimePoint()> now;
   };
 
@@ -130,7 +134,8 @@
   TimePoint poll_due_{};
   std::uint64_t polls_ = 0;
   HostId leader_;
-  std::map<UpstreamId, wire::UpstreamLoad> loads_;
+  RemoteLoads loads_;
+  HostId loads_sender_;
   TimePoint loads_updated_at_{};
   std::set<UpstreamId> quiesced_;
   TimePoint quiesced_updated_at_{};
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -300,7 +300,7 @@
 
 BOOST_FIXTURE_TEST_CASE(a_part_is_published_only_once_it_is_complete, Catalog) {
   List(0, {"a"});
-  const auto all = catalog.UpdateSince(0, 0, At(10));
+  const auto all = catalog.UpdateSince({}, At(10));
   BOOST_TEST(all->reset());
   BOOST_TEST(all->added_size() == 1);
   CacheEvents events;
@@ -308,20 +308,121 @@
   events.next = 11;
   events.events = {{true, {"m.1", "b"}, 50}};
   catalog.OnEvents(store, events, At(20));
-  const auto more = catalog.UpdateSince(3, all->cursor(), At(20));
+  const auto more = catalog.UpdateSince({3, all->cursor()}, At(20));
   BOOST_TEST(!more->reset());
   BOOST_TEST(more->added_size() == 1);
   BOOST_TEST(more->added(0).key() == CacheKey({"m.1", "b"}));
 }
 
+// Follows the catalogue until it has received everything.
+struct CatalogFollower {
+  explicit CatalogFollower(CacheCatalog& followed) : catalog(followed) {}
+
+  // Returns the number of updates it took.
+  int Follow(int at) {
+    for (int updates = 1;; ++updates) {
+      const auto update = catalog.UpdateSince(position, At(at));
+      if (update->reset())
+        parts.clear();
+      for (const auto& part : update->removed())
+        parts.erase(part.key());
+      for (const auto& part : update->added())
+        parts.insert(part.key());
+      position = {update->term(), update->cursor(), update->floor(),
+                  update->stores_version()};
+      resets += update->reset() ? 1 : 0;
+      if (!update->has_more())
+        return updates;
+    }
+  }
+
+  CacheCatalog& catalog;
+  CachePosition position;
+  std::set<std::uint64_t> parts;
+  int resets = 0;
+};
+
+// Pattern: a new leader is polled by hundreds of hosts that lack everything.
+BOOST_FIXTURE_TEST_CASE(a_large_catalogue_is_sent_in_several_updates, Catalog) {
+  std::vector<std::string> ids;
+  for (int i = 0; i < 2500; ++i)
+    ids.push_back(std::to_string(i));
+  List(0, ids);
+  CatalogFollower follower(catalog);
+  const auto first = catalog.UpdateSince(follower.position, At(10));
+  BOOST_TEST(first->added_size() == CacheCatalog::kMaxPartsPerUpdate);
+  BOOST_TEST(first->has_more());
+  BOOST_TEST(follower.Follow(10) == 3);
+  BOOST_TEST(follower.parts.size() == 2500u);
+  BOOST_TEST(follower.resets == 1);
+  // Nothing is repeated afterwards, not even the states of the stores.
+  const auto last = catalog.UpdateSince(follower.position, At(2000));
+  BOOST_TEST(last->added_size() == 0);
+  BOOST_TEST(catalog.UpdateSince(follower.position, At(1990))->stores_size() ==
+             last->stores_size());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_part_removed_while_a_follower_catches_up_is_removed,
+                        Catalog) {
+  std::vector<std::string> ids;
+  for (int i = 0; i < 1500; ++i)
+    ids.push_back(std::to_string(i));
+  List(0, ids);
+  CatalogFollower follower(catalog);
+  auto update = catalog.UpdateSince({}, At(10));
+  for (const auto& part : update->added())
+    follower.parts.insert(part.key());
+  follower.position = {3, update->cursor(), update->floor(),
+                       update->stores_version()};
+  const std::uint64_t removed = update->added(0).key();
+  for (int i = 0; i < 1500; ++i) {
+    if (CacheKey({"m.1", std::to_string(i)}) != removed)
+      continue;
+    CacheEvents events;
+    events.epoch = 1;
+    events.next = 11;
+    events.events = {{false, {"m.1", std::to_string(i)}, 100}};
+    catalog.OnEvents(store, events, At(20));
+  }
+  follower.Follow(30);
+  BOOST_TEST(follower.parts.size() == 1499u);
+  BOOST_TEST(!follower.parts.contains(removed));
+  BOOST_TEST(follower.resets == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_follower_that_missed_too_many_removals_starts_anew,
+                        Catalog) {
+  List(0, {"a"});
+  CatalogFollower late(catalog);
+  late.Follow(10);
+  std::uint64_t next = 11;
+  for (int i = 0; i < 21000; ++i) {
+    CacheEvents events;
+    events.epoch = 1;
+    events.next = ++next;
+    const CachePartName name{"m.1", "x" + std::to_string(i)};
+    events.events = {{true, name, 100}, {false, name, 100}};
+    catalog.OnEvents(store, events, At(20));
+  }
+  late.Follow(30);
+  BOOST_TEST(late.resets == 2);
+  BOOST_TEST(late.parts.size() == 1u);
+  // One that starts now doesn't have to start anew again.
+  CatalogFollower fresh(catalog);
+  fresh.Follow(40);
+  BOOST_TEST(fresh.Follow(50) == 1);
+  BOOST_TEST(fresh.resets == 1);
+  BOOST_TEST(fresh.parts.size() == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(parts_of_a_store_that_restarted_empty_are_removed,
                         Catalog) {
   List(0, {"a"});
-  const auto all = catalog.UpdateSince(0, 0, At(10));
+  const auto all = catalog.UpdateSince({}, At(10));
   CacheEvents events;
   events.epoch = 2;
   catalog.OnEvents(store, events, At(20));
-  const auto update = catalog.UpdateSince(3, all->cursor(), At(20));
+  const auto update = catalog.UpdateSince({3, all->cursor()}, At(20));
   BOOST_TEST(update->removed_size() == 1);
   BOOST_TEST(!update->stores(0).readable());
 }
@@ -330,8 +431,8 @@
     a_restarted_store_takes_no_parts_until_all_followers_know,
     Catalog) {
   List(0, {});
-  BOOST_TEST(!catalog.UpdateSince(0, 0, At(1000))->stores(0).takes_more());
-  BOOST_TEST(catalog.UpdateSince(0, 0, At(2100))->stores(0).takes_more());
+  BOOST_TEST(!catalog.UpdateSince({}, At(1000))->stores(0).takes_more());
+  BOOST_TEST(catalog.UpdateSince({}, At(2100))->stores(0).takes_more());
 }
 
 BOOST_FIXTURE_TEST_CASE(a_retired_part_is_not_freed_while_it_may_be_fetched,
@@ -343,7 +444,7 @@
   events.clock_ms = 5000;
   catalog.OnEvents(store, events, At(10));
   catalog.Retire([](const std::string&) { return false; }, At(100));
-  BOOST_TEST(catalog.UpdateSince(0, 0, At(110))->added_size() == 0);
+  BOOST_TEST(catalog.UpdateSince({}, At(110))->added_size() == 0);
   const auto delay = static_cast<int>(CacheCatalog::kFreeDelay.count());
   BOOST_TEST(catalog.NextFrees(At(100 + delay - 1)).empty());
   const auto frees = catalog.NextFrees(At(100 + delay));
@@ -356,7 +457,7 @@
 BOOST_FIXTURE_TEST_CASE(a_process_that_lost_leadership_publishes_nothing,
                         Catalog) {
   catalog.OnLeadershipLost();
-  BOOST_TEST(!catalog.UpdateSince(0, 0, At(0)).has_value());
+  BOOST_TEST(!catalog.UpdateSince({}, At(0)).has_value());
   BOOST_TEST(catalog.NextReads(At(0)).empty());
 }
 
@@ -376,6 +477,7 @@
   }
   FleetFeed::Hooks FeedHooks() {
     return {[this](const HostId&, const wire::Envelope& envelope) {
+              ++messages;
               document_bytes +=
                   envelope.fleet_news().decisions().routing_document().size();
               if (connected)
@@ -388,7 +490,7 @@
             [] { return HostId("v"); },
             [](const HostId&, const wire::ServiceMoveReport&) {},
             [this] { return quiesced; },
-            [](std::uint64_t, std::uint64_t) {
+            [](const CachePosition&) {
               return std::optional<wire::CacheUpdate>();
             }};
   }
@@ -409,6 +511,9 @@
                                    TimePoint at) {
       received.emplace_back(announcement, at);
     };
+    hooks.on_heard = [this](const UpstreamId& id, TimePoint at) {
+      heard[id.str()] = at;
+    };
     hooks.local_loads = [] { return std::vector<LocalLoad>(); };
     hooks.move_reports = [] { return std::vector<wire::ServiceMoveReport>(); };
     hooks.now = [this] { return now; };
@@ -431,6 +536,8 @@
   std::vector<HostId> control_hosts;
   std::vector<std::uint64_t> seen;
   std::vector<std::pair<upstreams::Announcement, TimePoint>> received;
+  std::map<std::string, TimePoint> heard;
+  int messages = 0;
   DecisionLog log;
   upstreams::UpstreamRegistry roster;
   FleetFeed feed;
@@ -593,6 +700,70 @@
   BOOST_TEST(follower.RemoteLoad(UpstreamId("u")) == nullptr);
 }
 
+// Answers and pushes may be dropped while a link is full.
+BOOST_FIXTURE_TEST_CASE(an_announcement_in_a_lost_push_is_asked_for_again,
+                        FeedAndFollower) {
+  Advance(10);
+  upstreams::Announcement announcement;
+  announcement.address = {"10.0.0.1", 80};
+  announcement.sequence = 1;
+  for (const char* id : {"u", "v"}) {
+    announcement.id = UpstreamId(id);
+    ++announcement.address.port;
+    roster.Apply(announcement, now, now);
+    feed.PushAnnouncements();
+    connected = announcement.id == UpstreamId("v");  // the first push is lost
+    feed.FlushPushes();
+  }
+  BOOST_TEST(received.size() == 1u);
+  Advance(300);
+  BOOST_TEST(std::any_of(received.begin(), received.end(), [](const auto& r) {
+    return r.first.id == UpstreamId("u");
+  }));
+}
+
+// Pattern: all upstreams start within a second; each is a change for each of
+// hundreds of followers.
+BOOST_FIXTURE_TEST_CASE(changes_between_two_flushes_are_pushed_together,
+                        FeedAndFollower) {
+  Advance(10);
+  messages = 0;
+  upstreams::Announcement announcement;
+  announcement.sequence = 1;
+  for (int i = 0; i < 200; ++i) {
+    announcement.id = UpstreamId("u" + std::to_string(i));
+    announcement.address = {"10.0.0." + std::to_string(i), 80};
+    roster.Apply(announcement, now, now);
+    feed.PushAnnouncements();
+  }
+  feed.FlushPushes();
+  feed.FlushPushes();
+  BOOST_TEST(messages == 1);
+  BOOST_TEST(received.size() == 200u);
+}
+
+// Pattern: hundreds of upstreams announce themselves each second, unchanged,
+// and hundreds of hosts must know that they are alive.
+BOOST_FIXTURE_TEST_CASE(an_unchanged_upstream_is_not_announced_again,
+                        FeedAndFollower) {
+  upstreams::Announcement announcement;
+  announcement.id = UpstreamId("u");
+  announcement.address = {"10.0.0.1", 80};
+  TimePoint last_heard{};
+  for (std::uint64_t second = 1; second <= 10; ++second) {
+    announcement.sequence = second;
+    roster.Apply(announcement, now, now);
+    Advance(1000);
+  }
+  BOOST_TEST(received.size() == 1u);
+  BOOST_REQUIRE(heard.contains("u"));
+  BOOST_CHECK(heard["u"] > now - Millis(4000));
+  last_heard = heard["u"];
+  for (int i = 0; i < 20; ++i)
+    Advance(500);  // it has stopped
+  BOOST_CHECK(heard["u"] <= last_heard + Millis(1000));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_announcement_keeps_its_age_and_is_delivered_once,
                         FeedAndFollower) {
   upstreams::Announcement announcement;
--- a/src/endivecart/fleet/operator_service.cc
+++ b/src/endivecart/fleet/operator_service.cc
@@ -89,6 +89,7 @@
 
 OperatorReply OperatorService::HandleAnnounce(const Announce& call) {
   const upstreams::Announcement& announcement = call.announcement;
+  const bool was_present = roster_.IsPresent(announcement.id);
   const auto effect = roster_.Apply(announcement, now_(), now_());
   if (effect == upstreams::AnnouncementEffect::kChanged) {
     LogLine("fleet.upstream")
@@ -101,7 +102,9 @@
         .Add("born_ms", announcement.start_time_ms)
         .Add("sequence", announcement.sequence)
         .Info();
-    feed_.PushAnnouncements();
+    // Nobody uses a new upstream yet, so it can wait for the next poll.
+    if (was_present)
+      feed_.PushAnnouncements();
   }
   OperatorReply reply;
   // A partitioned voter accepts the announcement, but asks the upstream to send
--- a/src/endivecart/gateway/cache_view.cc
+++ b/src/endivecart/gateway/cache_view.cc
@@ -31,17 +31,19 @@
 
 void CacheView::Apply(const wire::CacheUpdate& update, TimePoint now) {
   // A leader of an earlier term may still send updates.
-  if (update.term() < term_)
+  if (update.term() < position_.term)
     return;
-  if (update.reset() || update.term() > term_)
+  if (update.reset() || update.term() > position_.term)
     parts_.clear();
-  if (update.term() > term_ && !update.reset())
+  if (update.term() > position_.term && !update.reset())
     return;  // the updates before this one are missing
-  term_ = update.term();
-  cursor_ = update.cursor();
+  position_ = {update.term(), update.cursor(), update.floor(),
+               update.stores_version()};
+  is_complete_ = !update.has_more();
   updated_at_ = now;
   servers_clock_ms_ = update.servers_clock_ms();
-  stores_.clear();
+  if (update.stores_size() > 0)
+    stores_.clear();
   for (const wire::CacheStoreState& state : update.stores()) {
     const auto address = settings::ParseEndpoint(state.address());
     stores_.push_back({address.value_or(settings::Endpoint()),
@@ -111,7 +113,8 @@
       plan.fetch[i] = stores_[*holder].address;
       plan.fetchable_tokens += part.tokens;
       has_fetch = true;
-    } else if (const Store* store = StoreFor(key, may_hold)) {
+    } else if (const Store* store =
+                   is_complete_ ? StoreFor(key, may_hold) : nullptr) {
       plan.save[i] = store->address;
       has_save = true;
     }
--- a/src/endivecart/gateway/cache_view.h
+++ b/src/endivecart/gateway/cache_view.h
@@ -50,8 +50,7 @@
                  Millis fetch_timeout,
                  TimePoint now) const;
 
-  std::uint64_t term() const { return term_; }
-  std::uint64_t cursor() const { return cursor_; }
+  const fleet::CachePosition& position() const { return position_; }
   std::size_t parts() const { return parts_.size(); }
 
  private:
@@ -68,8 +67,10 @@
       std::uint64_t key,
       const std::function<bool(const DomainId&)>& may_hold) const;
 
-  std::uint64_t term_ = 0;
-  std::uint64_t cursor_ = 0;
+  fleet::CachePosition position_;
+  // Whether all parts of the catalogue were received. Before, a part that is
+  // unknown here may well be stored, so none is saved.
+  bool is_complete_ = false;
   TimePoint updated_at_{};
   std::uint64_t servers_clock_ms_ = 0;  // at updated_at_
   std::vector<Store> stores_;
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -508,7 +508,7 @@
   old.clear_added();
   view.Apply(old, At(1));
   BOOST_TEST(view.parts() == 1u);
-  BOOST_TEST(view.term() == 2u);
+  BOOST_TEST(view.position().term == 2u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -197,11 +197,7 @@
       candidate.prompt_tokens = record.prompt_tokens;
       candidate.held_tokens = record.held_tokens;
       candidate.latency_ms = record.latency_ms;
-      if (const auto* load = others ? others->RemoteLoad(id) : nullptr) {
-        candidate.requests += static_cast<int>(load->requests());
-        candidate.prompt_tokens += load->prompt_tokens();
-        candidate.held_tokens += load->held_tokens();
-      }
+      AddLoad(record, others, candidate);
       candidates.push_back(std::move(candidate));
     }
   }
@@ -210,6 +206,31 @@
   return candidates;
 }
 
+void UpstreamTracker::AddLoad(const Record& record,
+                              const fleet::FleetFollower* others,
+                              Candidate& candidate) const {
+  if (const auto* load = others ? others->RemoteLoad(candidate.id) : nullptr) {
+    candidate.requests += static_cast<int>(load->requests());
+    candidate.prompt_tokens += load->prompt_tokens();
+    candidate.held_tokens += load->held_tokens();
+  }
+  if (record.server_load_at == TimePoint{})
+    return;
+  candidate.requests = EstimateRequests(
+      candidate.requests,
+      {record.server_load,
+       std::chrono::duration_cast<Millis>(now_() - record.server_load_at),
+       record.requests_at_server_load, record.requests});
+}
+
+void UpstreamTracker::RecordServerLoad(const UpstreamId& id,
+                                       const ServerLoad& load) {
+  Record& record = records_[id];
+  record.server_load = load;
+  record.server_load_at = now_();
+  record.requests_at_server_load = record.requests;
+}
+
 const AnnouncedUpstream* UpstreamTracker::Find(const UpstreamId& id) const {
   return registry_.Find(id);
 }
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -68,12 +68,19 @@
   upstreams::AnnouncementEffect Apply(
       const upstreams::Announcement& announcement,
       TimePoint received_at);
+  // Records that the upstream announced itself unchanged at `heard_at`.
+  void Refresh(const UpstreamId& id, TimePoint heard_at) {
+    registry_.Refresh(id, heard_at);
+  }
   void SetDecisions(fleet::DecisionsPtr decisions);
   // Records the version of the weights that an answer reported.
   void RecordWeights(const UpstreamId& id,
                      const ModelId& model,
                      std::uint64_t version);
 
+  // Records the load that an answer reported.
+  void RecordServerLoad(const UpstreamId& id, const ServerLoad& load);
+
   // Returns the last known version of the model's weights; 0 if unknown.
   std::uint64_t WeightsOf(const upstreams::AnnouncedUpstream& upstream,
                           const ModelId& model) const;
@@ -117,6 +124,9 @@
     TimePoint distrusted_since{};
     std::map<ModelId, std::uint64_t> weights;  // as reported by its answers
     std::uint64_t weights_start_time_ms = 0;
+    ServerLoad server_load;  // of the last answer that reported one
+    TimePoint server_load_at{};
+    int requests_at_server_load = 0;
     TimePoint active_at{};   // last data to this host
     TimePoint refused_at{};  // last refusal
   };
@@ -128,6 +138,10 @@
     TimePoint failed_at{};
   };
 
+  // Adds the load of other hosts, and what the upstream itself reported.
+  void AddLoad(const Record& record,
+               const fleet::FleetFollower* others,
+               Candidate& candidate) const;
   bool IsDomainSuspect(const DomainId& domain) const;
   void RecordUnreachable(const UpstreamId& id);
   bool IsSilent(const upstreams::AnnouncedUpstream& upstream,
--- a/src/endivecart/node/cache_store_controller.cc
+++ b/src/endivecart/node/cache_store_controller.cc
@@ -132,9 +132,8 @@
 }
 
 std::optional<wire::CacheUpdate> CacheStoreController::UpdateSince(
-    std::uint64_t term,
-    std::uint64_t cursor) const {
-  return catalog_.UpdateSince(term, cursor, loop_.Now());
+    const fleet::CachePosition& position) {
+  return catalog_.UpdateSince(position, loop_.Now());
 }
 
 }  // namespace endivecart::node
--- a/src/endivecart/node/cache_store_controller.h
+++ b/src/endivecart/node/cache_store_controller.h
@@ -26,8 +26,8 @@
             std::uint64_t term);
   // Returns the cache changes after this term and cursor, or nullopt if this
   // process wasn't the confirmed leader in its current term.
-  std::optional<wire::CacheUpdate> UpdateSince(std::uint64_t term,
-                                               std::uint64_t cursor) const;
+  std::optional<wire::CacheUpdate> UpdateSince(
+      const fleet::CachePosition& position);
 
  private:
   void UpdateStores(const fleet::Decisions& decisions);
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -109,6 +109,9 @@
              TimePoint received_at) {
         gateway.upstreams().Apply(announcement, received_at);
       };
+  follower_hooks.on_heard = [this](const UpstreamId& id, TimePoint heard_at) {
+    gateway.upstreams().Refresh(id, heard_at);
+  };
   follower_hooks.local_loads = [this] {
     return gateway.upstreams().LocalLoads();
   };
@@ -117,9 +120,7 @@
   follower_hooks.on_cache = [this](const wire::CacheUpdate& update) {
     gateway.cache().Apply(update, loop.Now());
   };
-  follower_hooks.cache_position = [this] {
-    return std::pair(gateway.cache().term(), gateway.cache().cursor());
-  };
+  follower_hooks.cache_position = [this] { return gateway.cache().position(); };
   follower_hooks.now = [this] { return loop.Now(); };
   follower.emplace(options, std::move(follower_hooks));
   gateway.SetFollower(&*follower);
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -17,10 +17,13 @@
 
 constexpr Millis kVoterTick{20};
 constexpr Millis kFollowTick{50};
+constexpr Millis kPushTick{50};
 constexpr Millis kLeaderTaskInterval{50};
 constexpr Millis kExpireInterval{1000};
 constexpr Millis kStopDelay{300};
 constexpr Millis kProposalTimeout{900};
+// The port for the log's messages follows that of all others.
+constexpr int kLogPortOffset = 1;
 constexpr std::size_t kMaxConnections = 2000;
 // Large enough for a routing configuration with thousands of routes.
 constexpr std::size_t kMaxCallBytes = 32UL << 20;
@@ -66,6 +69,8 @@
   std::unique_ptr<control::DataFolder> storage;
   upstreams::UpstreamRegistry roster;
   std::unique_ptr<fleet::FleetBus> bus;
+  // For the replicated log only, so that its messages wait behind no others.
+  std::unique_ptr<fleet::FleetBus> log_bus;
   std::optional<fleet::FleetVoter> voter;
   std::optional<fleet::FleetFeed> feed;
   std::optional<fleet::FleetFollower> follower;
@@ -93,6 +98,15 @@
   if (!opened)
     return Fail(NodeError{NodeErrorCode::kTransport, opened.error().detail});
   bus = std::move(*opened);
+  opened = fleet::FleetBus::Open(
+      loop, settings.host, settings.peer_port + kLogPortOffset, true,
+      [this](const wire::Envelope& envelope) {
+        if (envelope.has_raft())
+          voter->OnRaft(HostId(envelope.from()), envelope.raft());
+      });
+  if (!opened)
+    return Fail(NodeError{NodeErrorCode::kTransport, opened.error().detail});
+  log_bus = std::move(*opened);
   OpenFeed();
   OpenVoter();
   OpenFollower();
@@ -125,7 +139,7 @@
   options.seed = incarnation;
   fleet::FleetVoter::Hooks voter_hooks;
   voter_hooks.send = [this](const HostId& to, wire::Envelope envelope) {
-    bus->Send(to, std::move(envelope));
+    log_bus->Send(to, std::move(envelope));
   };
   voter_hooks.run_on_disk = [this](DiskThread::Job job, DiskThread::Done done) {
     disk->Run(std::move(job), std::move(done));
@@ -155,8 +169,8 @@
   feed_hooks.voter_hosts = [this] {
     return voter ? voter->VoterHosts() : std::vector<HostId>();
   };
-  feed_hooks.cache_update = [this](std::uint64_t term, std::uint64_t cursor) {
-    return voter->IsConfirmedLeader() ? caches.UpdateSince(term, cursor)
+  feed_hooks.cache_update = [this](const fleet::CachePosition& position) {
+    return voter->IsConfirmedLeader() ? caches.UpdateSince(position)
                                       : std::nullopt;
   };
   feed_hooks.on_move_report = [this](const HostId& host,
@@ -179,6 +193,8 @@
   options.incarnation = incarnation;
   options.member = storage->member().str();
   options.contacts = settings.contacts;
+  // There are few control hosts, and each needs the others' announcements soon.
+  options.secondary_poll_every = 1;
   // The contacts may have changed since the log was created.
   for (const HostId& host : voter->VoterHosts()) {
     if (std::find(options.contacts.begin(), options.contacts.end(), host) ==
@@ -192,6 +208,7 @@
   };
   follower_hooks.on_control_hosts = [this](const std::vector<HostId>& hosts) {
     bus->ConnectTo(hosts);
+    log_bus->ConnectTo(hosts);
   };
   follower_hooks.on_decisions = [](const fleet::DecisionsPtr&) {
     // A voter applies decisions only from its own log.
@@ -199,8 +216,9 @@
   follower_hooks.on_announcement =
       [this](const upstreams::Announcement& announcement,
              TimePoint received_at) {
-        if (roster.Apply(announcement, received_at, loop.Now()) ==
-            upstreams::AnnouncementEffect::kChanged) {
+        const bool was_present = roster.IsPresent(announcement.id);
+        const auto effect = roster.Apply(announcement, received_at, loop.Now());
+        if (was_present && effect == upstreams::AnnouncementEffect::kChanged) {
           feed->PushAnnouncements();
         }
       };
@@ -210,6 +228,7 @@
   };
   follower_hooks.now = [this] { return loop.Now(); };
   bus->ConnectTo(options.contacts);
+  log_bus->ConnectTo(options.contacts);
   follower.emplace(options, std::move(follower_hooks));
 }
 
@@ -235,6 +254,8 @@
 void VoterNode::Parts::StartTimers() {
   timers.push_back(
       loop.Every(kVoterTick, [this](TimePoint) { voter->Tick(); }));
+  timers.push_back(
+      loop.Every(kPushTick, [this](TimePoint) { feed->FlushPushes(); }));
   timers.push_back(
       loop.Every(kFollowTick, [this](TimePoint) { follower->Tick(); }));
   timers.push_back(
@@ -247,9 +268,7 @@
 
 void VoterNode::Parts::OnEnvelope(const wire::Envelope& envelope) {
   const HostId from(envelope.from());
-  if (envelope.has_raft()) {
-    voter->OnRaft(from, envelope.raft());
-  } else if (envelope.has_fleet_poll()) {
+  if (envelope.has_fleet_poll()) {
     const wire::FleetPoll& poll = envelope.fleet_poll();
     if (!poll.member().empty())
       voter->OnMember(control::MemberId(poll.member()));
--- a/src/endivecart/transport/message_bus.cc
+++ b/src/endivecart/transport/message_bus.cc
@@ -68,8 +68,9 @@
   bool uses_curve() const { return !options.secret_key.empty(); }
   void Bind();
   void Connect(const BusPeer& peer);
-  void ReceiveInbound(const Receiver& receiver);
-  void ReceiveReplies(const Receiver& receiver);
+  // These pass on at most `left` messages and reduce it by their number.
+  void ReceiveInbound(const Receiver& receiver, std::size_t& left);
+  void ReceiveReplies(const Receiver& receiver, std::size_t& left);
   void Deliver(zmq::message_t& body,
                const std::string& sender,
                const Receiver& receiver);
@@ -157,32 +158,36 @@
   receiver(envelope);
 }
 
-void MessageBus::Data::ReceiveInbound(const Receiver& receiver) {
-  while (true) {
+void MessageBus::Data::ReceiveInbound(const Receiver& receiver,
+                                      std::size_t& left) {
+  while (left > 0) {
     zmq::message_t identity;
     if (!inbound.recv(identity, zmq::recv_flags::dontwait))
       return;
     zmq::message_t body;
     if (!identity.more() || !inbound.recv(body, zmq::recv_flags::dontwait))
       continue;
+    --left;
     Deliver(body, uses_curve() ? body.gets("User-Id") : identity.to_string(),
             receiver);
   }
 }
 
-void MessageBus::Data::ReceiveReplies(const Receiver& receiver) {
+void MessageBus::Data::ReceiveReplies(const Receiver& receiver,
+                                      std::size_t& left) {
   // The receiver may connect and disconnect peers, so the ids are copied first.
   std::vector<HostId> peers;
   for (const auto& [id, out] : outbound)
     peers.push_back(id);
   for (const HostId& peer : peers) {
-    while (true) {
+    while (left > 0) {
       const auto it = outbound.find(peer);
       zmq::message_t body;
       if (it == outbound.end() ||
           !it->second.socket.recv(body, zmq::recv_flags::dontwait)) {
         break;
       }
+      --left;
       Deliver(body, peer.str(), receiver);
     }
   }
@@ -267,7 +272,9 @@
   data_->counters.sent_bytes += bytes.size();
 }
 
-void MessageBus::Poll(Millis timeout, const Receiver& receiver) {
+bool MessageBus::Poll(Millis timeout,
+                      const Receiver& receiver,
+                      std::size_t max_messages) {
   if (timeout > Millis(0)) {
     std::vector<zmq::pollitem_t> items = {
         {data_->inbound.handle(), 0, ZMQ_POLLIN, 0},
@@ -277,8 +284,12 @@
     zmq::poll(items, timeout);
   }
   data_->DrainWakeups();
-  data_->ReceiveInbound(receiver);
-  data_->ReceiveReplies(receiver);
+  // Replies first: there is one sender for each, while any number of hosts may
+  // send inbound messages.
+  std::size_t left = max_messages;
+  data_->ReceiveReplies(receiver, left);
+  data_->ReceiveInbound(receiver, left);
+  return left == 0;
 }
 
 std::vector<int> MessageBus::Descriptors() const {
--- a/src/endivecart/transport/message_bus.h
+++ b/src/endivecart/transport/message_bus.h
@@ -79,9 +79,12 @@
   void Disconnect(const HostId& peer);
   // Queues a message for `to`; drops it if `to` is not connected.
   void Send(const HostId& to, wire::Envelope envelope);
-  // Waits up to `timeout` for messages or Wake(), then passes all received
-  // messages to `receiver`.
-  void Poll(Millis timeout, const Receiver& receiver);
+  // Waits up to `timeout` for messages or Wake(), then passes received messages
+  // to `receiver`, at most `max_messages`. Returns whether more may be waiting.
+  bool Poll(Millis timeout,
+            const Receiver& receiver,
+            std::size_t max_messages = kAllMessages);
+  static constexpr std::size_t kAllMessages = SIZE_MAX;
   // Returns descriptors that become readable when messages may be pending. They
   // are edge-triggered: call Poll() after each event, and also after each
   // Send().
--- a/src/endivecart/upstreams/upstream_registry.cc
+++ b/src/endivecart/upstreams/upstream_registry.cc
@@ -74,13 +74,38 @@
   }
   const TimePoint cold_until = received_at + announcement.cold_for;
   const bool newly_cold = announcement.cold_for > Millis(0) &&
-                          (is_new || known.cold_until <= received_at);
+                          (is_new || known.cold_until <= received_at ||
+                           cold_until >= known.cold_until + kRefreshResolution);
+  const bool refreshes =
+      is_new || received_at - known.received_at >= kRefreshResolution;
   known.last = announcement;
   known.received_at = received_at;
   known.cold_until = cold_until;
-  known.change = ++newest_change_;
-  return changed || newly_cold ? AnnouncementEffect::kChanged
-                               : AnnouncementEffect::kRefreshed;
+  if (changed || newly_cold) {
+    NumberChange(known);
+    return AnnouncementEffect::kChanged;
+  }
+  if (refreshes)
+    NumberRefresh(known);
+  return AnnouncementEffect::kRefreshed;
+}
+
+void UpstreamRegistry::NumberChange(AnnouncedUpstream& upstream) {
+  changes_.erase(upstream.change);
+  upstream.change = ++newest_change_;
+  changes_[upstream.change] = upstream.last.id;
+}
+
+void UpstreamRegistry::NumberRefresh(AnnouncedUpstream& upstream) {
+  refreshes_.erase(upstream.refresh);
+  upstream.refresh = ++newest_change_;
+  refreshes_[upstream.refresh] = upstream.last.id;
+}
+
+void UpstreamRegistry::Refresh(const UpstreamId& id, TimePoint heard_at) {
+  const auto it = all_.find(id);
+  if (it != all_.end())
+    it->second.received_at = std::max(it->second.received_at, heard_at);
 }
 
 AnnouncementEffect UpstreamRegistry::Leave(const UpstreamId& id,
@@ -93,7 +118,7 @@
   }
   it->second.last.state = UpstreamState::kGone;
   it->second.state_since = now;
-  it->second.change = ++newest_change_;
+  NumberChange(it->second);
   const auto place = by_address_.find(it->second.last.address.ToString());
   if (place != by_address_.end() && place->second == id)
     by_address_.erase(place);
@@ -109,6 +134,8 @@
     const auto place = by_address_.find(known.last.address.ToString());
     if (place != by_address_.end() && place->second == known.last.id)
       by_address_.erase(place);
+    changes_.erase(known.change);
+    refreshes_.erase(known.refresh);
     return true;
   });
 }
@@ -118,18 +145,28 @@
   return it == all_.end() ? nullptr : &it->second;
 }
 
+bool UpstreamRegistry::IsPresent(const UpstreamId& id) const {
+  const AnnouncedUpstream* upstream = Find(id);
+  return upstream != nullptr && upstream->last.state != UpstreamState::kGone;
+}
+
 std::vector<const AnnouncedUpstream*> UpstreamRegistry::ChangedSince(
-    std::uint64_t change) const {
+    std::uint64_t number) const {
   std::vector<const AnnouncedUpstream*> changed;
-  for (const auto& [id, known] : all_) {
-    if (known.change > change)
-      changed.push_back(&known);
-  }
-  std::sort(changed.begin(), changed.end(),
-            [](const AnnouncedUpstream* a, const AnnouncedUpstream* b) {
-              return a->change < b->change;
-            });
+  for (auto it = changes_.upper_bound(number); it != changes_.end(); ++it)
+    changed.push_back(&all_.at(it->second));
   return changed;
 }
 
+std::vector<const AnnouncedUpstream*> UpstreamRegistry::ChangedOrRefreshedSince(
+    std::uint64_t number) const {
+  auto found = ChangedSince(number);
+  for (auto it = refreshes_.upper_bound(number); it != refreshes_.end(); ++it) {
+    const AnnouncedUpstream& upstream = all_.at(it->second);
+    if (upstream.change <= number)
+      found.push_back(&upstream);
+  }
+  return found;
+}
+
 }  // namespace endivecart::upstreams
--- a/src/endivecart/upstreams/upstream_registry.h
+++ b/src/endivecart/upstreams/upstream_registry.h
@@ -23,7 +23,10 @@
   TimePoint received_at;  // by the first process that got it
   TimePoint state_since;  // when this process learned of the state
   TimePoint cold_until;
-  std::uint64_t change = 0;  // number of the latest change
+  // Number of the latest change other than a refresh, and of the latest
+  // recorded refresh. Both are taken from one sequence.
+  std::uint64_t change = 0;
+  std::uint64_t refresh = 0;
 
   bool operator==(const AnnouncedUpstream&) const = default;
 };
@@ -37,6 +40,9 @@
   // announcement does not add it again. Longer than the delay of any
   // announcement.
   static constexpr Millis kGoneRetention{120000};
+  // A refresh that is newer by less than this gets no number, so that reports
+  // that arrive by several routes are not passed on several times.
+  static constexpr Millis kRefreshResolution{500};
 
   // Merges an announcement. `received_at` is the time at which the first
   // process of the system received it.
@@ -48,25 +54,38 @@
   AnnouncementEffect Leave(const UpstreamId& id,
                            std::uint64_t start_time_ms,
                            TimePoint now);
+  // Records that a known upstream announced itself unchanged at `heard_at`.
+  void Refresh(const UpstreamId& id, TimePoint heard_at);
   // Removes upstreams that have been gone or silent for longer than
   // kGoneRetention.
   void Expire(TimePoint now);
 
   const AnnouncedUpstream* Find(const UpstreamId& id) const;
+  // Returns whether requests may be on their way to the upstream: it is known
+  // and not gone.
+  bool IsPresent(const UpstreamId& id) const;
   // All known upstreams by id, including those that are gone.
   const std::map<UpstreamId, AnnouncedUpstream>& all() const { return all_; }
-  // Returns the upstreams that changed after `change`, in the order of changes.
+  // Returns the upstreams that changed after `number`, in the order of changes.
   std::vector<const AnnouncedUpstream*> ChangedSince(
-      std::uint64_t change) const;
+      std::uint64_t number) const;
+  // Like ChangedSince(), but includes those that were only refreshed, at the
+  // end.
+  std::vector<const AnnouncedUpstream*> ChangedOrRefreshedSince(
+      std::uint64_t number) const;
   std::uint64_t newest_change() const { return newest_change_; }
 
  private:
   bool IsSuperseded(const Announcement& announcement) const;
   void RemovePreviousAtAddress(const Announcement& announcement, TimePoint now);
+  void NumberChange(AnnouncedUpstream& upstream);
+  void NumberRefresh(AnnouncedUpstream& upstream);
 
   std::map<UpstreamId, AnnouncedUpstream> all_;
   std::map<std::string, UpstreamId> by_address_;
   std::uint64_t newest_change_ = 0;
+  std::map<std::uint64_t, UpstreamId> changes_;
+  std::map<std::uint64_t, UpstreamId> refreshes_;
 };
 
 }  // namespace endivecart::upstreams
