Control: a voter that doesn't listen on the log's port is reached over the other bus

So that voters of this and of the former release form a quorum during an upgrade. A test bounds what one turn of a bus handles.

--- a/src/endivecart/fleet/fleet_bus.cc
+++ b/src/endivecart/fleet/fleet_bus.cc
@@ -58,9 +58,10 @@
   WatchDescriptors();
 }
 
-void FleetBus::Send(const HostId& to, wire::Envelope envelope) {
-  bus_->Send(to, std::move(envelope));
+bool FleetBus::Send(const HostId& to, wire::Envelope envelope) {
+  const bool is_queued = bus_->Send(to, std::move(envelope));
   ScheduleDrain();
+  return is_queued;
 }
 
 void FleetBus::WatchDescriptors() {
--- a/src/endivecart/fleet/fleet_bus.h
+++ b/src/endivecart/fleet/fleet_bus.h
@@ -29,7 +29,8 @@
 
   // Connects to all of `hosts` and disconnects from all others.
   void ConnectTo(const std::vector<HostId>& hosts);
-  void Send(const HostId& to, wire::Envelope envelope);
+  // Returns false, and drops the message, if `to` can't be reached.
+  bool Send(const HostId& to, wire::Envelope envelope);
   const transport::BusCounters& counters() const { return bus_->counters(); }
 
  private:
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -139,7 +139,9 @@
   options.seed = incarnation;
   fleet::FleetVoter::Hooks voter_hooks;
   voter_hooks.send = [this](const HostId& to, wire::Envelope envelope) {
-    log_bus->Send(to, std::move(envelope));
+    // A voter of an earlier release doesn't listen on the port of the log.
+    if (!log_bus->Send(to, envelope))
+      bus->Send(to, std::move(envelope));
   };
   voter_hooks.run_on_disk = [this](DiskThread::Job job, DiskThread::Done done) {
     disk->Run(std::move(job), std::move(done));
@@ -268,7 +270,9 @@
 
 void VoterNode::Parts::OnEnvelope(const wire::Envelope& envelope) {
   const HostId from(envelope.from());
-  if (envelope.has_fleet_poll()) {
+  if (envelope.has_raft()) {
+    voter->OnRaft(from, envelope.raft());
+  } else if (envelope.has_fleet_poll()) {
     const wire::FleetPoll& poll = envelope.fleet_poll();
     if (!poll.member().empty())
       voter->OnMember(control::MemberId(poll.member()));
--- a/src/endivecart/transport/message_bus.cc
+++ b/src/endivecart/transport/message_bus.cc
@@ -261,15 +261,16 @@
   data_->outbound.erase(peer);
 }
 
-void MessageBus::Send(const HostId& to, wire::Envelope envelope) {
+bool MessageBus::Send(const HostId& to, wire::Envelope envelope) {
   envelope.set_from(data_->options.self.str());
   const std::string bytes = envelope.SerializeAsString();
   if (!data_->SendTo(to, bytes)) {
     ++data_->counters.dropped_messages;
-    return;
+    return false;
   }
   ++data_->counters.sent_messages;
   data_->counters.sent_bytes += bytes.size();
+  return true;
 }
 
 bool MessageBus::Poll(Millis timeout,
--- a/src/endivecart/transport/message_bus.h
+++ b/src/endivecart/transport/message_bus.h
@@ -77,8 +77,9 @@
   // Connects to a peer; reconnects if its address or key has changed.
   void Connect(const BusPeer& peer);
   void Disconnect(const HostId& peer);
-  // Queues a message for `to`; drops it if `to` is not connected.
-  void Send(const HostId& to, wire::Envelope envelope);
+  // Queues a message for `to`. Returns false, and drops the message, if `to` is
+  // not connected or too many messages are queued.
+  bool Send(const HostId& to, wire::Envelope envelope);
   // Waits up to `timeout` for messages or Wake(), then passes received messages
   // to `receiver`, at most `max_messages`. Returns whether more may be waiting.
   bool Poll(Millis timeout,
--- a/src/endivecart/transport/message_bus_unittest.cc
+++ b/src/endivecart/transport/message_bus_unittest.cc
@@ -141,6 +141,43 @@
   BOOST_TEST(received > before);
 }
 
+// Pattern: a flood of soft state on one bus, while another one has a message
+// that must not wait.
+BOOST_AUTO_TEST_CASE(a_limited_poll_leaves_the_other_messages_for_the_next) {
+  const settings::Endpoint address{"127.0.0.1", kFirstPort + 40};
+  BusOptions options;
+  options.self = HostId("s");
+  options.listen = address;
+  const auto server = MessageBus::Open(options);
+  BOOST_REQUIRE(server.has_value());
+  options.self = HostId("a");
+  options.listen.reset();
+  options.peers = {{HostId("s"), address, ""}};
+  const auto sender = MessageBus::Open(options);
+  BOOST_REQUIRE(sender.has_value());
+  std::size_t received = 0;
+  const auto count = [&](const wire::Envelope&) { ++received; };
+  for (int i = 0; i < 500 && received == 0; ++i) {
+    (*sender)->Send(HostId("s"), wire::Envelope());
+    (*server)->Poll(Millis(10), count);
+  }
+  BOOST_REQUIRE(received > 0);
+  received = 0;
+  constexpr std::size_t kFlood = 100;
+  for (std::size_t i = 0; i < kFlood; ++i)
+    (*sender)->Send(HostId("s"), wire::Envelope());
+  constexpr std::size_t kLimit = 8;
+  std::size_t most = 0;
+  for (int i = 0; i < 500 && received < kFlood; ++i) {
+    const std::size_t before = received;
+    const bool has_more = (*server)->Poll(Millis(10), count, kLimit);
+    most = std::max(most, received - before);
+    BOOST_TEST(has_more == (received - before == kLimit));
+  }
+  BOOST_TEST(received >= kFlood);
+  BOOST_TEST(most == kLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
