--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -53,6 +53,8 @@
   void OpenFeed();
   void OpenFollower();
   void StartTimers();
+  void VoterTick(TimePoint now);
+  void SetBusMetrics();
   void OnEnvelope(const wire::Envelope& envelope);
   void OnCall(const net::HttpExchangePtr& exchange);
   void RunLeaderTasks();
@@ -80,6 +82,8 @@
   std::unique_ptr<net::HttpServer> metrics_server;
   std::vector<std::unique_ptr<TimerSubscription>> timers;
   bool stopping = false;
+  bool was_leader = false;
+  TimePoint last_tick_at{};
   // Declared last, so that it stops first: its jobs use the storage.
   std::unique_ptr<DiskThread> disk;
 };
@@ -255,7 +259,7 @@
 
 void VoterNode::Parts::StartTimers() {
   timers.push_back(
-      loop.Every(kVoterTick, [this](TimePoint) { voter->Tick(); }));
+      loop.Every(kVoterTick, [this](TimePoint now) { VoterTick(now); }));
   timers.push_back(
       loop.Every(kPushTick, [this](TimePoint) { feed->FlushPushes(); }));
   timers.push_back(
@@ -265,9 +269,40 @@
   timers.push_back(loop.Every(kExpireInterval, [this](TimePoint now) {
     feed->Expire();
     roster.Expire(now);
+    SetBusMetrics();
   }));
 }
 
+// A late tick delays heartbeats, so its delay shows an overload before it costs
+// leadership.
+void VoterNode::Parts::VoterTick(TimePoint now) {
+  if (last_tick_at != TimePoint{}) {
+    metrics.Observe(
+        "endivecart_voter_tick_delay_ms", "",
+        std::max(0.0, MillisBetween(last_tick_at + kVoterTick, now)));
+  }
+  last_tick_at = now;
+  voter->Tick();
+  if (!std::exchange(was_leader, voter->IsLeader()) && was_leader)
+    metrics.Add("endivecart_elections_won_total");
+}
+
+void VoterNode::Parts::SetBusMetrics() {
+  const auto set = [this](const char* labels, const fleet::FleetBus& of) {
+    const transport::BusCounters& counters = of.counters();
+    const auto set_one = [&](const char* name, std::uint64_t value) {
+      metrics.Set(name, labels, static_cast<double>(value));
+    };
+    set_one("endivecart_bus_sent_messages", counters.sent_messages);
+    set_one("endivecart_bus_sent_bytes", counters.sent_bytes);
+    set_one("endivecart_bus_received_messages", counters.received_messages);
+    set_one("endivecart_bus_received_bytes", counters.received_bytes);
+    set_one("endivecart_bus_dropped_messages", counters.dropped_messages);
+  };
+  set("bus=\"log\"", *log_bus);
+  set("bus=\"fleet\"", *bus);
+}
+
 void VoterNode::Parts::OnEnvelope(const wire::Envelope& envelope) {
   const HostId from(envelope.from());
   if (envelope.has_raft()) {
