Review of large fleets: a herd at new servers, stale store lists, sooner trust after recovery

Found by reading the change again.

- A server whose latency is not known yet was taken for faster than all others, so hundreds of hosts sent it everything until their first answers.
It now counts as typical.
- A host kept the former leader's list of stores if the new leader's is empty, and would have saved to stores that were taken out of the configuration.
Test fails on the former code.
- An upstream that is not listed as silent counts as heard as long ago as the list's limit, so a host's trust in one that had recovered returned 2 s later.
The limit is 1 s now; older ages are sent exactly.
- A confirmed read asserts that it shows what this voter acknowledged and an entry of its own term.
- PushAnnouncements only requested a push: RequestPush and PushIfRequested.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -45,7 +45,7 @@
     Send(host, follower, false);
 }
 
-void FleetFeed::FlushPushes() {
+void FleetFeed::PushIfRequested() {
   if (!std::exchange(push_requested_, false))
     return;
   for (auto& [host, follower] : followers_)
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -66,11 +66,11 @@
   void PushDecisions(const Decisions& decisions);
   // Requests that the followers are sent the announcements, and the list of
   // quiesced upstreams, before their next poll.
-  void PushAnnouncements() { push_requested_ = true; }
-  // Sends what PushAnnouncements() requested since the last call. To be called
+  void RequestPush() { push_requested_ = true; }
+  // Sends what RequestPush() requested since the last call. To be called
   // at short intervals: with hundreds of followers, one push for each change
   // would take all of this process's time when many upstreams start.
-  void FlushPushes();
+  void PushIfRequested();
   // Removes followers that have stopped polling.
   void Expire();
 
--- a/src/endivecart/fleet/fleet_voter.cc
+++ b/src/endivecart/fleet/fleet_voter.cc
@@ -205,6 +205,8 @@
     return;
   const Proposal proposal = std::move(it->second);
   proposals_.erase(it);
+  if (proposal.term == entry.term())
+    acknowledged_index_ = entry.index();
   proposal.callback(proposal.term == entry.term() ? ProposalResult::kDecided
                                                   : ProposalResult::kUnknown);
 }
@@ -337,10 +339,18 @@
     // There is no quorum contact before an entry of this term is committed.
     if (contact && !confirmation.read_index)
       confirmation.read_index = core_->commit_index();
-    const bool confirmed = contact && *contact >= confirmation.asked_at &&
-                           applied_index_ >= *confirmation.read_index;
+    bool confirmed = contact && *contact >= confirmation.asked_at &&
+                     applied_index_ >= *confirmation.read_index;
     if (!confirmed && IsLeader() && now < confirmation.deadline)
       return false;
+    const bool is_current =
+        applied_index_ >= acknowledged_index_ &&
+        core_->log().TermAt(applied_index_) == core_->term();
+    if (confirmed &&
+        !CheckInvariant(is_current, Invariant::kConfigurationMonotone,
+                        "a read would show an older state")) {
+      confirmed = false;
+    }
     resolved.emplace_back(std::move(confirmation.callback), confirmed);
     return true;
   });
--- a/src/endivecart/fleet/fleet_voter.h
+++ b/src/endivecart/fleet/fleet_voter.h
@@ -131,6 +131,8 @@
   // The last entry that decisions() includes. Lags behind the core's delivered
   // index while the disk writes the batch that contains the entries.
   std::uint64_t applied_index_ = 0;
+  // The newest entry whose proposer was told that it is decided.
+  std::uint64_t acknowledged_index_ = 0;
   bool disk_busy_ = false;
   std::optional<control::RaftReady> persisting_;
   // When the batch that is not persisted yet, or the snapshot, was begun.
--- a/src/endivecart/fleet/fleet_voter_unittest.cc
+++ b/src/endivecart/fleet/fleet_voter_unittest.cc
@@ -214,7 +214,7 @@
   BOOST_TEST(leader.decisions().routing_version == 18u);
 }
 
-BOOST_FIXTURE_TEST_CASE(a_leader_stays_in_office_while_its_disk_is_slow,
+BOOST_FIXTURE_TEST_CASE(a_leader_keeps_leading_while_its_disk_is_slow,
                         ThreeVoters) {
   FleetVoter& leader = Elect();
   BOOST_REQUIRE(Replace(leader, 1));
--- a/src/endivecart/fleet/load_table.cc
+++ b/src/endivecart/fleet/load_table.cc
@@ -7,6 +7,7 @@
 
 namespace {
 
+// Ages of upstreams that were never heard exceed the field.
 std::uint32_t Clamped(std::int64_t value) {
   return static_cast<std::uint32_t>(
       std::clamp<std::int64_t>(value, 0, INT32_MAX));
--- a/src/endivecart/fleet/load_table.h
+++ b/src/endivecart/fleet/load_table.h
@@ -27,8 +27,10 @@
 // upstreams but not on that of hosts.
 class LoadTable {
  public:
-  // An upstream is listed as silent if its last announcement is older.
-  static constexpr Millis kSilentAfter{2000};
+  // An upstream is listed as silent, with the age of its last announcement, if
+  // that is older. Hosts take any other's to be of this age, so a larger value
+  // delays their trust in an upstream that has recovered.
+  static constexpr Millis kSilentAfter{1000};
   // How often the list of silent upstreams is made.
   static constexpr Millis kSilentListInterval{100};
   // Names are numbered anew once so many more are unused than used.
--- a/src/endivecart/fleet/operator_service.cc
+++ b/src/endivecart/fleet/operator_service.cc
@@ -104,7 +104,7 @@
         .Info();
     // Nobody uses a new upstream yet, so it can wait for the next poll.
     if (was_present)
-      feed_.PushAnnouncements();
+      feed_.RequestPush();
   }
   OperatorReply reply;
   // A partitioned voter accepts the announcement, but asks the upstream to send
@@ -118,7 +118,7 @@
   if (roster_.Leave(call.id, call.start_time_ms, now_()) ==
       upstreams::AnnouncementEffect::kChanged) {
     LogLine("fleet.upstream_left").Add("upstream", call.id.str()).Info();
-    feed_.PushAnnouncements();
+    feed_.RequestPush();
   }
   OperatorReply reply;
   reply.outcome = OperatorOutcome::kDone;
--- a/src/endivecart/gateway/cache_view.cc
+++ b/src/endivecart/gateway/cache_view.cc
@@ -37,12 +37,14 @@
     parts_.clear();
   if (update.term() > position_.term && !update.reset())
     return;  // the updates before this one are missing
+  const bool is_new_term = update.term() > position_.term;
   position_ = {update.term(), update.cursor(), update.floor(),
                update.stores_version()};
   is_complete_ = !update.has_more();
   updated_at_ = now;
   servers_clock_ms_ = update.servers_clock_ms();
-  if (update.stores_size() > 0)
+  // A new leader always sends its list, which may be empty.
+  if (is_new_term || update.stores_size() > 0)
     stores_.clear();
   for (const wire::CacheStoreState& state : update.stores()) {
     const auto address = settings::ParseEndpoint(state.address());
--- a/src/endivecart/gateway/placement.cc
+++ b/src/endivecart/gateway/placement.cc
@@ -50,8 +50,21 @@
          static_cast<double>(1ULL << (64 - kUnusedBits));
 }
 
-double PlainCostMs(const Candidate& candidate) {
-  return std::max(candidate.latency_ms, 1.0) *
+// Returns the mean latency of the candidates whose latency is known.
+double TypicalLatencyMs(const std::vector<Candidate>& candidates) {
+  double sum = 0;
+  int known = 0;
+  for (const Candidate& candidate : candidates) {
+    sum += candidate.latency_ms;
+    known += candidate.latency_ms > 0 ? 1 : 0;
+  }
+  return known == 0 ? 1 : sum / known;
+}
+
+double PlainCostMs(const Candidate& candidate, double typical_latency_ms) {
+  const double latency_ms =
+      candidate.latency_ms > 0 ? candidate.latency_ms : typical_latency_ms;
+  return std::max(latency_ms, 1.0) *
              (1 + static_cast<double>(candidate.requests) /
                       std::max(candidate.slots, 1)) +
          (candidate.is_near ? 0 : kOtherDomainPenaltyMs) +
@@ -155,8 +168,9 @@
   if (candidates.empty())
     return std::nullopt;
   std::vector<std::pair<double, std::size_t>> by_cost;
+  const double typical_latency_ms = TypicalLatencyMs(candidates);
   for (std::size_t at = 0; at < candidates.size(); ++at)
-    by_cost.emplace_back(PlainCostMs(candidates[at]), at);
+    by_cost.emplace_back(PlainCostMs(candidates[at], typical_latency_ms), at);
   std::sort(by_cost.begin(), by_cost.end());
   std::erase_if(by_cost,
                 [limit = by_cost.front().first * kMaxCostRatio](
--- a/src/endivecart/gateway/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -22,7 +22,8 @@
   std::int64_t prompt_tokens = 0;  // not yet prefilled, of all hosts
   // Cache that the requests in progress will have used when they end.
   std::int64_t held_tokens = 0;
-  double latency_ms = 0;  // recent mean of requests without a prompt
+  double latency_ms =
+      0;  // recent mean of requests without a prompt; 0: unknown
 
   bool operator==(const Candidate&) const = default;
 };
--- a/src/endivecart/gateway/plain_service_unittest.cc
+++ b/src/endivecart/gateway/plain_service_unittest.cc
@@ -186,6 +186,24 @@
     BOOST_TEST(PlaceByLoad(candidates, random())->index != 1u);
 }
 
+// Pattern: a server is replaced, and hundreds of hosts have no answer of it
+// yet. If each took it for fast, it would get all requests at once.
+BOOST_AUTO_TEST_CASE(a_server_of_unknown_latency_gets_its_share_only) {
+  std::vector<Candidate> candidates(5);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    candidates[i].id = UpstreamId(std::to_string(i));
+    candidates[i].slots = 6;
+    candidates[i].latency_ms = i == 2 ? 0 : 35;
+    candidates[i].requests = 3;
+  }
+  std::mt19937_64 random(5);
+  int chosen = 0;
+  for (int i = 0; i < 1000; ++i)
+    chosen += PlaceByLoad(candidates, random())->index == 2 ? 1 : 0;
+  BOOST_TEST(chosen > 100);
+  BOOST_TEST(chosen < 300);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -500,6 +500,29 @@
   BOOST_TEST(plan.save.at(0)->ToString() == "10.0.0.1:80");
 }
 
+BOOST_AUTO_TEST_CASE(stores_that_a_new_leader_does_not_know_are_not_used) {
+  CacheView view;
+  view.Apply(MakeCacheUpdate(true), At(0));
+  auto update = MakeCacheUpdate(true);
+  update.set_term(3);
+  update.clear_stores();
+  update.clear_added();
+  view.Apply(update, At(1));
+  BOOST_CHECK(view.Plan(MakePrompt("p"), kLabel, kAnywhere, kMaxFetchTime,
+                        At(2)) == CachePlan());
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_saved_until_the_whole_catalogue_is_known) {
+  CacheView view;
+  auto update = MakeCacheUpdate(true);
+  update.set_has_more(true);
+  view.Apply(update, At(0));
+  const auto plan =
+      view.Plan(MakePrompt("p"), kLabel, kAnywhere, kMaxFetchTime, At(1));
+  BOOST_TEST(plan.fetch.at(1).has_value());
+  BOOST_TEST(plan.save.empty());
+}
+
 BOOST_AUTO_TEST_CASE(an_update_of_an_earlier_term_is_ignored) {
   CacheView view;
   view.Apply(MakeCacheUpdate(true), At(0));
--- a/src/endivecart/gateway/server_load_unittest.cc
+++ b/src/endivecart/gateway/server_load_unittest.cc
@@ -49,13 +49,13 @@
   for (const char* id : {"s1", "s2"}) {
     upstreams::Announcement announcement;
     announcement.id = UpstreamId(id);
-    announcement.service = routes::ServiceId("desk");
+    announcement.service = routes::ServiceId("orders");
     announcement.address = {std::string("10.0.0.") + (id + 1), 80};
     announcement.slots = 6;
     tracker.Apply(announcement, now);
   }
   UpstreamTracker::Query query;
-  query.service = routes::ServiceId("desk");
+  query.service = routes::ServiceId("orders");
   std::mt19937_64 random(5);
   const auto choose = [&] {
     const auto candidates = tracker.Candidates(query, nullptr, nullptr);
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -225,7 +225,7 @@
         const bool was_present = roster.IsPresent(announcement.id);
         const auto effect = roster.Apply(announcement, received_at, loop.Now());
         if (was_present && effect == upstreams::AnnouncementEffect::kChanged) {
-          feed->PushAnnouncements();
+          feed->RequestPush();
         }
       };
   follower_hooks.local_loads = [] { return std::vector<fleet::LocalLoad>(); };
@@ -261,7 +261,7 @@
   timers.push_back(
       loop.Every(kVoterTick, [this](TimePoint now) { VoterTick(now); }));
   timers.push_back(
-      loop.Every(kPushTick, [this](TimePoint) { feed->FlushPushes(); }));
+      loop.Every(kPushTick, [this](TimePoint) { feed->PushIfRequested(); }));
   timers.push_back(
       loop.Every(kFollowTick, [this](TimePoint) { follower->Tick(); }));
   timers.push_back(
@@ -351,7 +351,7 @@
   const bool is_confirmed_leader = !stopping && voter->IsConfirmedLeader();
   if (weights.Tick(voter->decisions(), roster, is_confirmed_leader,
                    voter->term()))
-    feed->PushAnnouncements();
+    feed->RequestPush();
   caches.Tick(voter->decisions(), roster, is_confirmed_leader, voter->term());
   EndMoves();
 }
--- a/src/endivecart/transport/message_bus_unittest.cc
+++ b/src/endivecart/transport/message_bus_unittest.cc
@@ -51,6 +51,22 @@
   return received;
 }
 
+// Options of a host "s" that listens, and of a host "a" that connects to it,
+// without keys.
+BusOptions ServerOptions(const settings::Endpoint& address) {
+  BusOptions options;
+  options.self = HostId("s");
+  options.listen = address;
+  return options;
+}
+
+BusOptions ClientOptions(const settings::Endpoint& server) {
+  BusOptions options;
+  options.self = HostId("a");
+  options.peers = {{HostId("s"), server, ""}};
+  return options;
+}
+
 BOOST_AUTO_TEST_SUITE(message_bus, *boost::unit_test::label("transport"))
 
 BOOST_AUTO_TEST_CASE(
@@ -105,14 +121,9 @@
 // arrive late.
 BOOST_AUTO_TEST_CASE(a_reconnected_host_replaces_its_previous_connection) {
   const settings::Endpoint address{"127.0.0.1", kFirstPort + 30};
-  BusOptions options;
-  options.self = HostId("s");
-  options.listen = address;
-  const auto server = MessageBus::Open(options);
+  const auto server = MessageBus::Open(ServerOptions(address));
   BOOST_REQUIRE(server.has_value());
-  options.self = HostId("a");
-  options.listen.reset();
-  options.peers = {{HostId("s"), address, ""}};
+  const BusOptions options = ClientOptions(address);
   auto former = MessageBus::Open(options);
   BOOST_REQUIRE(former.has_value());
   std::uint64_t received = 0;
@@ -145,14 +156,9 @@
 // that must not wait.
 BOOST_AUTO_TEST_CASE(a_limited_poll_leaves_the_other_messages_for_the_next) {
   const settings::Endpoint address{"127.0.0.1", kFirstPort + 40};
-  BusOptions options;
-  options.self = HostId("s");
-  options.listen = address;
-  const auto server = MessageBus::Open(options);
+  const auto server = MessageBus::Open(ServerOptions(address));
   BOOST_REQUIRE(server.has_value());
-  options.self = HostId("a");
-  options.listen.reset();
-  options.peers = {{HostId("s"), address, ""}};
+  const BusOptions options = ClientOptions(address);
   const auto sender = MessageBus::Open(options);
   BOOST_REQUIRE(sender.has_value());
   std::size_t received = 0;
