Gateway: sends and broken requests name the shared parts of their prompt

Callers saw upstreams crash one after the other. The logs named request and upstream, but nothing that requests at different upstreams had in common, so a crashing prompt part could not be told from overload.

gateway.send and gateway.broken now have shared_parts; gateway.broken also has the time since the send. No decision changes.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -360,6 +360,7 @@
     };
     line.Add("at_home", home_ ? "no" : "yes")
         .Add("prompt_tokens", PromptTokens())
+        .Add("shared_parts", SharedPartsText(*request_.prompt))
         .Add("label", request.cache_label)
         .Add("parts_fetched", std::int64_t{count(request.fetch_cache_from)})
         .Add("parts_saved", std::int64_t{count(request.save_cache_to)});
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -210,12 +210,15 @@
 void Forwarding::OnFailedRun(SendResult result, const char* reason) {
   run_state_ = RunState::kMayHaveRun;
   ++runs_;
-  LogLine("gateway.broken")
-      .Add("request", request_.id.str())
+  LogLine line("gateway.broken");
+  line.Add("request", request_.id.str())
       .Add("upstream", upstream_.str())
       .Add("reason", reason)
       .Add("events", std::uint64_t{events_})
-      .Warn();
+      .Add("ms", MillisBetween(sent_at_, gateway_.loop_.Now()));
+  if (request_.prompt)
+    line.Add("shared_parts", SharedPartsText(*request_.prompt));
+  line.Warn();
   EndSend(result);
   if (MayRetry(true)) {
     Send();
--- a/src/endivecart/gateway/placement.cc
+++ b/src/endivecart/gateway/placement.cc
@@ -102,6 +102,13 @@
   return tokens;
 }
 
+std::string SharedPartsText(const Prompt& prompt) {
+  std::string text;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+    text += (i == 0 ? "" : ",") + prompt.parts[i].id;
+  return text;
+}
+
 std::optional<PlacementChoice> PlacePrompt(
     const std::vector<Candidate>& candidates,
     const Prompt& prompt,
--- a/src/endivecart/gateway/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -59,6 +59,10 @@
 // Returns the tokens of the parts up to and including that one.
 std::int64_t SharedTokensOf(const Prompt& prompt);
 
+// Returns the ids of the parts that other prompts may share, joined by commas,
+// for logs.
+std::string SharedPartsText(const Prompt& prompt);
+
 // Places a prompt at a home of its shared prefix, which likely caches it,
 // unless that home is so busy that prefilling the prompt elsewhere finishes
 // sooner. The alternatives are a few candidates drawn by `random`: hosts learn
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -141,6 +141,13 @@
   BOOST_TEST(!first->home.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(the_shared_parts_for_logs_leave_out_the_last_part) {
+  Prompt prompt;
+  BOOST_TEST(SharedPartsText(prompt) == "");
+  prompt.parts = {{"a", 1}, {"b", 1}, {"own", 1}};
+  BOOST_TEST(SharedPartsText(prompt) == "a,b");
+}
+
 BOOST_AUTO_TEST_CASE(no_other_prompts_move_when_an_upstream_is_removed) {
   const auto all = MakeCandidates(12);
   auto fewer = all;
