Gateway: the hooks between a follower and a gateway are set in one place

EntryNode set them itself, so a test with several gateways had to repeat them and would not notice one that is missing. SetGatewayHooks() is used by both; the tests' plain dialect moves to tests/support and knows the parts of a prompt.

--- /dev/null
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -0,0 +1,26 @@
+#include "endivecart/gateway/follower_wiring.h"
+
+#include "endivecart/gateway/gateway.h"
+
+namespace endivecart::gateway {
+
+void SetGatewayHooks(Gateway& gateway, fleet::FleetFollower::Hooks& hooks) {
+  hooks.now = [&gateway] { return gateway.Now(); };
+  hooks.on_announcement = [&gateway](
+                              const upstreams::Announcement& announcement,
+                              TimePoint received_at) {
+    gateway.upstreams().Apply(announcement, received_at);
+  };
+  hooks.on_heard = [&gateway](const UpstreamId& id, TimePoint heard_at) {
+    gateway.upstreams().Refresh(id, heard_at);
+  };
+  hooks.local_loads = [&gateway] { return gateway.upstreams().LocalLoads(); };
+  hooks.on_loads = [&gateway] { gateway.AdmitSoon(); };
+  hooks.move_reports = [&gateway] { return gateway.moves().Reports(); };
+  hooks.on_cache = [&gateway](const wire::CacheUpdate& update) {
+    gateway.cache().Apply(update, gateway.Now());
+  };
+  hooks.cache_position = [&gateway] { return gateway.cache().position(); };
+}
+
+}  // namespace endivecart::gateway
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "endivecart/gateway/caller_request.h"
 #include "endivecart/gateway/capacity_estimator.h"
 #include "endivecart/gateway/cold_start_limiter.h"
+#include "endivecart/gateway/follower_wiring.h"
 #include "endivecart/gateway/move_tracker.h"
 #include "endivecart/gateway/prefill_rate_estimator.h"
 #include "endivecart/gateway/region_map.h"
@@ -61,6 +62,7 @@
   void SetFollower(const fleet::FleetFollower* follower) {
     follower_ = follower;
   }
+  TimePoint Now() const { return loop_.Now(); }
   UpstreamTracker& upstreams() { return upstreams_; }
   CacheView& cache() { return cache_; }
   const MoveTracker& moves() const { return moves_; }
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -104,24 +104,7 @@
   follower_hooks.on_decisions = [this](const fleet::DecisionsPtr& decisions) {
     ApplyDecisions(decisions);
   };
-  follower_hooks.on_announcement =
-      [this](const upstreams::Announcement& announcement,
-             TimePoint received_at) {
-        gateway.upstreams().Apply(announcement, received_at);
-      };
-  follower_hooks.on_heard = [this](const UpstreamId& id, TimePoint heard_at) {
-    gateway.upstreams().Refresh(id, heard_at);
-  };
-  follower_hooks.local_loads = [this] {
-    return gateway.upstreams().LocalLoads();
-  };
-  follower_hooks.on_loads = [this] { gateway.AdmitSoon(); };
-  follower_hooks.move_reports = [this] { return gateway.moves().Reports(); };
-  follower_hooks.on_cache = [this](const wire::CacheUpdate& update) {
-    gateway.cache().Apply(update, loop.Now());
-  };
-  follower_hooks.cache_position = [this] { return gateway.cache().position(); };
-  follower_hooks.now = [this] { return loop.Now(); };
+  gateway::SetGatewayHooks(gateway, follower_hooks);
   follower.emplace(options, std::move(follower_hooks));
   gateway.SetFollower(&*follower);
 }
--- /dev/null
+++ b/tests/support/plain_dialect.h
@@ -0,0 +1,76 @@
+#ifndef TESTS_SUPPORT_PLAIN_DIALECT_H_
+#define TESTS_SUPPORT_PLAIN_DIALECT_H_
+
+#include <sstream>
+#include <string>
+
+#include "endivecart/gateway/gateway.h"
+
+namespace tests {
+
+// Returns a minimal dialect. "Parts" lists the parts of a prompt, which count
+// ten tokens each.
+inline endivecart::gateway::Dialect PlainDialect() {
+  using namespace endivecart;           // NOLINT(google-build-using-namespace)
+  using namespace endivecart::gateway;  // NOLINT(google-build-using-namespace)
+  Dialect dialect;
+  dialect.decode = [](const net::HttpRequest& request) {
+    CallerRequest out;
+    out.id = RequestId(std::string(request.fields.Find("Id").value_or("")));
+    out.method = request.method;
+    out.target = request.target;
+    out.path = std::string(request.path());
+    out.host = std::string(request.fields.Find("Host").value_or(""));
+    out.key = std::string(request.fields.Find("Key").value_or(""));
+    if (const auto timeout = request.fields.Find("Timeout"))
+      out.caller_timeout = Millis(std::stoi(std::string(*timeout)));
+    if (const auto model = request.fields.Find("Model"))
+      out.prompt = Prompt{ModelId(std::string(*model)), 100, 10, {}, {}};
+    if (const auto parts = request.fields.Find("Parts"); parts && out.prompt) {
+      std::istringstream text{std::string(*parts)};
+      for (std::string part; std::getline(text, part, ',');)
+        out.prompt->parts.push_back({part, 10});
+    }
+    out.body = request.body;
+    return std::optional(out);
+  };
+  dialect.encode = [](const UpstreamRequest& request) {
+    net::HttpRequest out;
+    out.method = request.caller->method;
+    out.target = request.caller->target;
+    out.fields.Add("Host", "u");
+    out.fields.Add("Id", request.caller->id.str());
+    out.fields.Add("Upstream", request.upstream.str());
+    if (!request.last_event_id.empty())
+      out.fields.Add("Last-Event", request.last_event_id);
+    if (!request.cache_label.empty())
+      out.fields.Add("Label", request.cache_label);
+    return out;
+  };
+  dialect.read_answer = [](const net::HttpResponseHead& head) {
+    AnswerMetadata metadata;
+    metadata.request_id =
+        RequestId(std::string(head.fields.Find("Id").value_or("")));
+    metadata.is_signed = head.fields.Has("Signed");
+    metadata.not_run = head.fields.Has("Not-Run");
+    return metadata;
+  };
+  dialect.fields_for_caller = [](const net::HttpFields& fields) {
+    net::HttpFields out = fields;
+    out.RemoveHopByHop();
+    out.Remove("Content-Length");
+    return out;
+  };
+  dialect.refusal = [](int status, const std::string& reason,
+                       std::optional<Millis> retry_after, const RequestId&) {
+    auto response = net::MakeResponse(status, "", reason);
+    if (retry_after)
+      response.head.fields.Add("Retry", std::to_string(retry_after->count()));
+    return response;
+  };
+  return dialect;
+}
+
+}  // namespace tests
+
+#endif  // TESTS_SUPPORT_PLAIN_DIALECT_H_
