Failing test: a prompt part that crashes upstreams is sent on by all hosts

Six hosts that follow one control host, nine upstreams that crash 5 ms after a prompt with the part "bad" and return under a new id 250 ms later, sound prompts of the same route and first part beside them (tests/support/ gateway_fleet). On this code: 66 crashes in five seconds; 23 requests with the part reached upstreams later than 3 s after the fifth crash, 3 are allowed.

--- /dev/null
+++ b/tests/support/gateway_fleet.cc
@@ -0,0 +1,187 @@
+#include "support/gateway_fleet.h"
+
+#include <algorithm>
+
+namespace tests {
+
+using namespace endivecart;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+const HostId kControlHost("control");
+
+routes::RouteTablePtr MakeRoutes() {
+  routes::RoutingConfiguration configuration;
+  configuration.version = 1;
+  routes::Route route;
+  route.name = "prompts";
+  route.host = "a";
+  route.path_prefix = "/";
+  route.kind = routes::RequestKind::kStream;
+  route.time_limit = Millis(3000);
+  route.services = {{routes::ServiceId("s"), 1}};
+  route.max_attempts = 2;
+  route.resumable = true;
+  route.needs_key = false;
+  route.carries_prompt = true;
+  configuration.routes = {route};
+  configuration.services.resize(1);
+  configuration.services[0].id = routes::ServiceId("s");
+  return std::make_shared<const routes::RouteTable>(
+      std::make_shared<const routes::RoutingConfiguration>(configuration));
+}
+
+}  // namespace
+
+GatewayFleet::GatewayFleet(int hosts, int upstreams)
+    : feed_(1, &registry_, FeedHooks()) {
+  for (int number = 0; number < hosts; ++number)
+    AddHost(number);
+  timers_.push_back(
+      loop.Every(Millis(50), [this](TimePoint) { feed_.PushIfRequested(); }));
+  for (int i = 0; i < upstreams; ++i)
+    StartUpstream();
+  // Until every host has polled.
+  RunFor(Millis(300));
+}
+
+fleet::FleetFeed::Hooks GatewayFleet::FeedHooks() {
+  fleet::FleetFeed::Hooks hooks;
+  hooks.send = [this](const HostId& to, const wire::Envelope& envelope) {
+    loop.Post([this, to, update = envelope.fleet_news()] {
+      for (const auto& host : hosts_) {
+        if (host->id == to)
+          host->follower->OnUpdate(kControlHost, update);
+      }
+    });
+  };
+  hooks.now = [this] { return loop.Now(); };
+  hooks.voter_hosts = [] { return std::vector<HostId>{kControlHost}; };
+  hooks.leader_host = [] { return kControlHost; };
+  hooks.on_move_report = [](const HostId&, const wire::ServiceMoveReport&) {};
+  hooks.quiesced = [] { return std::vector<UpstreamId>(); };
+  hooks.cache_update = [](const fleet::CachePosition&) {
+    return std::optional<wire::CacheUpdate>();
+  };
+  return hooks;
+}
+
+void GatewayFleet::AddHost(int number) {
+  hosts_.push_back(std::make_unique<Host>());
+  Host& host = *hosts_.back();
+  host.id = HostId("h" + std::to_string(number));
+  host.client = std::make_unique<net::HttpClient>(loop);
+  host.metrics = std::make_unique<MetricsRegistry>();
+  gateway::GatewayOptions options;
+  options.host = host.id;
+  options.domain = DomainId("a");
+  options.regions = gateway::RegionMap({{DomainId("a"), "north"}});
+  options.seed = static_cast<std::uint64_t>(number) + 1;
+  host.gateway = std::make_unique<gateway::Gateway>(
+      options, PlainDialect(), loop, *host.client, *host.metrics);
+  fleet::FleetFollower::Hooks hooks;
+  hooks.send = [this, id = host.id](const HostId&,
+                                    const wire::Envelope& envelope) {
+    loop.Post(
+        [this, id, poll = envelope.fleet_poll()] { feed_.OnPoll(id, poll); });
+  };
+  hooks.on_control_hosts = [](const std::vector<HostId>&) {};
+  hooks.on_decisions = [](const fleet::DecisionsPtr&) {};
+  gateway::SetGatewayHooks(*host.gateway, hooks);
+  fleet::FleetFollowerOptions follower_options;
+  follower_options.self = host.id;
+  follower_options.serves_callers = true;
+  follower_options.contacts = {kControlHost};
+  host.follower = std::make_unique<fleet::FleetFollower>(follower_options,
+                                                         std::move(hooks));
+  host.gateway->SetFollower(host.follower.get());
+  host.gateway->SetDecisions(std::make_shared<const fleet::Decisions>(),
+                             MakeRoutes());
+  host.server = std::move(*net::HttpServer::Listen(
+      loop, AnyPort(), {}, [&host](net::HttpExchangePtr exchange) {
+        host.gateway->Handle(std::move(exchange));
+      }));
+  timers_.push_back(
+      loop.Every(Millis(50), [&host](TimePoint) { host.follower->Tick(); }));
+  timers_.push_back(
+      loop.Every(Millis(500), [&host](TimePoint) { host.gateway->Tick(); }));
+}
+
+GatewayFleet::Upstream& GatewayFleet::StartUpstream() {
+  upstreams.push_back(std::make_unique<Upstream>(loop));
+  Upstream& upstream = *upstreams.back();
+  upstream.id = UpstreamId("u" + std::to_string(++started_upstreams_));
+  upstream.server.on_bytes = [this,
+                              &upstream](RawUpstream::Connection& connection) {
+    if (!connection.received.ends_with("\r\n\r\n"))
+      return;
+    const std::string request = std::exchange(connection.received, "");
+    upstream.requests.push_back(request);
+    if (upstream.ended) {
+      connection.socket.close();
+    } else if (on_request) {
+      on_request(upstream, connection, request);
+    }
+  };
+  upstreams::Announcement announcement;
+  announcement.id = upstream.id;
+  announcement.start_time_ms = 1;
+  announcement.sequence = 1;
+  announcement.service = routes::ServiceId("s");
+  announcement.address = upstream.server.address();
+  announcement.domain = DomainId("a");
+  announcement.slots = 64;
+  announcement.state = upstreams::UpstreamState::kReady;
+  registry_.Apply(announcement, loop.Now(), loop.Now());
+  feed_.RequestPush();
+  return upstream;
+}
+
+void GatewayFleet::Crash(Upstream& upstream) {
+  upstream.ended = true;
+  for (const auto& connection : upstream.server.connections)
+    connection->socket.close();
+}
+
+void GatewayFleet::SendPrompt(int host, const std::string& parts) {
+  CollectAnswers();
+  const std::string number = std::to_string(++sent_prompts_);
+  calls_.push_back(
+      {std::make_unique<RawCaller>(
+           loop, hosts_.at(static_cast<std::size_t>(host))->server->port()),
+       parts});
+  calls_.back().caller->Write("GET /x HTTP/1.1\r\nHost: a\r\nId: " + number +
+                              "\r\nModel: m\r\nParts: " + parts + ",own" +
+                              number + "\r\nConnection: close\r\n\r\n");
+}
+
+void GatewayFleet::CollectAnswers() {
+  std::erase_if(calls_, [this](const PendingCall& call) {
+    if (!call.caller->ended())
+      return false;
+    const std::string& received = call.caller->received();
+    answers[call.parts].push_back(received.substr(0, received.find('\r')));
+    return true;
+  });
+}
+
+std::string GatewayFleet::Field(const std::string& message,
+                                const std::string& name) {
+  const std::string start = "\r\n" + name + ": ";
+  const std::size_t at = message.find(start);
+  if (at == std::string::npos)
+    return "";
+  const std::size_t begin = at + start.size();
+  return message.substr(begin, message.find('\r', begin) - begin);
+}
+
+void GatewayFleet::Answer(RawUpstream::Connection& connection,
+                          const std::string& request,
+                          const std::string& extra_fields) {
+  Reply(connection, "HTTP/1.1 200 OK\r\nSigned: s\r\nId: " +
+                        Field(request, "Id") + "\r\n" + extra_fields +
+                        "Transfer-Encoding: chunked\r\n\r\n"
+                        "9\r\nid: 1\ndat\r\n5\r\na: \n\n\r\n0\r\n\r\n");
+}
+
+}  // namespace tests
--- /dev/null
+++ b/tests/support/gateway_fleet.h
@@ -0,0 +1,84 @@
+#ifndef TESTS_SUPPORT_GATEWAY_FLEET_H_
+#define TESTS_SUPPORT_GATEWAY_FLEET_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "endivecart/gateway/gateway.h"
+#include "support/loop_fixture.h"
+#include "support/plain_dialect.h"
+
+namespace tests {
+
+// Several gateways that follow one control host, in one event loop. Messages
+// between them are passed as function calls; upstreams are loopback servers.
+class GatewayFleet : public LoopFixture {
+ public:
+  // One incarnation of an upstream.
+  struct Upstream {
+    explicit Upstream(endivecart::net::EventLoop& loop) : server(loop) {}
+
+    endivecart::UpstreamId id;
+    RawUpstream server;
+    bool ended = false;
+    std::vector<std::string> requests;  // as received
+  };
+  using Handler =
+      std::function<void(Upstream&, RawUpstream::Connection&, std::string)>;
+
+  GatewayFleet(int hosts, int upstreams);
+
+  // Starts another upstream and announces it.
+  Upstream& StartUpstream();
+  // Ends an upstream as a crash does: it closes all connections and says
+  // nothing.
+  static void Crash(Upstream& upstream);
+  // Sends a prompt with these parts to the host with this number. The answer,
+  // if any, is discarded.
+  void SendPrompt(int host, const std::string& parts);
+  // Answers the request with an empty stream of one event.
+  static void Answer(RawUpstream::Connection& connection,
+                     const std::string& request,
+                     const std::string& extra_fields = "");
+  // Returns the value of a header field of a request or answer.
+  static std::string Field(const std::string& message, const std::string& name);
+
+  // Called with each complete request that reaches an upstream.
+  Handler on_request;
+  std::vector<std::unique_ptr<Upstream>> upstreams;
+  // Status lines of the answers that callers received, by prompt parts.
+  std::map<std::string, std::vector<std::string>> answers;
+
+ private:
+  struct Host {
+    endivecart::HostId id;
+    std::unique_ptr<endivecart::net::HttpClient> client;
+    std::unique_ptr<endivecart::MetricsRegistry> metrics;
+    std::unique_ptr<endivecart::gateway::Gateway> gateway;
+    std::unique_ptr<endivecart::fleet::FleetFollower> follower;
+    std::unique_ptr<endivecart::net::HttpServer> server;
+  };
+  struct PendingCall {
+    std::unique_ptr<RawCaller> caller;
+    std::string parts;
+  };
+
+  endivecart::fleet::FleetFeed::Hooks FeedHooks();
+  void AddHost(int number);
+  void CollectAnswers();
+
+  endivecart::upstreams::UpstreamRegistry registry_;
+  endivecart::fleet::FleetFeed feed_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::vector<PendingCall> calls_;
+  std::vector<std::unique_ptr<endivecart::TimerSubscription>> timers_;
+  int started_upstreams_ = 0;
+  int sent_prompts_ = 0;
+};
+
+}  // namespace tests
+
+#endif  // TESTS_SUPPORT_GATEWAY_FLEET_H_
--- a/tests/support/plain_dialect.h
+++ b/tests/support/plain_dialect.h
@@ -43,6 +43,8 @@
     out.fields.Add("Upstream", request.upstream.str());
     if (!request.last_event_id.empty())
       out.fields.Add("Last-Event", request.last_event_id);
+    if (request.caller->prompt && !request.caller->prompt->parts.empty())
+      out.fields.Add("Prompt-Parts", SharedPartsText(*request.caller->prompt));
     if (!request.cache_label.empty())
       out.fields.Add("Label", request.cache_label);
     return out;
