Quarantine: prompts with a part that crashes upstreams are withheld by all hosts

Cause: evidence that is only kept per upstream and per host. A host holds a broken connection against the upstream; the prompt, and all later ones with the same part, go to the next one. With several hosts none of them sees the part crash two upstreams, so no local counter could find it. Class of fault: a suspicion that must count over all hosts was counted on each alone.

Ruled out as sufficient: retries (25 of 137 broken requests broke twice), overload (most upstreams had two to seven requests when they ended).

Change: new slice quarantine, without network. PartMonitor on each host keeps runs that ended with their connection and when parts were answered; PartJudge on each control host pools the reports that come with the polls, and quarantines what was in three independent crashes and never answered. Every host withholds it: 503 with Retry-After if it has not run. One answer releases it everywhere; two trials by one host are the way back of a part that nobody may answer. Hosts repeat what they know, so a new leader, restarts and cuts lose nothing. CheckSendInvariants asserts it for each send.

--- a/src/endivecart/base/invariant.cc
+++ b/src/endivecart/base/invariant.cc
@@ -24,7 +24,8 @@
     "at_most_once",
     "leaving_gets_no_work",
     "graceful_stop",
-    "configuration_monotone"};
+    "configuration_monotone",
+    "quarantined_part_gets_no_work"};
 
 void LogViolation(Invariant invariant, std::string_view detail) {
   LogLine("invariant")
--- a/src/endivecart/endivecart.h
+++ b/src/endivecart/endivecart.h
@@ -16,6 +16,7 @@
 #include "endivecart/membership/membership.h"        // IWYU pragma: export
 #include "endivecart/moves/moves.h"                  // IWYU pragma: export
 #include "endivecart/operators/operators.h"          // IWYU pragma: export
+#include "endivecart/quarantine/quarantine.h"        // IWYU pragma: export
 #include "endivecart/routing/routing.h"              // IWYU pragma: export
 #include "endivecart/settings/settings.h"            // IWYU pragma: export
 #include "endivecart/transport/transport.h"          // IWYU pragma: export
--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -14,6 +14,7 @@
 #include "endivecart/fleet/load_table.h"           // IWYU pragma: export
 #include "endivecart/fleet/move_coordinator.h"     // IWYU pragma: export
 #include "endivecart/fleet/operator_service.h"     // IWYU pragma: export
+#include "endivecart/fleet/quarantine_messages.h"  // IWYU pragma: export
 #include "endivecart/fleet/voter_set_manager.h"    // IWYU pragma: export
 #include "endivecart/fleet/weights_coordinator.h"  // IWYU pragma: export
 
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "endivecart/fleet/quarantine_messages.h"
+
 namespace endivecart::fleet {
 
 FleetFeed::FleetFeed(std::uint64_t incarnation,
@@ -34,6 +36,10 @@
     follower.missing_version = decisions_.routing_version;
     follower.missing_since = follower.polled_at;
   }
+  if (poll.serves_callers()) {
+    part_judge_.OnReport(from, FromWire(poll.quarantine(), hooks_.now()),
+                         hooks_.now());
+  }
   for (const wire::ServiceMoveReport& report : poll.move_reports())
     hooks_.on_move_report(from, report);
   Send(from, follower, true);
@@ -46,6 +52,7 @@
 }
 
 void FleetFeed::PushIfRequested() {
+  push_requested_ |= part_judge_.Judge(hooks_.now());
   if (!std::exchange(push_requested_, false))
     return;
   for (auto& [host, follower] : followers_)
@@ -97,6 +104,9 @@
   update.set_caller_rank(rank == caller_ranks_.end() ? 0 : rank->second);
   for (const UpstreamId& upstream : hooks_.quiesced())
     update.add_resting_upstreams(upstream.str());
+  const auto ruling = part_judge_.CurrentRuling();
+  if (follower.poll.serves_callers() && ruling != quarantine::Ruling())
+    *update.mutable_quarantine() = ToWire(ruling, now);
   if (is_answer && follower.poll.serves_callers()) {
     if (follower.poll.wants_loads()) {
       *update.mutable_fleet_loads() = loads_.Encode(
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -10,6 +10,7 @@
 #include "endivecart/fleet/cache_catalog.h"
 #include "endivecart/fleet/decisions.h"
 #include "endivecart/fleet/load_table.h"
+#include "endivecart/quarantine/quarantine.h"
 #include "endivecart/upstreams/upstreams.h"
 
 namespace endivecart::fleet {
@@ -67,8 +68,9 @@
   // Requests that the followers are sent the announcements, and the list of
   // quiesced upstreams, before their next poll.
   void RequestPush() { push_requested_ = true; }
-  // Sends what RequestPush() requested since the last call. To be called
-  // at short intervals: with hundreds of followers, one push for each change
+  // Judges the quarantine findings that followers reported, and sends what
+  // that or RequestPush() requested since the last call. To be called at short
+  // intervals: with hundreds of followers, one push for each change
   // would take all of this process's time when many upstreams start.
   void PushIfRequested();
   // Removes followers that have stopped polling.
@@ -115,6 +117,7 @@
   std::map<HostId, std::uint32_t> caller_ranks_;
   std::vector<HostId> spares_;
   LoadTable loads_;
+  quarantine::PartJudge part_judge_;
   bool push_requested_ = false;
 };
 
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "endivecart/fleet/quarantine_messages.h"
+
 namespace endivecart::fleet {
 
 FleetFollower::FleetFollower(FleetFollowerOptions options, Hooks hooks)
@@ -44,6 +46,11 @@
       poll.set_cache_floor(position.floor);
       poll.set_cache_stores_version(position.stores_version);
     }
+    if (hooks_.quarantine_findings) {
+      const auto findings = hooks_.quarantine_findings();
+      if (findings != quarantine::HostFindings())
+        *poll.mutable_quarantine() = ToWire(findings, hooks_.now());
+    }
     for (wire::ServiceMoveReport& report : hooks_.move_reports())
       *poll.add_move_reports() = std::move(report);
   }
@@ -137,6 +144,8 @@
       quiesced_.emplace(upstream);
     quiesced_updated_at_ = now;
   }
+  if (update.has_quarantine() && hooks_.on_quarantine)
+    hooks_.on_quarantine(FromWire(update.quarantine(), now));
   if (update.has_cache() && hooks_.on_cache)
     hooks_.on_cache(update.cache());
   if (update.has_decisions())
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -10,6 +10,7 @@
 #include "endivecart/fleet/cache_catalog.h"
 #include "endivecart/fleet/decisions.h"
 #include "endivecart/fleet/load_table.h"
+#include "endivecart/quarantine/quarantine.h"
 #include "endivecart/upstreams/upstreams.h"
 
 namespace endivecart::fleet {
@@ -60,6 +61,9 @@
     // stores.
     std::function<void(const wire::CacheUpdate&)> on_cache;
     std::function<CachePosition()> cache_position;
+    // Optional, for processes that send prompts.
+    std::function<quarantine::HostFindings()> quarantine_findings;
+    std::function<void(const quarantine::Ruling&)> on_quarantine;
     std::function<TimePoint()> now;
   };
 
--- a/src/endivecart/gateway/crashing_part_unittest.cc
+++ b/src/endivecart/gateway/crashing_part_unittest.cc
@@ -75,6 +75,29 @@
   BOOST_TEST(later_requests <= 3);
 }
 
+BOOST_AUTO_TEST_CASE(sound_prompts_that_share_other_parts_are_answered) {
+  for (int round = 0; round < 50; ++round)
+    SendPrompt(round % kHosts, "common,w" + std::to_string(round));
+  RunFor(Millis(100));
+  Run(100);
+  RunFor(Millis(500));
+  const std::size_t crashed = crashes.size();
+  for (int round = 0; round < kHosts; ++round) {
+    SendPrompt(round, "common,later");
+    SendPrompt(round, "common,bad,later");
+    RunFor(Millis(20));
+  }
+  RunFor(Millis(300));
+  SendPrompt(0, "common,later");  // collects the answers
+  BOOST_TEST(answers["common,later"].size() >= std::size_t{kHosts});
+  for (const std::string& status : answers["common,later"])
+    BOOST_TEST(status == "HTTP/1.1 200 OK");
+  BOOST_TEST(answers["common,bad,later"].size() == std::size_t{kHosts});
+  for (const std::string& status : answers["common,bad,later"])
+    BOOST_TEST(status.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(crashes.size() == crashed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -17,6 +17,12 @@
   hooks.local_loads = [&gateway] { return gateway.upstreams().LocalLoads(); };
   hooks.on_loads = [&gateway] { gateway.AdmitSoon(); };
   hooks.move_reports = [&gateway] { return gateway.moves().Reports(); };
+  hooks.quarantine_findings = [&gateway] {
+    return gateway.part_monitor().Findings(gateway.Now());
+  };
+  hooks.on_quarantine = [&gateway](const quarantine::Ruling& ruling) {
+    gateway.part_monitor().Apply(ruling, gateway.Now());
+  };
   hooks.on_cache = [&gateway](const wire::CacheUpdate& update) {
     gateway.cache().Apply(update, gateway.Now());
   };
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -41,6 +41,9 @@
       routes_(std::move(routes)),
       route_(route),
       customer_(customer),
+      shared_parts_(request_.prompt
+                        ? quarantine::PartKeys(SharedPartsOf(*request_.prompt))
+                        : quarantine::PartList()),
       accepted_at_(exchange_->received_at()) {}
 
 Forwarding::~Forwarding() = default;
@@ -82,7 +85,28 @@
          (IsStream() && route_.resumable);
 }
 
+bool Forwarding::AdmitParts() {
+  if (shared_parts_.empty())
+    return true;
+  const auto place = gateway_.follower_ ? gateway_.follower_->Place()
+                                        : fleet::FleetFollower::CallerPlace();
+  const auto admission = gateway_.part_monitor_.Admit(
+      shared_parts_, {place.hosts, place.rank}, gateway_.loop_.Now());
+  is_trial_ = admission.is_trial;
+  if (admission.allowed)
+    return true;
+  gateway_.metrics_.Add("endivecart_quarantined_requests_total");
+  if (started_ || run_state_ != RunState::kNotRun) {
+    GiveUp("quarantined_part");
+  } else {
+    Refuse(503, "quarantined_part", admission.retry_after);
+  }
+  return false;
+}
+
 void Forwarding::Send() {
+  if (!AdmitParts())
+    return;
   const auto upstream = ChooseUpstream();
   if (upstream) {
     StartCall(*upstream);
@@ -129,6 +153,12 @@
 }
 
 bool Forwarding::TryDispatch() {
+  const auto self = shared_from_this();
+  if (gateway_.part_monitor_.IsQuarantined(shared_parts_)) {
+    StopWaiting();
+    Send();
+    return true;
+  }
   const auto upstream = ChooseUpstream();
   if (!upstream)
     return false;
@@ -339,6 +369,8 @@
   context.may_have_run = run_state_ == RunState::kMayHaveRun;
   context.is_cold = gateway_.upstreams_.IsCold(chosen.upstream);
   context.has_cold_start_permit = chosen.has_cold_start_permit;
+  context.is_quarantined = gateway_.part_monitor_.IsQuarantined(shared_parts_);
+  context.is_trial = is_trial_;
   return CheckSendInvariants(context);
 }
 
@@ -380,6 +412,7 @@
   head_ = {};
   head_received_ = false;
   forwards_events_ = false;
+  first_event_of_send_at_.reset();
   body_.clear();
   splitter_ = EventSplitter();
   requests_there_ = chosen.requests_there;
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -43,6 +43,8 @@
   enum class RunState { kNotRun, kMayHaveRun };
 
   void Send();
+  // Returns whether the prompt may be sent; otherwise ends the request.
+  bool AdmitParts();
   // Queues the request until an upstream has capacity or the maximum wait is
   // over.
   void Wait();
@@ -87,6 +89,13 @@
   void EndNow(const char* reason);
   void OnCallerGone();
 
+  // Identifies the upstream's incarnation.
+  std::string UpstreamRun() const;
+  // Records a run that ended with its connection as evidence against the parts
+  // of its prompt.
+  void RecordBrokenRun();
+  // Records a complete answer as evidence for them.
+  void RecordAnswered();
   // Records the outcome for the software version if the service is being moved.
   void RecordMoveOutcome(SendResult result);
   // Ends the current send.
@@ -122,6 +131,7 @@
   const routes::RouteTablePtr routes_;
   const routes::Route& route_;
   const routes::Customer* const customer_;
+  const quarantine::PartList shared_parts_;  // of the prompt
   routes::ServiceId service_;
   double move_draw_ = 0;  // in [0, 1); selects the version during a move
   const TimePoint accepted_at_;
@@ -133,8 +143,9 @@
   UpstreamCounts upstream_counts_;  // at the last choice
 
   std::set<UpstreamId> tried_;
-  int sends_ = 0;  // including those that did not reach an upstream
-  int runs_ = 0;   // sends that an upstream may have run
+  bool is_trial_ = false;  // of a quarantined part
+  int sends_ = 0;          // including those that did not reach an upstream
+  int runs_ = 0;           // sends that an upstream may have run
   RunState run_state_ = RunState::kNotRun;
   bool finished_ = false;
 
@@ -143,6 +154,7 @@
   UpstreamId upstream_;
   std::uint64_t weights_version_ = 0;
   TimePoint sent_at_;
+  std::optional<TimePoint> first_event_of_send_at_;
   std::int64_t pending_prefill_tokens_ = 0;
   int requests_there_ = 0;          // at sending time
   std::optional<UpstreamId> home_;  // likely caches the shared parts
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -17,6 +17,8 @@
 // With more unsent bytes, reading from the upstream pauses until the caller has
 // received them.
 constexpr std::size_t kMaxUnsentBytes = 256UL << 10;
+// An answer that has been arriving for longer did not crash its upstream.
+constexpr Millis kTimeToCrash{1000};
 
 }  // namespace
 
@@ -29,6 +31,8 @@
   }
   head_ = head;
   head_received_ = true;
+  if (!shared_parts_.empty())
+    gateway_.part_monitor_.OnAlive(UpstreamRun(), sent_at_);
   if (metadata.weights_version && request_.prompt) {
     gateway_.upstreams_.RecordWeights(upstream_, request_.prompt->model,
                                       *metadata.weights_version);
@@ -81,6 +85,8 @@
 }
 
 void Forwarding::ForwardEvent(const StreamEvent& event) {
+  if (!first_event_of_send_at_)
+    first_event_of_send_at_ = gateway_.loop_.Now();
   if (pending_prefill_tokens_ > 0) {
     gateway_.upstreams_.FinishPrefill(upstream_, pending_prefill_tokens_);
     gateway_.prefill_rates_.Add(service_, pending_prefill_tokens_,
@@ -120,20 +126,26 @@
         RetryOrGiveUp("unreachable");
         return;
       }
+      if (end == net::CallResult::kBroken)
+        RecordBrokenRun();
       OnFailedRun(SendResult::kBroken, net::CallResultName(end).data());
       return;
     case net::CallResult::kComplete:
       break;
   }
   if (!head_received_) {
+    RecordBrokenRun();
     OnFailedRun(SendResult::kBroken, "no_head");
   } else if (forwards_events_ && splitter_.HasPartial()) {
+    RecordBrokenRun();
     OnFailedRun(SendResult::kBroken, "event_cut");
   } else if (forwards_events_) {
     if (!started_) {
       exchange_->StartResponse(
           {head_.status, gateway_.dialect_.fields_for_caller(head_.fields)});
     }
+    if (events_ > 0)
+      RecordAnswered();
     EndSend(SendResult::kAnswered);
     if (!CheckInvariant(!splitter_.HasPartial() && events_ == numbered_events_,
                         Invariant::kAnswerComplete, request_.id.str())) {
@@ -180,6 +192,8 @@
     Send();
     return;
   }
+  if (!server_error)
+    RecordAnswered();
   EndSend(server_error ? SendResult::kFailed : SendResult::kAnswered);
   if (started_) {
     exchange_->Abort();
@@ -207,6 +221,32 @@
   OnFailedRun(SendResult::kBroken, reason);
 }
 
+std::string Forwarding::UpstreamRun() const {
+  const auto* upstream = gateway_.upstreams_.Find(upstream_);
+  return upstream_.str() + "/" +
+         std::to_string(upstream ? upstream->last.start_time_ms : 0);
+}
+
+void Forwarding::RecordBrokenRun() {
+  const TimePoint now = gateway_.loop_.Now();
+  // A part that crashes upstreams does so as soon as they begin to answer.
+  const bool was_under_way =
+      first_event_of_send_at_ && now - *first_event_of_send_at_ > kTimeToCrash;
+  if (!shared_parts_.empty() && !was_under_way) {
+    gateway_.part_monitor_.OnBroken(
+        UpstreamRun(), StableHash(request_.id.str()), shared_parts_, now);
+  }
+}
+
+void Forwarding::RecordAnswered() {
+  // Without framing, the end of a crashed upstream may look like the end of the
+  // answer.
+  const bool has_framing = head_.fields.Has("Content-Length") ||
+                           head_.fields.Has("Transfer-Encoding");
+  if (has_framing)
+    gateway_.part_monitor_.OnAnswered(shared_parts_, gateway_.loop_.Now());
+}
+
 void Forwarding::OnFailedRun(SendResult result, const char* reason) {
   run_state_ = RunState::kMayHaveRun;
   ++runs_;
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -159,6 +159,8 @@
 }
 
 void Gateway::Tick() {
+  metrics_.Set("endivecart_quarantines", "",
+               static_cast<double>(part_monitor_.quarantines()));
   upstreams_.Expire();
   const auto active = active_;  // active_ changes as requests end
   for (const auto& forwarding : active)
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -65,6 +65,7 @@
   TimePoint Now() const { return loop_.Now(); }
   UpstreamTracker& upstreams() { return upstreams_; }
   CacheView& cache() { return cache_; }
+  quarantine::PartMonitor& part_monitor() { return part_monitor_; }
   const MoveTracker& moves() const { return moves_; }
   bool HasRoutes() const { return routes_ != nullptr; }
   // Number of accepted requests that are not answered yet.
@@ -102,6 +103,7 @@
   UpstreamTracker upstreams_;
   CacheView cache_;
   MoveTracker moves_;
+  quarantine::PartMonitor part_monitor_;
   RetryLimiter retry_limiter_;
   ColdStartLimiter cold_start_limiter_;
   PrefillRateEstimator prefill_rates_;
--- a/src/endivecart/gateway/placement.cc
+++ b/src/endivecart/gateway/placement.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <numeric>
 
+#include "endivecart/quarantine/quarantine.h"
+
 namespace endivecart::gateway {
 
 namespace {
@@ -102,11 +104,15 @@
   return tokens;
 }
 
-std::string SharedPartsText(const Prompt& prompt) {
-  std::string text;
+std::vector<std::string> SharedPartsOf(const Prompt& prompt) {
+  std::vector<std::string> ids;
   for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
-    text += (i == 0 ? "" : ",") + prompt.parts[i].id;
-  return text;
+    ids.push_back(prompt.parts[i].id);
+  return ids;
+}
+
+std::string SharedPartsText(const Prompt& prompt) {
+  return quarantine::Joined(SharedPartsOf(prompt));
 }
 
 std::optional<PlacementChoice> PlacePrompt(
--- a/src/endivecart/gateway/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -59,8 +59,9 @@
 // Returns the tokens of the parts up to and including that one.
 std::int64_t SharedTokensOf(const Prompt& prompt);
 
-// Returns the ids of the parts that other prompts may share, joined by commas,
-// for logs.
+// Returns the ids of the parts that other prompts may share.
+std::vector<std::string> SharedPartsOf(const Prompt& prompt);
+// The same joined by commas, for logs.
 std::string SharedPartsText(const Prompt& prompt);
 
 // Places a prompt at a home of its shared prefix, which likely caches it,
--- a/src/endivecart/gateway/send_invariants_unittest.cc
+++ b/src/endivecart/gateway/send_invariants_unittest.cc
@@ -80,6 +80,13 @@
   BOOST_TEST(CheckSendInvariants(context));
 }
 
+BOOST_AUTO_TEST_CASE(a_quarantined_prompt_is_sent_only_as_a_trial) {
+  context.is_quarantined = true;
+  BOOST_TEST(Violates(Invariant::kQuarantinedPartGetsNoWork));
+  context.is_trial = true;
+  BOOST_TEST(CheckSendInvariants(context));
+}
+
 BOOST_AUTO_TEST_CASE(a_cache_label_of_another_weights_version_is_not_used) {
   request.cache_label = "m.2";
   BOOST_TEST(Violates(Invariant::kVersionIsolation));
