--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -41,6 +41,7 @@
     gateway_.upstreams_.RecordServerLoad(upstream_, *metadata.server_load);
   if (metadata.has_bad_server_load)
     gateway_.CountBadServerLoad(upstream_);
+  gateway_.OnRequestLimit(upstream_, metadata);
   const bool success = head.status >= 200 && head.status < 300;
   if (success && (!metadata.is_signed || metadata.has_unrequested_encoding)) {
     OnBadAnswer("unsigned_or_coded");
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -93,6 +93,9 @@
   std::uint64_t MinWeights(const ModelId& model) const;
   void Remove(const std::shared_ptr<Forwarding>& forwarding);
   void CountBadServerLoad(const UpstreamId& upstream);
+  // Logs changes of the limit that an upstream names, and malformed ones.
+  void OnRequestLimit(const UpstreamId& upstream,
+                      const AnswerMetadata& metadata);
   void Admit();
 
   const GatewayOptions options_;
@@ -118,6 +121,7 @@
   RequestQueue request_queue_;
   std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
   std::optional<TimePoint> bad_server_load_logged_at_;
+  std::map<UpstreamId, double> request_limits_;  // as named last
   std::unique_ptr<TimerSubscription> admit_soon_;
   std::unique_ptr<TimerSubscription> admit_timer_;
 };
--- a/tests/support/plain_dialect.h
+++ b/tests/support/plain_dialect.h
@@ -55,6 +55,8 @@
         RequestId(std::string(head.fields.Find("Id").value_or("")));
     metadata.is_signed = head.fields.Has("Signed");
     metadata.not_run = head.fields.Has("Not-Run");
+    if (const auto limit = head.fields.Find("Limit"))
+      metadata.request_limit = std::stod(std::string(*limit));
     return metadata;
   };
   dialect.fields_for_caller = [](const net::HttpFields& fields) {
