Tests: a crashed upstream of the simulated fleet refuses connections

sound_prompts_that_share_other_parts_are_answered failed on some runs: six of six prompts got 502. The stand-in closed its connections but went on accepting others and closing them, so hosts took it for an upstream that breaks off answers. A crashed process refuses connections; so does the stand-in now. The checks are the same.

--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -117,11 +117,8 @@
       return;
     const std::string request = std::exchange(connection.received, "");
     upstream.requests.push_back(request);
-    if (upstream.ended) {
-      connection.socket.close();
-    } else if (on_request) {
+    if (on_request)
       on_request(upstream, connection, request);
-    }
   };
   upstreams::Announcement announcement;
   announcement.id = upstream.id;
@@ -139,8 +136,7 @@
 
 void GatewayFleet::Crash(Upstream& upstream) {
   upstream.ended = true;
-  for (const auto& connection : upstream.server.connections)
-    connection->socket.close();
+  upstream.server.Stop();
 }
 
 void GatewayFleet::SendPrompt(int host, const std::string& parts) {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -33,8 +33,8 @@
 
   // Starts another upstream and announces it.
   Upstream& StartUpstream();
-  // Ends an upstream as a crash does: it closes all connections and says
-  // nothing.
+  // Ends an upstream as a crash does: it closes all connections, refuses
+  // others and says nothing.
   static void Crash(Upstream& upstream);
   // Sends a prompt with these parts to the host with this number. The answer,
   // if any, is discarded.
--- a/tests/support/loop_fixture.h
+++ b/tests/support/loop_fixture.h
@@ -82,7 +82,7 @@
   explicit RawUpstream(endivecart::net::EventLoop& loop)
       : acceptor_(loop.context(),
                   {boost::asio::ip::make_address("127.0.0.1"), 0}),
-        context_(loop.context()) {
+        port_(acceptor_.local_endpoint().port()) {
     Accept();
   }
 
@@ -95,10 +95,17 @@
     bool ended = false;
   };
 
-  int port() const { return acceptor_.local_endpoint().port(); }
+  int port() const { return port_; }
   endivecart::settings::Endpoint address() const {
     return {"127.0.0.1", port()};
   }
+  // Refuses further connections and closes all others.
+  void Stop() {
+    acceptor_.close();
+    for (const auto& connection : connections)
+      connection->socket.close();
+  }
+
   std::vector<std::shared_ptr<Connection>> connections;
   // Called whenever bytes were received; the connection holds all of them.
   std::function<void(Connection&)> on_bytes;
@@ -132,7 +139,7 @@
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::io_context& context_;
+  const int port_;
 };
 
 // Sends `bytes` unmodified.
