Limits: hosts divide the request limit that an upstream names

What callers saw: nothing yet; upstreams in need got as much as all others (17 requests in four seconds where 11 were allowed) and would fail under it (LIMIT).

Cause: no host acted on the limit. Evidence: the failing test's hosts go on sending 39 in a span of four seconds.

Ruled out: requests on their way and retries; the excess lasted to the end.

LimitTable keeps the newest observation; hosts report what they were told, control hosts merge and pass it on. ShareLimiter divides a rate by rank, as ColdStartLimiter did, which uses it now. No permit: another upstream, else 503 with the time to the next permit. CheckSendInvariants asserts a permit for each send to a limited upstream.

Why it works: the shares' sum is the limit, and the number of hosts with a share bounds what arrives at once.

--- a/src/endivecart/base/base.h
+++ b/src/endivecart/base/base.h
@@ -5,6 +5,7 @@
 // and metrics.
 
 #include "endivecart/base/digest.h"                // IWYU pragma: export
+#include "endivecart/base/host_rank.h"             // IWYU pragma: export
 #include "endivecart/base/ids.h"                   // IWYU pragma: export
 #include "endivecart/base/invariant.h"             // IWYU pragma: export
 #include "endivecart/base/log.h"                   // IWYU pragma: export
--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -11,6 +11,7 @@
 #include "endivecart/fleet/fleet_feed.h"           // IWYU pragma: export
 #include "endivecart/fleet/fleet_follower.h"       // IWYU pragma: export
 #include "endivecart/fleet/fleet_voter.h"          // IWYU pragma: export
+#include "endivecart/fleet/limit_messages.h"       // IWYU pragma: export
 #include "endivecart/fleet/load_table.h"           // IWYU pragma: export
 #include "endivecart/fleet/move_coordinator.h"     // IWYU pragma: export
 #include "endivecart/fleet/operator_service.h"     // IWYU pragma: export
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "endivecart/fleet/limit_messages.h"
 #include "endivecart/fleet/quarantine_messages.h"
 
 namespace endivecart::fleet {
@@ -40,6 +41,8 @@
     part_judge_.OnReport(from, FromWire(poll.quarantine(), hooks_.now()),
                          hooks_.now());
   }
+  for (const auto& limit : FromWire(poll.limits(), hooks_.now()))
+    push_requested_ |= limits_.Merge(limit);
   for (const wire::ServiceMoveReport& report : poll.move_reports())
     hooks_.on_move_report(from, report);
   Send(from, follower, true);
@@ -72,6 +75,7 @@
     return true;
   });
   UpdateMembership();
+  limits_.Expire(now);
   loads_.DropUnused(*roster_);
 }
 
@@ -107,6 +111,8 @@
   const auto ruling = part_judge_.CurrentRuling();
   if (follower.poll.serves_callers() && ruling != quarantine::Ruling())
     *update.mutable_quarantine() = ToWire(ruling, now);
+  if (follower.poll.serves_callers())
+    *update.mutable_limits() = ToWire(limits_.All(), now);
   if (is_answer && follower.poll.serves_callers()) {
     if (follower.poll.wants_loads()) {
       *update.mutable_fleet_loads() = loads_.Encode(
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -10,6 +10,7 @@
 #include "endivecart/fleet/cache_catalog.h"
 #include "endivecart/fleet/decisions.h"
 #include "endivecart/fleet/load_table.h"
+#include "endivecart/limits/limits.h"
 #include "endivecart/quarantine/quarantine.h"
 #include "endivecart/upstreams/upstreams.h"
 
@@ -118,6 +119,7 @@
   std::vector<HostId> spares_;
   LoadTable loads_;
   quarantine::PartJudge part_judge_;
+  limits::LimitTable limits_;  // of upstreams, as named to any follower
   bool push_requested_ = false;
 };
 
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "endivecart/fleet/limit_messages.h"
 #include "endivecart/fleet/quarantine_messages.h"
 
 namespace endivecart::fleet {
@@ -51,6 +52,8 @@
       if (findings != quarantine::HostFindings())
         *poll.mutable_quarantine() = ToWire(findings, hooks_.now());
     }
+    if (hooks_.limit_findings)
+      *poll.mutable_limits() = ToWire(hooks_.limit_findings(), hooks_.now());
     for (wire::ServiceMoveReport& report : hooks_.move_reports())
       *poll.add_move_reports() = std::move(report);
   }
@@ -146,6 +149,8 @@
   }
   if (update.has_quarantine() && hooks_.on_quarantine)
     hooks_.on_quarantine(FromWire(update.quarantine(), now));
+  if (update.limits_size() > 0 && hooks_.on_limits)
+    hooks_.on_limits(FromWire(update.limits(), now));
   if (update.has_cache() && hooks_.on_cache)
     hooks_.on_cache(update.cache());
   if (update.has_decisions())
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -10,6 +10,7 @@
 #include "endivecart/fleet/cache_catalog.h"
 #include "endivecart/fleet/decisions.h"
 #include "endivecart/fleet/load_table.h"
+#include "endivecart/limits/limits.h"
 #include "endivecart/quarantine/quarantine.h"
 #include "endivecart/upstreams/upstreams.h"
 
@@ -64,6 +65,9 @@
     // Optional, for processes that send prompts.
     std::function<quarantine::HostFindings()> quarantine_findings;
     std::function<void(const quarantine::Ruling&)> on_quarantine;
+    // Limits that upstreams have named to this process, and to any. Optional.
+    std::function<std::vector<limits::NamedLimit>()> limit_findings;
+    std::function<void(const std::vector<limits::NamedLimit>&)> on_limits;
     std::function<TimePoint()> now;
   };
 
@@ -92,12 +96,7 @@
   // The number of processes that serve callers, including this one, and the
   // rank of this one among them. `hosts` is 0 if no control host answered
   // lately.
-  struct CallerPlace {
-    int hosts = 0;
-    int rank = 0;
-
-    bool operator==(const CallerPlace&) const = default;
-  };
+  using CallerPlace = HostRank;
   CallerPlace Place() const;
   // Returns whether the leader asks that the upstream get no new requests.
   bool IsQuiesced(const UpstreamId& upstream) const;
--- a/src/endivecart/gateway/cold_start_limiter.h
+++ b/src/endivecart/gateway/cold_start_limiter.h
@@ -1,8 +1,6 @@
 #ifndef ENDIVECART_GATEWAY_COLD_START_LIMITER_H_
 #define ENDIVECART_GATEWAY_COLD_START_LIMITER_H_
 
-#include <map>
-
 #include "endivecart/base/base.h"
 #include "endivecart/fleet/fleet.h"
 
@@ -24,10 +22,9 @@
                   double requests_per_s,
                   const fleet::FleetFollower::CallerPlace& place,
                   TimePoint now);
-  void Forget(const UpstreamId& upstream) { next_.erase(upstream); }
 
  private:
-  std::map<UpstreamId, TimePoint> next_;  // time of the next permit
+  limits::ShareLimiter shares_;
 };
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -23,6 +23,12 @@
   hooks.on_quarantine = [&gateway](const quarantine::Ruling& ruling) {
     gateway.part_monitor().Apply(ruling, gateway.Now());
   };
+  hooks.limit_findings = [&gateway] {
+    return gateway.limits().Findings(gateway.Now());
+  };
+  hooks.on_limits = [&gateway](const std::vector<limits::NamedLimit>& limits) {
+    gateway.limits().Apply(limits);
+  };
   hooks.on_cache = [&gateway](const wire::CacheUpdate& update) {
     gateway.cache().Apply(update, gateway.Now());
   };
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -88,10 +88,8 @@
 bool Forwarding::AdmitParts() {
   if (shared_parts_.empty())
     return true;
-  const auto place = gateway_.follower_ ? gateway_.follower_->Place()
-                                        : fleet::FleetFollower::CallerPlace();
   const auto admission = gateway_.part_monitor_.Admit(
-      shared_parts_, {place.hosts, place.rank}, gateway_.loop_.Now());
+      shared_parts_, gateway_.Rank(), gateway_.loop_.Now());
   is_trial_ = admission.is_trial;
   if (admission.allowed)
     return true;
@@ -119,7 +117,7 @@
         .Add("service", service_.str())
         .Add("upstreams", upstream_counts_.ToString())
         .Warn();
-    GiveUp("no_upstream");
+    GiveUp(time_to_permit_ ? "limited" : "no_upstream");
   }
 }
 
@@ -265,14 +263,31 @@
   }
 }
 
+bool Forwarding::AcquirePermits(const UpstreamId& id,
+                                bool is_cold,
+                                const routes::Service* service,
+                                const HostRank& rank) {
+  const TimePoint now = gateway_.loop_.Now();
+  const std::string run = gateway_.UpstreamRun(id);
+  if (!gateway_.limits_.TryAcquire(run, now)) {
+    const Millis wait = gateway_.limits_.TimeToNext(run, now);
+    time_to_permit_ = std::min(time_to_permit_.value_or(wait), wait);
+    return false;
+  }
+  return !is_cold ||
+         gateway_.cold_start_limiter_.TryAcquire(
+             id, service ? service->cold_requests_per_s : 0, rank, now);
+}
+
 std::optional<Forwarding::Chosen> Forwarding::ChooseUpstream() {
   auto candidates = FindCandidates(upstream_counts_);
   const routes::Service* service =
       routes_->configuration().FindService(service_);
-  const auto place = gateway_.follower_ ? gateway_.follower_->Place()
-                                        : fleet::FleetFollower::CallerPlace();
-  MarkCapacity(candidates, service, place.hosts);
+  const HostRank rank = gateway_.Rank();
+  MarkCapacity(candidates, service, rank.hosts);
+  gateway_.limits_.SetRank(rank);
   is_full_ = false;
+  time_to_permit_.reset();
   while (!candidates.empty()) {
     const auto choice =
         request_.prompt
@@ -287,9 +302,7 @@
     }
     const UpstreamId id = candidates[choice->index].id;
     const bool is_cold = gateway_.upstreams_.IsCold(id);
-    if (is_cold && !gateway_.cold_start_limiter_.TryAcquire(
-                       id, service ? service->cold_requests_per_s : 0, place,
-                       gateway_.loop_.Now())) {
+    if (!AcquirePermits(id, is_cold, service, rank)) {
       candidates.erase(candidates.begin() +
                        static_cast<std::ptrdiff_t>(choice->index));
       continue;
@@ -300,9 +313,12 @@
     pending_prefill_tokens_ = PromptTokens();
     if (request_.prompt && !choice->home)
       pending_prefill_tokens_ -= SharedTokensOf(*request_.prompt);
-    return Chosen{id, choice->expected_wait_ms,
+    return Chosen{id,
+                  choice->expected_wait_ms,
                   candidates[choice->index].requests,
-                  upstream_counts_.ToString(), is_cold};
+                  upstream_counts_.ToString(),
+                  is_cold,
+                  true};
   }
   return std::nullopt;
 }
@@ -369,6 +385,9 @@
   context.may_have_run = run_state_ == RunState::kMayHaveRun;
   context.is_cold = gateway_.upstreams_.IsCold(chosen.upstream);
   context.has_cold_start_permit = chosen.has_cold_start_permit;
+  context.is_limited =
+      gateway_.limits_.IsLimited(gateway_.UpstreamRun(chosen.upstream));
+  context.has_limit_permit = chosen.has_limit_permit;
   context.is_quarantined = gateway_.part_monitor_.IsQuarantined(shared_parts_);
   context.is_trial = is_trial_;
   return CheckSendInvariants(context);
@@ -502,7 +521,8 @@
     return;
   }
   if (run_state_ == RunState::kNotRun) {
-    Refuse(503, reason, kDefaultRetryAfter);
+    Refuse(503, reason,
+           std::max(kDefaultRetryAfter, time_to_permit_.value_or(Millis(0))));
   } else {
     Refuse(502, reason, std::nullopt);
   }
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -66,7 +66,13 @@
     int requests_there = 0;
     std::string counts;
     bool has_cold_start_permit = false;
+    bool has_limit_permit = false;
   };
+  // Acquires what the rates of a limited or cold upstream require.
+  bool AcquirePermits(const UpstreamId& id,
+                      bool is_cold,
+                      const routes::Service* service,
+                      const HostRank& rank);
   std::optional<Chosen> ChooseUpstream();
   void StartCall(const Chosen& chosen);
   bool SatisfiesInvariants(const Chosen& chosen,
@@ -89,8 +95,6 @@
   void EndNow(const char* reason);
   void OnCallerGone();
 
-  // Identifies the upstream's incarnation.
-  std::string UpstreamRun() const;
   // Records a run that ended with its connection as evidence against the parts
   // of its prompt.
   void RecordBrokenRun();
@@ -141,6 +145,8 @@
   std::optional<RequestQueue::Ticket> ticket_;
   bool is_full_ = false;            // upstreams exist, but none has capacity
   UpstreamCounts upstream_counts_;  // at the last choice
+  // Of the limited upstreams at the last choice; nullopt if there was none.
+  std::optional<Millis> time_to_permit_;
 
   std::set<UpstreamId> tried_;
   bool is_trial_ = false;  // of a quarantined part
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -32,7 +32,7 @@
   head_ = head;
   head_received_ = true;
   if (!shared_parts_.empty())
-    gateway_.part_monitor_.OnAlive(UpstreamRun(), sent_at_);
+    gateway_.part_monitor_.OnAlive(gateway_.UpstreamRun(upstream_), sent_at_);
   if (metadata.weights_version && request_.prompt) {
     gateway_.upstreams_.RecordWeights(upstream_, request_.prompt->model,
                                       *metadata.weights_version);
@@ -41,7 +41,7 @@
     gateway_.upstreams_.RecordServerLoad(upstream_, *metadata.server_load);
   if (metadata.has_bad_server_load)
     gateway_.CountBadServerLoad(upstream_);
-  gateway_.OnRequestLimit(upstream_, metadata);
+  gateway_.OnRequestLimit(upstream_, metadata, sent_at_);
   const bool success = head.status >= 200 && head.status < 300;
   if (success && (!metadata.is_signed || metadata.has_unrequested_encoding)) {
     OnBadAnswer("unsigned_or_coded");
@@ -222,20 +222,15 @@
   OnFailedRun(SendResult::kBroken, reason);
 }
 
-std::string Forwarding::UpstreamRun() const {
-  const auto* upstream = gateway_.upstreams_.Find(upstream_);
-  return upstream_.str() + "/" +
-         std::to_string(upstream ? upstream->last.start_time_ms : 0);
-}
-
 void Forwarding::RecordBrokenRun() {
   const TimePoint now = gateway_.loop_.Now();
   // A part that crashes upstreams does so as soon as they begin to answer.
   const bool was_under_way =
       first_event_of_send_at_ && now - *first_event_of_send_at_ > kTimeToCrash;
   if (!shared_parts_.empty() && !was_under_way) {
-    gateway_.part_monitor_.OnBroken(
-        UpstreamRun(), StableHash(request_.id.str()), shared_parts_, now);
+    gateway_.part_monitor_.OnBroken(gateway_.UpstreamRun(upstream_),
+                                    StableHash(request_.id.str()),
+                                    shared_parts_, now);
   }
 }
 
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -130,29 +130,26 @@
   LogLine("gateway.bad_server_load").Add("upstream", upstream.str()).Warn();
 }
 
+std::string Gateway::UpstreamRun(const UpstreamId& upstream) const {
+  const auto* known = upstreams_.Find(upstream);
+  return upstream.str() + "/" +
+         std::to_string(known ? known->last.start_time_ms : 0);
+}
+
+HostRank Gateway::Rank() const {
+  return follower_ ? follower_->Place() : HostRank();
+}
+
 void Gateway::OnRequestLimit(const UpstreamId& upstream,
-                             const AnswerMetadata& metadata) {
+                             const AnswerMetadata& metadata,
+                             TimePoint sent_at) {
   if (metadata.has_bad_request_limit) {
     metrics_.Add("endivecart_bad_request_limits_total");
     LogLine("gateway.bad_request_limit").Add("upstream", upstream.str()).Warn();
     return;
   }
-  const auto it = request_limits_.find(upstream);
-  if (!metadata.request_limit) {
-    if (it != request_limits_.end()) {
-      LogLine("gateway.request_limit_over")
-          .Add("upstream", upstream.str())
-          .Info();
-      request_limits_.erase(it);
-    }
-  } else if (it == request_limits_.end() ||
-             it->second != *metadata.request_limit) {
-    LogLine("gateway.request_limit")
-        .Add("upstream", upstream.str())
-        .Add("requests_per_s", *metadata.request_limit)
-        .Info();
-    request_limits_[upstream] = *metadata.request_limit;
-  }
+  limits_.OnAnswer(UpstreamRun(upstream), metadata.request_limit, sent_at,
+                   loop_.Now());
 }
 
 void Gateway::Remove(const std::shared_ptr<Forwarding>& forwarding) {
@@ -187,9 +184,9 @@
   metrics_.Set("endivecart_quarantines", "",
                static_cast<double>(part_monitor_.quarantines()));
   upstreams_.Expire();
-  std::erase_if(request_limits_, [this](const auto& entry) {
-    return upstreams_.Find(entry.first) == nullptr;
-  });
+  limits_.Expire(loop_.Now());
+  metrics_.Set("endivecart_limited_upstreams", "",
+               static_cast<double>(limits_.limited()));
   const auto active = active_;  // active_ changes as requests end
   for (const auto& forwarding : active)
     forwarding->FailOverFromSilentUpstream();
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -66,6 +66,7 @@
   UpstreamTracker& upstreams() { return upstreams_; }
   CacheView& cache() { return cache_; }
   quarantine::PartMonitor& part_monitor() { return part_monitor_; }
+  limits::LimitMonitor& limits() { return limits_; }
   const MoveTracker& moves() const { return moves_; }
   bool HasRoutes() const { return routes_ != nullptr; }
   // Number of accepted requests that are not answered yet.
@@ -93,9 +94,13 @@
   std::uint64_t MinWeights(const ModelId& model) const;
   void Remove(const std::shared_ptr<Forwarding>& forwarding);
   void CountBadServerLoad(const UpstreamId& upstream);
-  // Logs changes of the limit that an upstream names, and malformed ones.
+  // Identifies the incarnation of an upstream.
+  std::string UpstreamRun(const UpstreamId& upstream) const;
+  // This host's rank among those that serve callers, as far as known.
+  HostRank Rank() const;
   void OnRequestLimit(const UpstreamId& upstream,
-                      const AnswerMetadata& metadata);
+                      const AnswerMetadata& metadata,
+                      TimePoint sent_at);
   void Admit();
 
   const GatewayOptions options_;
@@ -107,6 +112,7 @@
   CacheView cache_;
   MoveTracker moves_;
   quarantine::PartMonitor part_monitor_;
+  limits::LimitMonitor limits_;
   RetryLimiter retry_limiter_;
   ColdStartLimiter cold_start_limiter_;
   PrefillRateEstimator prefill_rates_;
@@ -121,7 +127,6 @@
   RequestQueue request_queue_;
   std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
   std::optional<TimePoint> bad_server_load_logged_at_;
-  std::map<UpstreamId, double> request_limits_;  // as named last
   std::unique_ptr<TimerSubscription> admit_soon_;
   std::unique_ptr<TimerSubscription> admit_timer_;
 };
--- a/src/endivecart/gateway/send_invariants.cc
+++ b/src/endivecart/gateway/send_invariants.cc
@@ -55,6 +55,8 @@
                           Invariant::kAtMostOnce, id);
   holds &= CheckInvariant(!context.is_cold || context.has_cold_start_permit,
                           Invariant::kUpstreamCapacity, id);
+  holds &= CheckInvariant(!context.is_limited || context.has_limit_permit,
+                          Invariant::kUpstreamCapacity, id);
   holds &= CheckInvariant(!context.is_quarantined || context.is_trial,
                           Invariant::kQuarantinedPartGetsNoWork, id);
   holds &= CheckInvariant(context.request->upstream == context.upstream->id &&
--- a/src/endivecart/gateway/send_invariants.h
+++ b/src/endivecart/gateway/send_invariants.h
@@ -18,6 +18,8 @@
   bool may_have_run = false;           // an earlier send may have been run
   bool is_cold = false;                // the upstream has just started
   bool has_cold_start_permit = false;  // from ColdStartLimiter
+  bool is_limited = false;             // the upstream named a limit
+  bool has_limit_permit = false;       // from LimitMonitor
   bool is_quarantined = false;         // a part of the prompt crashes upstreams
   bool is_trial = false;  // the one request that may be sent anyway
 };
--- a/src/endivecart/gateway/send_invariants_unittest.cc
+++ b/src/endivecart/gateway/send_invariants_unittest.cc
@@ -80,6 +80,13 @@
   BOOST_TEST(CheckSendInvariants(context));
 }
 
+BOOST_AUTO_TEST_CASE(a_limited_upstream_gets_no_request_without_a_permit) {
+  context.is_limited = true;
+  BOOST_TEST(Violates(Invariant::kUpstreamCapacity));
+  context.has_limit_permit = true;
+  BOOST_TEST(CheckSendInvariants(context));
+}
+
 BOOST_AUTO_TEST_CASE(a_quarantined_prompt_is_sent_only_as_a_trial) {
   context.is_quarantined = true;
   BOOST_TEST(Violates(Invariant::kQuarantinedPartGetsNoWork));
--- /dev/null
+++ b/src/endivecart/limits/limit_monitor.cc
@@ -0,0 +1,86 @@
+#include "endivecart/limits/limit_monitor.h"
+
+#include <algorithm>
+
+namespace endivecart::limits {
+
+SharedRate RateOf(double requests_per_s) {
+  // So many first requests at once are about a second's worth.
+  constexpr double kMaxHosts = 1000;
+  return {requests_per_s,
+          1 + static_cast<int>(std::min(requests_per_s, kMaxHosts))};
+}
+
+void LimitMonitor::LogChange(const std::string& upstream_run) const {
+  LogLine line("gateway.request_limit");
+  line.Add("upstream", upstream_run);
+  if (const auto limit = known_.Find(upstream_run)) {
+    line.Add("requests_per_s", *limit)
+        .Add("hosts", rank_.hosts)
+        .Add("rank", rank_.rank);
+  } else {
+    line.Add("requests_per_s", "unlimited");
+  }
+  line.Info();
+}
+
+void LimitMonitor::OnAnswer(const std::string& upstream_run,
+                            std::optional<double> requests_per_s,
+                            TimePoint sent_at,
+                            TimePoint now) {
+  if (!requests_per_s && !known_.Knows(upstream_run))
+    return;
+  if (requests_per_s) {
+    own_.Merge({upstream_run, requests_per_s, now});
+  } else {
+    own_.Merge({upstream_run, std::nullopt, sent_at});
+  }
+  if (known_.Merge(
+          {upstream_run, requests_per_s, requests_per_s ? now : sent_at})) {
+    LogChange(upstream_run);
+  }
+}
+
+void LimitMonitor::Apply(const std::vector<NamedLimit>& limits) {
+  for (const NamedLimit& limit : limits) {
+    if (known_.Merge(limit))
+      LogChange(limit.upstream_run);
+  }
+}
+
+std::vector<NamedLimit> LimitMonitor::Findings(TimePoint now) {
+  Expire(now);
+  return own_.All();
+}
+
+void LimitMonitor::SetRank(const HostRank& rank) {
+  if (rank.hosts > 0)
+    rank_ = rank;
+}
+
+bool LimitMonitor::TryAcquire(const std::string& upstream_run, TimePoint now) {
+  const auto limit = known_.Find(upstream_run);
+  return !limit || shares_.TryAcquire(upstream_run, RateOf(*limit), rank_, now);
+}
+
+Millis LimitMonitor::TimeToNext(const std::string& upstream_run,
+                                TimePoint now) const {
+  const auto limit = known_.Find(upstream_run);
+  return limit ? shares_.TimeToNext(upstream_run, RateOf(*limit), rank_, now)
+               : Millis(0);
+}
+
+void LimitMonitor::Expire(TimePoint now) {
+  own_.Expire(now);
+  known_.Expire(now);
+}
+
+std::size_t LimitMonitor::limited() const {
+  const auto all = known_.All();
+  return static_cast<std::size_t>(
+      std::count_if(all.begin(), all.end(), [](const NamedLimit& limit) {
+        return limit.requests_per_s.has_value();
+      }));
+}
+
+}  // namespace endivecart::limits
--- /dev/null
+++ b/src/endivecart/limits/limit_table.cc
@@ -0,0 +1,60 @@
+#include "endivecart/limits/limit_table.h"
+
+#include <algorithm>
+
+namespace endivecart::limits {
+
+namespace {
+
+Millis MemoryOf(const NamedLimit& limit) {
+  if (!limit.requests_per_s)
+    return LimitTable::kMemory;
+  const double rate =
+      std::max(*limit.requests_per_s, LimitTable::kMinRequestsPerS);
+  return std::max(
+      LimitTable::kMemory,
+      Millis(static_cast<Millis::rep>(1000 / rate) * LimitTable::kIntervals));
+}
+
+}  // namespace
+
+bool LimitTable::Merge(const NamedLimit& limit) {
+  const auto it = limits_.find(limit.upstream_run);
+  if (it != limits_.end()) {
+    if (limit.at <= it->second.at)
+      return false;
+    const bool changed = it->second.requests_per_s != limit.requests_per_s;
+    it->second = limit;
+    return changed;
+  }
+  if (limits_.size() >= kMaxLimits) {
+    limits_.erase(std::min_element(limits_.begin(), limits_.end(),
+                                   [](const auto& a, const auto& b) {
+                                     return a.second.at < b.second.at;
+                                   }));
+  }
+  limits_.emplace(limit.upstream_run, limit);
+  return limit.requests_per_s.has_value();
+}
+
+bool LimitTable::Expire(TimePoint now) {
+  return std::erase_if(limits_, [now](const auto& entry) {
+           return now - entry.second.at > MemoryOf(entry.second);
+         }) > 0;
+}
+
+std::optional<double> LimitTable::Find(const std::string& upstream_run) const {
+  const auto it = limits_.find(upstream_run);
+  if (it == limits_.end() || !it->second.requests_per_s)
+    return std::nullopt;
+  return std::max(*it->second.requests_per_s, kMinRequestsPerS);
+}
+
+std::vector<NamedLimit> LimitTable::All() const {
+  std::vector<NamedLimit> all;
+  for (const auto& [run, limit] : limits_)
+    all.push_back(limit);
+  return all;
+}
+
+}  // namespace endivecart::limits
--- a/src/endivecart/quarantine/part_monitor.h
+++ b/src/endivecart/quarantine/part_monitor.h
@@ -11,14 +11,6 @@
 
 namespace endivecart::quarantine {
 
-// The position of a host among those that serve callers. 0 hosts: unknown.
-struct HostRank {
-  int hosts = 0;
-  int rank = 0;
-
-  bool operator==(const HostRank&) const = default;
-};
-
 // Whether a prompt may be sent.
 struct PartAdmission {
   bool allowed = true;
