Moves: a stream's pauses count against its version, while it runs

Cause: gateways reported only the time to the first event, and only when a stream had ended. The slow version's first events were two to four times later, within the noise of the old one's, but its events seven times further apart; its streams lasted until after the decision, and those that reached the time limit or lost their caller were not rated at all. Class of fault: the slowest outcomes were the ones that were missing.

Change: the mean time between events is rated as soon as eight have come, or when what is known so far is already too slow; so are runs that were given up. Ruled out: missing reports and a late leader (all reports arrived in time).

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -26,6 +26,11 @@
 // A request is queued for at most its remaining time divided by this; the rest
 // is left for running it, or for a retry by the caller.
 constexpr int kMaxWaitDivisor = 3;
+// The mean time between so many events is the speed of a stream.
+constexpr std::size_t kEventsForSpeed = 8;
+// With fewer events in less time, the speed of a running stream is unknown.
+constexpr std::size_t kMinEventsForSpeed = 4;
+constexpr double kMinMillisForSpeed = 1000;
 
 }  // namespace
 
@@ -432,6 +437,8 @@
   head_received_ = false;
   forwards_events_ = false;
   first_event_of_send_at_.reset();
+  events_of_send_ = 0;
+  outcome_recorded_ = false;
   body_.clear();
   splitter_ = EventSplitter();
   requests_there_ = chosen.requests_there;
@@ -485,18 +492,73 @@
   }
 }
 
-void Forwarding::RecordMoveOutcome(SendResult result) {
-  const auto* upstream = gateway_.upstreams_.Find(upstream_);
-  if (upstream == nullptr || result == SendResult::kAbandoned ||
-      result == SendResult::kRefused || result == SendResult::kUnreachable) {
+RunSpeed Forwarding::CurrentSpeed() const {
+  const TimePoint now = gateway_.loop_.Now();
+  RunSpeed speed;
+  speed.first_event_ms =
+      MillisBetween(sent_at_, first_event_of_send_at_.value_or(now));
+  if (!first_event_of_send_at_)
+    return speed;
+  const double elapsed_ms = MillisBetween(*first_event_of_send_at_, now);
+  // A single pause says little.
+  if (call_ && events_of_send_ < kMinEventsForSpeed &&
+      elapsed_ms < kMinMillisForSpeed) {
+    return speed;
+  }
+  if (events_of_send_ > 1) {
+    speed.gap_ms = MillisBetween(*first_event_of_send_at_, last_event_at_) /
+                   static_cast<double>(events_of_send_ - 1);
+  }
+  // A pause that lasts longer than the mean so far raises it.
+  if (call_) {
+    speed.gap_ms = std::max(speed.gap_ms,
+                            elapsed_ms / static_cast<double>(events_of_send_));
+  }
+  return speed;
+}
+
+void Forwarding::RecordSpeedOfRun() {
+  if (!call_ || !IsStream() || outcome_recorded_ ||
+      !gateway_.moves_.IsMoving(service_)) {
     return;
   }
-  const TimePoint until = IsStream() && started_ && first_event_at_ > sent_at_
-                              ? first_event_at_
-                              : gateway_.loop_.Now();
+  if (events_of_send_ >= kEventsForSpeed ||
+      gateway_.moves_.IsSlow(service_, route_.name, CurrentSpeed())) {
+    AddMoveOutcome(false);
+  }
+}
+
+void Forwarding::AddMoveOutcome(bool failed) {
+  const auto* upstream = gateway_.upstreams_.Find(upstream_);
+  if (upstream == nullptr)
+    return;
+  outcome_recorded_ = true;
   gateway_.moves_.Add(service_, upstream->last.software_version, route_.name,
-                      upstream->last.domain, result != SendResult::kAnswered,
-                      MillisBetween(sent_at_, until));
+                      upstream->last.domain, failed, CurrentSpeed());
+}
+
+void Forwarding::RecordMoveOutcome(SendResult result) {
+  switch (result) {
+    case SendResult::kRefused:
+    case SendResult::kUnreachable:
+      return;
+    case SendResult::kAnswered:
+      if (!outcome_recorded_)
+        AddMoveOutcome(false);
+      return;
+    case SendResult::kAbandoned:
+      // What is known so far may already be too slow.
+      if (!outcome_recorded_ &&
+          gateway_.moves_.IsSlow(service_, route_.name, CurrentSpeed())) {
+        AddMoveOutcome(false);
+      }
+      return;
+    case SendResult::kFailed:
+    case SendResult::kBroken:
+    case SendResult::kSilent:
+      AddMoveOutcome(true);
+      return;
+  }
 }
 
 void Forwarding::EndSend(SendResult result) {
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -33,6 +33,9 @@
   // Retries at another upstream if the current one is silent and a retry is
   // allowed.
   void FailOverFromSilentUpstream();
+  // Records the speed of a running request for its version as soon as it is
+  // known: a slow stream may last until its time limit.
+  void RecordSpeedOfRun();
   // Sends a final answer if none has begun.
   void AnswerForShutdown();
   // Tries to send a queued request. Returns whether it was sent.
@@ -102,6 +105,8 @@
   void RecordAnswered();
   // Records the outcome for the software version if the service is being moved.
   void RecordMoveOutcome(SendResult result);
+  void AddMoveOutcome(bool failed);
+  RunSpeed CurrentSpeed() const;
   // Ends the current send.
   void EndSend(SendResult result);
   // Returns whether the request may be sent once more, and if so takes a retry
@@ -161,6 +166,9 @@
   std::uint64_t weights_version_ = 0;
   TimePoint sent_at_;
   std::optional<TimePoint> first_event_of_send_at_;
+  std::size_t events_of_send_ = 0;
+  TimePoint last_event_at_;
+  bool outcome_recorded_ = false;  // for the version of the current send
   std::int64_t pending_prefill_tokens_ = 0;
   int requests_there_ = 0;          // at sending time
   std::optional<UpstreamId> home_;  // likely caches the shared parts
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -86,8 +86,11 @@
 }
 
 void Forwarding::ForwardEvent(const StreamEvent& event) {
+  last_event_at_ = gateway_.loop_.Now();
   if (!first_event_of_send_at_)
-    first_event_of_send_at_ = gateway_.loop_.Now();
+    first_event_of_send_at_ = last_event_at_;
+  ++events_of_send_;
+  RecordSpeedOfRun();
   if (pending_prefill_tokens_ > 0) {
     gateway_.upstreams_.FinishPrefill(upstream_, pending_prefill_tokens_);
     gateway_.prefill_rates_.Add(service_, pending_prefill_tokens_,
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -188,8 +188,10 @@
   metrics_.Set("endivecart_limited_upstreams", "",
                static_cast<double>(limits_.limited()));
   const auto active = active_;  // active_ changes as requests end
-  for (const auto& forwarding : active)
+  for (const auto& forwarding : active) {
+    forwarding->RecordSpeedOfRun();
     forwarding->FailOverFromSilentUpstream();
+  }
 }
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/move_tracker.cc
+++ b/src/endivecart/gateway/move_tracker.cc
@@ -43,24 +43,47 @@
   return choice;
 }
 
+bool MoveTracker::IsMoving(const routes::ServiceId& service) const {
+  const auto it = tracked_moves_.find(service);
+  return it != tracked_moves_.end() &&
+         it->second.move.state == MoveState::kRunning;
+}
+
+bool MoveTracker::IsSlow(const routes::ServiceId& service,
+                         const std::string& route,
+                         const RunSpeed& speed) const {
+  if (!IsMoving(service))
+    return false;
+  const TrackedMove& tracked = tracked_moves_.at(service);
+  const auto baseline = tracked.baseline_ms.find(route);
+  if (baseline == tracked.baseline_ms.end())
+    return false;
+  moves::VersionOutcome outcome;
+  outcome.route = route;
+  outcome.first_token_ratio =
+      speed.first_event_ms / std::max(baseline->second, 1.0);
+  outcome.gap_ms = speed.gap_ms;
+  return tracked.judge.IsSlow(outcome);
+}
+
 void MoveTracker::Add(const routes::ServiceId& service,
                       const VersionId& version,
                       const std::string& route,
                       const DomainId& domain,
                       bool failed,
-                      double latency_ms) {
-  const auto it = tracked_moves_.find(service);
-  if (it == tracked_moves_.end() ||
-      it->second.move.state != MoveState::kRunning)
+                      const RunSpeed& speed) {
+  if (!IsMoving(service))
     return;
-  TrackedMove& tracked = it->second;
+  TrackedMove& tracked = tracked_moves_.at(service);
   const auto [baseline, is_first] =
-      tracked.baseline_ms.try_emplace(route, latency_ms);
+      tracked.baseline_ms.try_emplace(route, speed.first_event_ms);
   moves::VersionOutcome outcome;
   outcome.route = route;
   outcome.domain = domain;
   outcome.failed = failed;
-  outcome.first_token_ratio = latency_ms / std::max(baseline->second, 1.0);
+  outcome.first_token_ratio =
+      speed.first_event_ms / std::max(baseline->second, 1.0);
+  outcome.gap_ms = speed.gap_ms;
   if (version == tracked.move.target) {
     // Without a baseline the latency cannot be compared.
     if (is_first) {
@@ -70,7 +93,8 @@
     tracked.judge.AddCandidate(outcome);
     return;
   }
-  baseline->second += (latency_ms - baseline->second) * kBaselineWeight;
+  baseline->second +=
+      (speed.first_event_ms - baseline->second) * kBaselineWeight;
   tracked.judge.AddBaseline(outcome);
 }
 
--- a/src/endivecart/gateway/move_tracker.h
+++ b/src/endivecart/gateway/move_tracker.h
@@ -18,6 +18,14 @@
   bool operator==(const VersionChoice&) const = default;
 };
 
+// The speed of one run at an upstream. While it runs, these are lower bounds.
+struct RunSpeed {
+  double first_event_ms = 0;  // from the send to the answer or first event
+  double gap_ms = 0;          // mean time between the events since
+
+  bool operator==(const RunSpeed&) const = default;
+};
+
 // Tracks the moves of services to new versions on one host: selects the
 // requests that go to the new version, and counts their outcomes.
 class MoveTracker {
@@ -28,14 +36,18 @@
   VersionChoice Choose(const routes::ServiceId& service,
                        double draw,
                        TimePoint now) const;
+  bool IsMoving(const routes::ServiceId& service) const;
   // Records the outcome of one request at an upstream of `version`.
-  // `latency_ms` is the time to its answer or first event.
   void Add(const routes::ServiceId& service,
            const VersionId& version,
            const std::string& route,
            const DomainId& domain,
            bool failed,
-           double latency_ms);
+           const RunSpeed& speed);
+  // Returns whether the new version's run would count as slow.
+  bool IsSlow(const routes::ServiceId& service,
+              const std::string& route,
+              const RunSpeed& speed) const;
   std::vector<wire::ServiceMoveReport> Reports() const;
 
  private:
--- a/src/endivecart/gateway/move_unittest.cc
+++ b/src/endivecart/gateway/move_unittest.cc
@@ -52,10 +52,10 @@
 }
 
 // Simulates six hosts during a move. One in `bad_of` answers of the new version
-// fails; if `slow`, all its answers take four times as long. Returns how the
-// leader ends the move, and after how many milliseconds.
+// fails; all others have this speed (of the old version: 30 ms each). Returns
+// how the leader ends the move, and after how many milliseconds.
 std::pair<std::vector<fleet::MoveEnd>, int> RunMove(int bad_of,
-                                                    bool slow = false) {
+                                                    RunSpeed speed = {30, 30}) {
   fleet::MoveCoordinator conductor;
   const auto decisions = MovingFor(10000);
   std::vector<MoveTracker> hosts(6);
@@ -65,9 +65,9 @@
   for (int ms = 0; ms < 10000; ms += 10) {
     MoveTracker& host = hosts[static_cast<std::size_t>(ms / 10 % 6)];
     for (int i = 0; i < 9; ++i)
-      host.Add(kService, kOld, "r", DomainId("a"), false, 30);
+      host.Add(kService, kOld, "r", DomainId("a"), false, {30, 30});
     const bool bad = bad_of > 0 && ++sent % bad_of == 0;
-    host.Add(kService, kNew, "r", DomainId("a"), bad, slow ? 120 : 30);
+    host.Add(kService, kNew, "r", DomainId("a"), bad, speed);
     for (std::size_t h = 0; ms % 250 == 0 && h < hosts.size(); ++h) {
       for (const auto& report : hosts[h].Reports())
         conductor.OnReport(HostId("h" + std::to_string(h)), report);
@@ -95,12 +95,31 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_version_that_is_several_times_slower_is_rolled_back) {
-  const auto [ends, at] = RunMove(0, true);
+  const auto [ends, at] = RunMove(0, {120, 30});
   BOOST_REQUIRE(ends.size() == 1u);
   BOOST_TEST(!ends[0].completed);
   BOOST_TEST(at < 5000);
 }
 
+BOOST_AUTO_TEST_CASE(a_version_with_long_pauses_is_rolled_back) {
+  const auto [ends, at] = RunMove(0, {30, 120});
+  BOOST_REQUIRE(ends.size() == 1u);
+  BOOST_TEST(!ends[0].completed);
+  BOOST_TEST(at < 5000);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_counts_as_slow_only_against_a_known_speed) {
+  MoveTracker tracker;
+  BOOST_TEST(!tracker.IsSlow(kService, "r", {1000, 1000}));
+  tracker.SetDecisions(MovingFor(10000), At(0));
+  BOOST_TEST(!tracker.IsSlow(kService, "r", {1000, 1000}));
+  for (int i = 0; i < 30; ++i)
+    tracker.Add(kService, kOld, "r", DomainId("a"), false, {30, 30});
+  BOOST_TEST(tracker.IsSlow(kService, "r", {1000, 0}));
+  BOOST_TEST(tracker.IsSlow(kService, "r", {0, 1000}));
+  BOOST_TEST(!tracker.IsSlow(kService, "r", {30, 30}));
+}
+
 BOOST_AUTO_TEST_CASE(reports_of_an_earlier_move_are_ignored) {
   fleet::MoveCoordinator conductor;
   conductor.NextEnds(MovingFor(10000), At(0));
--- a/src/endivecart/moves/version_judge.cc
+++ b/src/endivecart/moves/version_judge.cc
@@ -65,8 +65,12 @@
     recent_.pop_front();
 }
 
+bool RouteBaseline::HasEnough() const {
+  return recent_.size() >= kMinBaselineOutcomes;
+}
+
 double RouteBaseline::FirstTokenLimit() const {
-  if (recent_.size() < kMinBaselineOutcomes)
+  if (!HasEnough())
     return kDefaultFirstTokenLimit;
   std::vector<double> ratios;
   ratios.reserve(recent_.size());
@@ -77,7 +81,7 @@
 }
 
 double RouteBaseline::GapLimit() const {
-  if (recent_.size() < kMinBaselineOutcomes)
+  if (!HasEnough())
     return kDefaultGapLimitMillis;
   std::vector<double> gaps;
   gaps.reserve(recent_.size());
@@ -87,7 +91,7 @@
 }
 
 double RouteBaseline::FailureRate() const {
-  if (recent_.size() < kMinBaselineOutcomes)
+  if (!HasEnough())
     return 0;
   const auto failed =
       std::count_if(recent_.begin(), recent_.end(),
@@ -133,6 +137,13 @@
   }
 }
 
+bool VersionJudge::IsSlow(const VersionOutcome& outcome) const {
+  const auto it = baselines_.find(outcome.route);
+  return it != baselines_.end() && it->second.HasEnough() &&
+         (outcome.first_token_ratio > it->second.FirstTokenLimit() ||
+          outcome.gap_ms > it->second.GapLimit());
+}
+
 void VersionJudge::AddBaseline(const VersionOutcome& outcome) {
   baselines_[outcome.route].Add(outcome);
 }
--- a/src/endivecart/moves/version_judge.h
+++ b/src/endivecart/moves/version_judge.h
@@ -32,6 +32,7 @@
   double FirstTokenLimit() const;
   // Returns the same for the longest gap between tokens, in ms.
   double GapLimit() const;
+  bool HasEnough() const;
   // Returns the fraction of failed requests, or 0 if there are too few
   // outcomes.
   double FailureRate() const;
@@ -88,6 +89,9 @@
  public:
   void AddBaseline(const VersionOutcome& outcome);
   void AddCandidate(const VersionOutcome& outcome);
+  // Returns whether an outcome of the new version would count as slow. False
+  // while the promoted version has too few outcomes on the route.
+  bool IsSlow(const VersionOutcome& outcome) const;
 
   // Returns the fault found; empty if none.
   const std::string& verdict() const { return verdict_; }
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -107,10 +107,19 @@
       loop.Every(Millis(500), [&host](TimePoint) { host.gateway->Tick(); }));
 }
 
-GatewayFleet::Upstream& GatewayFleet::StartUpstream() {
+void GatewayFleet::SetDecisions(const fleet::Decisions& decisions) {
+  for (const auto& host : hosts_) {
+    host->gateway->SetDecisions(
+        std::make_shared<const fleet::Decisions>(decisions), nullptr);
+  }
+}
+
+GatewayFleet::Upstream& GatewayFleet::StartUpstream(
+    const std::string& version) {
   upstreams.push_back(std::make_unique<Upstream>(loop));
   Upstream& upstream = *upstreams.back();
   upstream.id = UpstreamId("u" + std::to_string(++started_upstreams_));
+  upstream.version = version;
   upstream.server.on_bytes = [this,
                               &upstream](RawUpstream::Connection& connection) {
     if (!connection.received.ends_with("\r\n\r\n"))
@@ -128,6 +137,7 @@
   announcement.address = upstream.server.address();
   announcement.domain = DomainId("a");
   announcement.slots = 64;
+  announcement.software_version = VersionId(version);
   announcement.state = upstreams::UpstreamState::kReady;
   registry_.Apply(announcement, loop.Now(), loop.Now());
   feed_.RequestPush();
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -22,6 +22,7 @@
     explicit Upstream(endivecart::net::EventLoop& loop) : server(loop) {}
 
     endivecart::UpstreamId id;
+    std::string version;
     RawUpstream server;
     bool ended = false;
     std::vector<std::string> requests;  // as received
@@ -32,7 +33,12 @@
   GatewayFleet(int hosts, int upstreams);
 
   // Starts another upstream and announces it.
-  Upstream& StartUpstream();
+  Upstream& StartUpstream(const std::string& version = "v1");
+  // Sets the decisions in force on all hosts.
+  void SetDecisions(const endivecart::fleet::Decisions& decisions);
+  endivecart::gateway::Gateway& gateway(std::size_t host) {
+    return *hosts_.at(host)->gateway;
+  }
   // Ends an upstream as a crash does: it closes all connections, refuses
   // others and says nothing.
   static void Crash(Upstream& upstream);
