Promises: sound parts, streams that are broken off; three tests without length

New tests: a stream without length or chunks ends with its connection, is broken if cut inside an event, and is resumed where the route allows it.

--- a/src/endivecart/base/invariant.cc
+++ b/src/endivecart/base/invariant.cc
@@ -25,6 +25,7 @@
     "leaving_gets_no_work",
     "graceful_stop",
     "configuration_monotone",
+    "sound_part_not_withheld",
     "quarantined_part_gets_no_work"};
 
 void LogViolation(Invariant invariant, std::string_view detail) {
--- a/src/endivecart/base/invariant.h
+++ b/src/endivecart/base/invariant.h
@@ -22,7 +22,8 @@
   kAtMostOnce,           // a non-idempotent request runs at most once
   kLeavingGetsNoWork,    // a leaving upstream gets no new requests
   kGracefulStop,         // a planned stop aborts no request
-  kConfigurationMonotone,      // an accepted configuration is never reverted
+  kConfigurationMonotone,  // an accepted configuration is never reverted
+  kSoundPartNotWithheld,   // a part that was answered since is not quarantined
   kQuarantinedPartGetsNoWork,  // no prompt with a quarantined part is sent
   kCount,
 };
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -506,6 +506,45 @@
   BOOST_TEST(!received.ends_with("0\r\n\r\n"));
 }
 
+constexpr char kUnframedHead[] =
+    "HTTP/1.1 200 OK\r\nSigned: s\r\nId: 1\r\nConnection: close\r\n\r\n";
+
+BOOST_AUTO_TEST_CASE(a_stream_without_length_ends_with_its_connection) {
+  answer = [](auto& connection, auto) {
+    Reply(connection, kUnframedHead + std::string("id: 1\ndata: a\n\n"));
+    connection.socket.close();
+  };
+  const std::string received = Send("/stream/");
+  BOOST_TEST(received.find("data: a") != std::string::npos);
+  BOOST_TEST(received.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_length_cut_inside_an_event_is_broken) {
+  answer = [](auto& connection, auto) {
+    Reply(connection,
+          kUnframedHead + std::string("id: 1\ndata: a\n\nid: 2\nda"));
+    connection.socket.close();
+  };
+  const std::string received = Send("/stream/");
+  BOOST_TEST(received.find("data: a") != std::string::npos);
+  BOOST_TEST(received.find("id: 2") == std::string::npos);
+  BOOST_TEST(!received.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(a_resumable_stream_without_length_is_resumed_if_cut) {
+  answer = [](auto& connection, std::size_t number) {
+    Reply(connection,
+          kUnframedHead + std::string(number == 1 ? "id: 1\ndata: a\n\nid: 2\n"
+                                                  : "id: 2\ndata: b\n\n"));
+    connection.socket.close();
+  };
+  const std::string received = Send("/resumable/");
+  BOOST_TEST(received.find("data: b") != std::string::npos);
+  BOOST_TEST(received.ends_with("0\r\n\r\n"));
+  BOOST_REQUIRE(requests.size() == 2u);
+  BOOST_TEST(requests[1].find("Last-Event: 1") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/quarantine/part_monitor.cc
+++ b/src/endivecart/quarantine/part_monitor.cc
@@ -60,6 +60,13 @@
   Quarantine* const quarantine = list_.Find(parts);
   if (quarantine == nullptr)
     return {};
+  PartList unanswered = quarantine->parts;
+  sound_.RemoveAnsweredAfter(quarantine->since, unanswered);
+  if (!CheckInvariant(!unanswered.empty(), Invariant::kSoundPartNotWithheld,
+                      Joined(quarantine->parts))) {
+    list_.Release(sound_, now);
+    return {};
+  }
   quarantine->asked_at = now;
   const TimePoint trial_at =
       quarantine->since + TrialPause(quarantine->failed_trials);
