Quarantine: a second crashing part is found while the first one's evidence lasts

Found by reading the change again. The part with the most crashes was judged first; if it was already quarantined, judging stopped, so another part had to exceed its number of crashes while those were remembered (a minute). Known parts are now left out in turn.

--- a/src/endivecart/quarantine/part_judge.cc
+++ b/src/endivecart/quarantine/part_judge.cc
@@ -40,17 +40,16 @@
     sound_.Add(sound.part, sound.at);
   for (const Quarantine& quarantine : findings.quarantines) {
     RememberReleased(quarantine, now);
-    has_new_findings_ |= list_.Merge(quarantine, sound_);
+    has_new_quarantine_ |= list_.Merge(quarantine, sound_);
   }
   if (findings.runs.empty()) {
-    has_new_findings_ |= runs_.erase(host) > 0 || !findings.sound.empty();
+    runs_.erase(host);
     return;
   }
   std::vector<BrokenRun>& runs = runs_[host];
   runs = findings.runs;
   if (runs.size() > PartMonitor::kMaxRuns)
     runs.resize(PartMonitor::kMaxRuns);
-  has_new_findings_ = true;
   ExpireRuns(now);
 }
 
@@ -118,10 +117,16 @@
 }
 
 PartList PartJudge::Convict(const std::map<std::string, Evidence>& evidence) {
+  // A request that was sent again after each crash may be unlucky.
+  const auto is_repeated = [](const Evidence& e) {
+    return e.requests.size() >= 2;
+  };
   const Evidence* most = nullptr;
   for (const auto& [part, against] : evidence) {
-    if (most == nullptr || against.crashes.size() > most->crashes.size())
+    if (is_repeated(against) &&
+        (most == nullptr || against.crashes.size() > most->crashes.size())) {
       most = &against;
+    }
   }
   if (most == nullptr || most->crashes.size() < kCrashes)
     return {};
@@ -131,15 +136,13 @@
   const Evidence* core = most;
   for (const auto& [part, against] : evidence) {
     if (static_cast<double>(against.crashes.size()) >= enough &&
-        against.requests.size() >= 2 && core->Covers(against))
+        is_repeated(against) && core->Covers(against))
       core = &against;
   }
-  if (core->requests.size() < 2)
-    return {};
   PartList parts;
   for (const auto& [part, against] : evidence) {
     const bool is_covering = against.Covers(*core);
-    if (!is_covering && against.requests.size() >= 2 &&
+    if (!is_covering && is_repeated(against) &&
         against.crashes.size() >= most->crashes.size())
       return {};  // as likely; the next crash will tell
     if (is_covering && parts.size() < kMaxTogether)
@@ -170,9 +173,11 @@
 }
 
 bool PartJudge::Judge(TimePoint now) {
-  bool tell = std::exchange(has_new_findings_, false);
-  if (!tell && runs_.empty() && list_.all().empty())
+  const bool is_idle = runs_.empty() && list_.all().empty() &&
+                       questioned_since_.empty() && released_at_.empty();
+  if (is_idle || (judged_at_ && now - *judged_at_ < kInterval))
     return false;
+  judged_at_ = now;
   ExpireRuns(now);
   sound_.Expire(now);
   for (const Quarantine& quarantine : list_.all())
@@ -180,26 +185,39 @@
   std::erase_if(released_at_, [&](const auto& entry) {
     return now - entry.second > kReleaseMemory;
   });
-  tell = list_.Release(sound_, now);
+  bool tell = list_.Release(sound_, now);
+  tell |= std::exchange(has_new_quarantine_, false);
   tell |= UpdateQuestions(Collect(now, now), now);
   auto evidence = Collect(now - kReportTime, now);
-  while (true) {
+  for (std::size_t i = 0; i < QuarantineList::kMaxQuarantines; ++i) {
     const PartList parts = Convict(evidence);
-    if (parts.empty() || list_.Withholds(parts) || !WereQuestioned(parts, now))
+    if (parts.empty())
+      break;
+    const bool is_known = list_.Withholds(parts);
+    if (!is_known && !WereQuestioned(parts, now))
       break;
-    const Evidence& against = evidence.at(parts.front());
-    LogLine("quarantine.declared")
-        .Add("parts", Joined(parts))
-        .Add("crashes", std::uint64_t{against.crashes.size()})
-        .Add("requests", std::uint64_t{against.requests.size()})
-        .Warn();
-    list_.Merge({parts, now, 0, now}, sound_);
-    tell = true;
-    evidence = Collect(now - kReportTime, now);
+    if (!is_known) {
+      Declare(parts, evidence.at(parts.front()), now);
+      tell = true;
+      evidence = Collect(now - kReportTime, now);
+    }
+    for (const std::string& part : parts)
+      evidence.erase(part);
   }
   return tell;
 }
 
+void PartJudge::Declare(const PartList& parts,
+                        const Evidence& evidence,
+                        TimePoint now) {
+  LogLine("quarantine.declared")
+      .Add("parts", Joined(parts))
+      .Add("crashes", std::uint64_t{evidence.crashes.size()})
+      .Add("requests", std::uint64_t{evidence.requests.size()})
+      .Warn();
+  list_.Merge({parts, now, 0, now}, sound_);
+}
+
 Ruling PartJudge::CurrentRuling() const {
   Ruling ruling;
   ruling.quarantines = list_.all();
--- a/src/endivecart/quarantine/part_judge.h
+++ b/src/endivecart/quarantine/part_judge.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,14 +35,15 @@
   static constexpr Millis kQuestionTime{700};
   // Crashes are judged after this time, when all hosts have reported theirs.
   static constexpr Millis kReportTime{400};
+  static constexpr Millis kInterval{200};
   static constexpr std::size_t kMaxRuns = 4096;
   static constexpr std::size_t kMaxQuestioned = 256;
 
   void OnReport(const HostId& host,
                 const HostFindings& findings,
                 TimePoint now);
-  // Judges what was reported since the last call. Returns whether hosts should
-  // be told at once.
+  // Judges what was reported, at intervals of kInterval. Returns whether hosts
+  // should be told at once.
   bool Judge(TimePoint now);
   // Returns what to tell the hosts.
   Ruling CurrentRuling() const;
@@ -69,16 +71,18 @@
                        TimePoint now);
   bool WereQuestioned(const PartList& parts, TimePoint now) const;
 
-  std::map<HostId, std::vector<BrokenRun>> runs_;
+  void Declare(const PartList& parts, const Evidence& evidence, TimePoint now);
   // Remembers parts that were answered since a quarantine began, since hosts
   // may still hold it.
   void RememberReleased(const Quarantine& quarantine, TimePoint now);
 
+  std::map<HostId, std::vector<BrokenRun>> runs_;
   SoundParts sound_;
   QuarantineList list_;
   std::map<std::string, TimePoint> questioned_since_;
   std::map<std::string, TimePoint> released_at_;
-  bool has_new_findings_ = false;
+  std::optional<TimePoint> judged_at_;
+  bool has_new_quarantine_ = false;  // from a host
 };
 
 }  // namespace endivecart::quarantine
--- a/src/endivecart/quarantine/quarantine_unittest.cc
+++ b/src/endivecart/quarantine/quarantine_unittest.cc
@@ -23,7 +23,11 @@
       : hosts(host_count), in_touch(host_count, true), judges(judge_count) {}
 
   // Sends a prompt from a random host in touch. Returns whether it was sent.
-  bool Send(PartList parts, bool breaks, const std::string& upstream) {
+  // `request` identifies it; 0: a new one.
+  bool Send(PartList parts,
+            bool breaks,
+            const std::string& upstream,
+            std::uint64_t request = 0) {
     std::size_t host = random_() % hosts.size();
     while (!in_touch[host])
       host = random_() % hosts.size();
@@ -32,7 +36,8 @@
     const HostRank rank{static_cast<int>(hosts.size()), static_cast<int>(host)};
     if (!hosts[host].Admit(parts, rank, now).allowed)
       return false;
-    runs_.push_back({host, requests_, parts, now + kRunTime, breaks, upstream});
+    runs_.push_back({host, request == 0 ? requests_ : request, parts,
+                     now + kRunTime, breaks, upstream});
     return true;
   }
   void SendSound() {
@@ -40,10 +45,11 @@
     refused_sound += Send({Name("s")}, false, "sound") ? 0 : 1;
   }
   // Returns whether it was sent.
-  bool SendBad() {
+  bool SendBad(const std::string& bad = "bad") {
     ++requests_;
     const std::string upstream = Name("u");
-    if (!Send({"bad", Name("o")}, true, upstream))
+    last_upstream = upstream;
+    if (!Send({bad, Name("o")}, true, upstream))
       return false;
     bad_sent_at.push_back(now);
     for (int i = 0; i < 3; ++i) {
@@ -98,6 +104,7 @@
   std::vector<PartJudge> judges;
   std::vector<TimePoint> bad_sent_at;
   int refused_sound = 0;
+  std::string last_upstream;  // that a bad prompt crashed
 
  private:
   struct Prompt {
@@ -150,6 +157,41 @@
   BOOST_TEST(fleet.refused_sound == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_second_crashing_part_is_withheld_in_time) {
+  SimulatedFleet fleet(70);
+  fleet.Run(Millis(500));
+  fleet.Run(Millis(2000), Millis(60));
+  BOOST_REQUIRE_GE(fleet.bad_sent_at.size(), 10u);
+  fleet.bad_sent_at.clear();
+  for (int i = 0; i < 600; ++i) {
+    fleet.SendSound();
+    if (i % 30 == 0)
+      fleet.SendBad("worse");
+    fleet.Step();
+  }
+  BOOST_REQUIRE(!fleet.bad_sent_at.empty());
+  const std::size_t known = std::min<std::size_t>(fleet.bad_sent_at.size(), 5);
+  const TimePoint last_crash = fleet.bad_sent_at[known - 1] + kRunTime;
+  BOOST_TEST(fleet.BadSentAfter(last_crash + kContactWindow) == 0);
+  BOOST_TEST(fleet.HostsWithQuarantine({"bad"}) == 70u);
+  BOOST_TEST(fleet.HostsWithQuarantine({"worse"}) == 70u);
+  BOOST_TEST(fleet.refused_sound == 0);
+}
+
+BOOST_AUTO_TEST_CASE(one_request_that_is_unlucky_hides_no_crashing_part) {
+  SimulatedFleet fleet(6);
+  fleet.Run(Millis(500));
+  for (int i = 0; i < 300; ++i) {
+    fleet.SendSound();
+    // The same request, sent again after each crash.
+    if (i % 10 == 0 && fleet.SendBad())
+      fleet.Send({"unlucky"}, true, fleet.last_upstream, 1);
+    fleet.Step();
+  }
+  BOOST_TEST(fleet.HostsWithQuarantine({"bad"}) == 6u);
+  BOOST_TEST(fleet.HostsWithQuarantine({"unlucky"}) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(all_parts_of_unknown_prompts_are_withheld_only_together) {
   // No host has seen any prompt answered, so "common" is as likely as "bad".
   SimulatedFleet fleet(6);
