--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -26,11 +26,6 @@
 // A request is queued for at most its remaining time divided by this; the rest
 // is left for running it, or for a retry by the caller.
 constexpr int kMaxWaitDivisor = 3;
-// The mean time between so many events is the speed of a stream.
-constexpr std::size_t kEventsForSpeed = 8;
-// With fewer events in less time, the speed of a running stream is unknown.
-constexpr std::size_t kMinEventsForSpeed = 4;
-constexpr double kMinMillisForSpeed = 1000;
 
 }  // namespace
 
@@ -90,23 +85,6 @@
          (IsStream() && route_.resumable);
 }
 
-bool Forwarding::AdmitParts() {
-  if (shared_parts_.empty())
-    return true;
-  const auto admission = gateway_.part_monitor_.Admit(
-      shared_parts_, gateway_.Rank(), gateway_.loop_.Now());
-  is_trial_ = admission.is_trial;
-  if (admission.allowed)
-    return true;
-  gateway_.metrics_.Add("endivecart_quarantined_requests_total");
-  if (started_ || run_state_ != RunState::kNotRun) {
-    GiveUp("quarantined_part");
-  } else {
-    Refuse(503, "quarantined_part", admission.retry_after);
-  }
-  return false;
-}
-
 void Forwarding::Send() {
   if (!AdmitParts())
     return;
@@ -268,22 +246,6 @@
   }
 }
 
-bool Forwarding::AcquirePermits(const UpstreamId& id,
-                                bool is_cold,
-                                const routes::Service* service,
-                                const HostRank& rank) {
-  const TimePoint now = gateway_.loop_.Now();
-  const std::string run = gateway_.UpstreamRun(id);
-  if (!gateway_.limits_.TryAcquire(run, now)) {
-    const Millis wait = gateway_.limits_.TimeToNext(run, now);
-    time_to_permit_ = std::min(time_to_permit_.value_or(wait), wait);
-    return false;
-  }
-  return !is_cold ||
-         gateway_.cold_start_limiter_.TryAcquire(
-             id, service ? service->cold_requests_per_s : 0, rank, now);
-}
-
 std::optional<Forwarding::Chosen> Forwarding::ChooseUpstream() {
   auto candidates = FindCandidates(upstream_counts_);
   const routes::Service* service =
@@ -492,75 +454,6 @@
   }
 }
 
-RunSpeed Forwarding::CurrentSpeed() const {
-  const TimePoint now = gateway_.loop_.Now();
-  RunSpeed speed;
-  speed.first_event_ms =
-      MillisBetween(sent_at_, first_event_of_send_at_.value_or(now));
-  if (!first_event_of_send_at_)
-    return speed;
-  const double elapsed_ms = MillisBetween(*first_event_of_send_at_, now);
-  // A single pause says little.
-  if (call_ && events_of_send_ < kMinEventsForSpeed &&
-      elapsed_ms < kMinMillisForSpeed) {
-    return speed;
-  }
-  if (events_of_send_ > 1) {
-    speed.gap_ms = MillisBetween(*first_event_of_send_at_, last_event_at_) /
-                   static_cast<double>(events_of_send_ - 1);
-  }
-  // A pause that lasts longer than the mean so far raises it.
-  if (call_) {
-    speed.gap_ms = std::max(speed.gap_ms,
-                            elapsed_ms / static_cast<double>(events_of_send_));
-  }
-  return speed;
-}
-
-void Forwarding::RecordSpeedOfRun() {
-  if (!call_ || !IsStream() || outcome_recorded_ ||
-      !gateway_.moves_.IsMoving(service_)) {
-    return;
-  }
-  if (events_of_send_ >= kEventsForSpeed ||
-      gateway_.moves_.IsSlow(service_, route_.name, CurrentSpeed())) {
-    AddMoveOutcome(false);
-  }
-}
-
-void Forwarding::AddMoveOutcome(bool failed) {
-  const auto* upstream = gateway_.upstreams_.Find(upstream_);
-  if (upstream == nullptr)
-    return;
-  outcome_recorded_ = true;
-  gateway_.moves_.Add(service_, upstream->last.software_version, route_.name,
-                      upstream->last.domain, failed, CurrentSpeed());
-}
-
-void Forwarding::RecordMoveOutcome(SendResult result) {
-  switch (result) {
-    case SendResult::kRefused:
-    case SendResult::kUnreachable:
-      return;
-    case SendResult::kAnswered:
-      if (!outcome_recorded_)
-        AddMoveOutcome(false);
-      return;
-    case SendResult::kAbandoned:
-      // What is known so far may already be too slow.
-      if (!outcome_recorded_ &&
-          gateway_.moves_.IsSlow(service_, route_.name, CurrentSpeed())) {
-        AddMoveOutcome(false);
-      }
-      return;
-    case SendResult::kFailed:
-    case SendResult::kBroken:
-    case SendResult::kSilent:
-      AddMoveOutcome(true);
-      return;
-  }
-}
-
 void Forwarding::EndSend(SendResult result) {
   call_.reset();
   if (upstream_.empty())
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -17,8 +17,6 @@
 // With more unsent bytes, reading from the upstream pauses until the caller has
 // received them.
 constexpr std::size_t kMaxUnsentBytes = 256UL << 10;
-// An answer that has been arriving for longer did not crash its upstream.
-constexpr Millis kTimeToCrash{1000};
 
 }  // namespace
 
@@ -225,27 +223,6 @@
   OnFailedRun(SendResult::kBroken, reason);
 }
 
-void Forwarding::RecordBrokenRun() {
-  const TimePoint now = gateway_.loop_.Now();
-  // A part that crashes upstreams does so as soon as they begin to answer.
-  const bool was_under_way =
-      first_event_of_send_at_ && now - *first_event_of_send_at_ > kTimeToCrash;
-  if (!shared_parts_.empty() && !was_under_way) {
-    gateway_.part_monitor_.OnBroken(gateway_.UpstreamRun(upstream_),
-                                    StableHash(request_.id.str()),
-                                    shared_parts_, now);
-  }
-}
-
-void Forwarding::RecordAnswered() {
-  // Without framing, the end of a crashed upstream may look like the end of the
-  // answer.
-  const bool has_framing = head_.fields.Has("Content-Length") ||
-                           head_.fields.Has("Transfer-Encoding");
-  if (has_framing)
-    gateway_.part_monitor_.OnAnswered(shared_parts_, gateway_.loop_.Now());
-}
-
 void Forwarding::OnFailedRun(SendResult result, const char* reason) {
   run_state_ = RunState::kMayHaveRun;
   ++runs_;
--- /dev/null
+++ b/src/endivecart/gateway/forwarding_permits.cc
@@ -0,0 +1,71 @@
+// Whether and where a request may be sent: quarantined parts, limits of
+// upstreams, and the evidence for a quarantine.
+
+#include <algorithm>
+
+#include "endivecart/gateway/forwarding.h"
+
+namespace endivecart::gateway {
+
+namespace {
+
+// An answer that has been arriving for longer did not crash its upstream.
+constexpr Millis kTimeToCrash{1000};
+
+}  // namespace
+
+bool Forwarding::AdmitParts() {
+  if (shared_parts_.empty())
+    return true;
+  const auto admission = gateway_.part_monitor_.Admit(
+      shared_parts_, gateway_.Rank(), gateway_.loop_.Now());
+  is_trial_ = admission.is_trial;
+  if (admission.allowed)
+    return true;
+  gateway_.metrics_.Add("endivecart_quarantined_requests_total");
+  if (started_ || run_state_ != RunState::kNotRun) {
+    GiveUp("quarantined_part");
+  } else {
+    Refuse(503, "quarantined_part", admission.retry_after);
+  }
+  return false;
+}
+
+bool Forwarding::AcquirePermits(const UpstreamId& id,
+                                bool is_cold,
+                                const routes::Service* service,
+                                const HostRank& rank) {
+  const TimePoint now = gateway_.loop_.Now();
+  const std::string run = gateway_.UpstreamRun(id);
+  if (!gateway_.limits_.TryAcquire(run, now)) {
+    const Millis wait = gateway_.limits_.TimeToNext(run, now);
+    time_to_permit_ = std::min(time_to_permit_.value_or(wait), wait);
+    return false;
+  }
+  return !is_cold ||
+         gateway_.cold_start_limiter_.TryAcquire(
+             id, service ? service->cold_requests_per_s : 0, rank, now);
+}
+
+void Forwarding::RecordBrokenRun() {
+  const TimePoint now = gateway_.loop_.Now();
+  // A part that crashes upstreams does so as soon as they begin to answer.
+  const bool was_under_way =
+      first_event_of_send_at_ && now - *first_event_of_send_at_ > kTimeToCrash;
+  if (!shared_parts_.empty() && !was_under_way) {
+    gateway_.part_monitor_.OnBroken(gateway_.UpstreamRun(upstream_),
+                                    StableHash(request_.id.str()),
+                                    shared_parts_, now);
+  }
+}
+
+void Forwarding::RecordAnswered() {
+  // Without framing, the end of a crashed upstream may look like the end of the
+  // answer.
+  const bool has_framing = head_.fields.Has("Content-Length") ||
+                           head_.fields.Has("Transfer-Encoding");
+  if (has_framing)
+    gateway_.part_monitor_.OnAnswered(shared_parts_, gateway_.loop_.Now());
+}
+
+}  // namespace endivecart::gateway
