Server: a planned stop closes no connection with unwritten bytes

Cause: CloseIdle(), every 50 ms during a stop, took a connection for idle as soon as its response was finished, also if the end of it waited for an earlier write. The last event and the end of a stream come in one read, so a tick right after that lost the end.

Change: a connection with unwritten bytes isn't idle.

Test a_response_that_is_not_written_yet_is_not_idle does the same without a clock: it lost the end of the response before, and passes now.

--- a/src/endivecart/net/http_server.cc
+++ b/src/endivecart/net/http_server.cc
@@ -73,7 +73,10 @@
     SetTimer(limits_.idle_timeout);
     Read();
   }
-  bool idle() const { return state_ == State::kIdle && buffer_.size() == 0; }
+  bool idle() const {
+    return state_ == State::kIdle && buffer_.size() == 0 && out_.empty() &&
+           writing_.empty();
+  }
   // Closes at once and reports the disconnect to the exchange.
   void Close();
 
--- a/src/endivecart/net/net_unittest.cc
+++ b/src/endivecart/net/net_unittest.cc
@@ -151,6 +151,27 @@
   BOOST_TEST(caller.received().find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against LOST: a planned stop closed connections whose response was
+// finished but not written yet.
+BOOST_FIXTURE_TEST_CASE(a_response_that_is_not_written_yet_is_not_idle,
+                        EchoServer) {
+  hold = true;
+  RawCaller caller(loop, server->port());
+  caller.Write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return !held.empty(); });
+  held[0]->StartResponse({200, {}});
+  held[0]->Write("id: 1\n\n");
+  held[0]->FinishResponse();
+  held.clear();
+  server->CloseIdle();  // before the loop could write all of it
+  RunUntil([&] { return caller.received().ends_with("0\r\n\r\n"); });
+  BOOST_TEST(caller.received().ends_with("0\r\n\r\n"));
+  BOOST_TEST(!caller.ended());
+  server->CloseIdle();
+  RunUntil([&] { return caller.ended(); });
+  BOOST_TEST(caller.ended());
+}
+
 BOOST_FIXTURE_TEST_CASE(destroying_an_unanswered_exchange_closes_its_connection,
                         EchoServer) {
   hold = true;
