--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -44,6 +44,10 @@
       shared_parts_(request_.prompt
                         ? quarantine::PartKeys(SharedPartsOf(*request_.prompt))
                         : quarantine::PartList()),
+      request_keys_(quarantine::RequestKeys(
+          {request_.method, request_.host, request_.target,
+           customer_ ? std::string_view(customer_->id.str()) : "",
+           request_.body})),
       accepted_at_(exchange_->received_at()) {}
 
 Forwarding::~Forwarding() = default;
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -141,6 +141,8 @@
   const routes::Route& route_;
   const routes::Customer* const customer_;
   const quarantine::PartList shared_parts_;  // of the prompt
+  // Of the request as a whole.
+  const quarantine::PartList request_keys_;
   routes::ServiceId service_;
   double move_draw_ = 0;  // in [0, 1); selects the version during a move
   const TimePoint accepted_at_;
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -231,7 +231,8 @@
       .Add("upstream", upstream_.str())
       .Add("reason", reason)
       .Add("events", std::uint64_t{events_})
-      .Add("ms", MillisBetween(sent_at_, gateway_.loop_.Now()));
+      .Add("ms", MillisBetween(sent_at_, gateway_.loop_.Now()))
+      .Add("alike", request_keys_.front());
   if (request_.prompt)
     line.Add("shared_parts", SharedPartsText(*request_.prompt));
   line.Warn();
--- a/src/endivecart/quarantine/findings.cc
+++ b/src/endivecart/quarantine/findings.cc
@@ -7,6 +7,15 @@
 namespace {
 
 constexpr std::size_t kMaxKeyBytes = 64;
+// Of a SHA-256, in hexadecimal.
+constexpr std::size_t kRequestDigestDigits = 24;
+
+std::string RequestKey(const RequestIdentity& identity) {
+  return "request:" + Sha256HexOfFields({identity.method, identity.host,
+                                         identity.target, identity.customer,
+                                         identity.body})
+                          .substr(0, kRequestDigestDigits);
+}
 
 }  // namespace
 
@@ -24,6 +33,17 @@
   return keys;
 }
 
+PartList RequestKeys(const RequestIdentity& identity) {
+  PartList keys{RequestKey(identity)};
+  const std::size_t query = identity.target.find('?');
+  if (query != std::string_view::npos) {
+    RequestIdentity without_query = identity;
+    without_query.target = identity.target.substr(0, query);
+    keys.push_back(RequestKey(without_query));
+  }
+  return keys;
+}
+
 std::string Joined(const PartList& parts) {
   std::string text;
   for (const std::string& part : parts)
--- a/src/endivecart/quarantine/findings.h
+++ b/src/endivecart/quarantine/findings.h
@@ -4,19 +4,40 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "endivecart/base/base.h"
 
 namespace endivecart::quarantine {
 
-// Ids of prompt parts, or their digests if they are long; see PartKeys().
+// What a request may have in common with others: ids of shared prompt parts, or
+// their digests if they are long, and the keys of the request as a whole. See
+// PartKeys() and RequestKeys().
 using PartList = std::vector<std::string>;
 
 // Returns the keys by which parts are compared, sorted and unique. Takes at
 // most the first kMaxPartsPerPrompt.
 PartList PartKeys(const std::vector<std::string>& ids);
 inline constexpr std::size_t kMaxPartsPerPrompt = 64;
+
+// By what requests of any kind count as alike.
+struct RequestIdentity {
+  std::string_view method;
+  std::string_view host;
+  std::string_view target;    // path with query
+  std::string_view customer;  // empty if unknown
+  std::string_view body;
+
+  bool operator==(const RequestIdentity&) const = default;
+};
+
+// Returns the keys by which whole requests are compared, the narrowest first:
+// one of all that identifies the request and, if it has a query, one of all but
+// that, since each caller may send another query. Contain a colon, which ids of
+// parts don't.
+PartList RequestKeys(const RequestIdentity& identity);
+
 // Returns the parts joined by commas, for logs.
 std::string Joined(const PartList& parts);
 
--- a/src/endivecart/quarantine/quarantine_unittest.cc
+++ b/src/endivecart/quarantine/quarantine_unittest.cc
@@ -317,6 +317,27 @@
   BOOST_TEST(fleet.HostsWithQuarantine({"bad"}) == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(requests_are_alike_by_caller_path_and_body) {
+  const RequestIdentity request{"POST", "a", "/x?q=1", "c", "body"};
+  const auto with = [&](auto member, std::string_view value) {
+    RequestIdentity other = request;
+    other.*member = value;
+    return RequestKeys(other);
+  };
+  const PartList keys = RequestKeys(request);
+  BOOST_REQUIRE_EQUAL(keys.size(), 2u);
+  BOOST_TEST(RequestKeys(request) == keys);
+  BOOST_TEST(with(&RequestIdentity::body, "other")[0] != keys[0]);
+  BOOST_TEST(with(&RequestIdentity::customer, "d")[0] != keys[0]);
+  BOOST_TEST(with(&RequestIdentity::target, "/x?q=2")[0] != keys[0]);
+  BOOST_TEST(with(&RequestIdentity::target, "/x?q=2")[1] == keys[1]);
+  BOOST_TEST(with(&RequestIdentity::target, "/x")[0] == keys[1]);
+  // Where one field ends and the next begins matters.
+  BOOST_TEST(RequestKeys({"POST", "a", "/x", "cb", "ody"})[0] !=
+             RequestKeys({"POST", "a", "/x", "c", "body"})[0]);
+  BOOST_TEST(PartKeys(keys).size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(memory_is_bounded) {
   PartMonitor host;
   PartJudge judge;
