--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -24,9 +24,17 @@
   route.resumable = true;
   route.needs_key = false;
   route.carries_prompt = true;
-  configuration.routes = {route};
-  configuration.services.resize(1);
+  routes::Route plain = route;
+  plain.name = "plain";
+  plain.path_prefix = "/plain/";
+  plain.kind = routes::RequestKind::kIdempotent;
+  plain.services = {{routes::ServiceId("plain"), 1}};
+  plain.resumable = false;
+  plain.carries_prompt = false;
+  configuration.routes = {route, plain};
+  configuration.services.resize(2);
   configuration.services[0].id = routes::ServiceId("s");
+  configuration.services[1].id = routes::ServiceId("plain");
   return std::make_shared<const routes::RouteTable>(
       std::make_shared<const routes::RoutingConfiguration>(configuration));
 }
@@ -115,7 +123,8 @@
 }
 
 GatewayFleet::Upstream& GatewayFleet::StartUpstream(
-    const std::string& version) {
+    const std::string& version,
+    const std::string& service) {
   upstreams.push_back(std::make_unique<Upstream>(loop));
   Upstream& upstream = *upstreams.back();
   upstream.id = UpstreamId("u" + std::to_string(++started_upstreams_));
@@ -133,7 +142,7 @@
   announcement.id = upstream.id;
   announcement.start_time_ms = 1;
   announcement.sequence = 1;
-  announcement.service = routes::ServiceId("s");
+  announcement.service = routes::ServiceId(service);
   announcement.address = upstream.server.address();
   announcement.domain = DomainId("a");
   announcement.slots = 64;
@@ -149,16 +158,25 @@
   upstream.server.Stop();
 }
 
-void GatewayFleet::SendPrompt(int host, const std::string& parts) {
+void GatewayFleet::SendRequest(int host,
+                               const std::string& path,
+                               const std::string& fields,
+                               const std::string& key) {
   CollectAnswers();
-  const std::string number = std::to_string(++sent_prompts_);
-  calls_.push_back(
-      {std::make_unique<RawCaller>(
-           loop, hosts_.at(static_cast<std::size_t>(host))->server->port()),
-       parts});
-  calls_.back().caller->Write("GET /x HTTP/1.1\r\nHost: a\r\nId: " + number +
-                              "\r\nModel: m\r\nParts: " + parts + ",own" +
-                              number + "\r\nConnection: close\r\n\r\n");
+  const int port = hosts_.at(static_cast<std::size_t>(host))->server->port();
+  calls_.push_back({std::make_unique<RawCaller>(loop, port), key});
+  calls_.back().caller->Write("GET " + path + " HTTP/1.1\r\nHost: a\r\nId: " +
+                              std::to_string(++sent_requests_) + "\r\n" +
+                              fields + "Connection: close\r\n\r\n");
+}
+
+void GatewayFleet::SendPrompt(int host, const std::string& parts) {
+  const std::string own = ",own" + std::to_string(sent_requests_ + 1);
+  SendRequest(host, "/x", "Model: m\r\nParts: " + parts + own + "\r\n", parts);
+}
+
+void GatewayFleet::SendPlain(int host, const std::string& path) {
+  SendRequest(host, path, "", path);
 }
 
 void GatewayFleet::CollectAnswers() {
@@ -166,7 +184,7 @@
     if (!call.caller->ended())
       return false;
     const std::string& received = call.caller->received();
-    answers[call.parts].push_back(received.substr(0, received.find('\r')));
+    answers[call.key].push_back(received.substr(0, received.find('\r')));
     return true;
   });
 }
@@ -181,6 +199,13 @@
   return message.substr(begin, message.find('\r', begin) - begin);
 }
 
+void GatewayFleet::AnswerPlain(RawUpstream::Connection& connection,
+                               const std::string& request) {
+  Reply(connection,
+        "HTTP/1.1 200 OK\r\nSigned: s\r\nId: " + Field(request, "Id") +
+            "\r\nContent-Length: 2\r\n\r\nok");
+}
+
 void GatewayFleet::Answer(RawUpstream::Connection& connection,
                           const std::string& request,
                           const std::string& extra_fields) {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -32,8 +32,10 @@
 
   GatewayFleet(int hosts, int upstreams);
 
-  // Starts another upstream and announces it.
-  Upstream& StartUpstream(const std::string& version = "v1");
+  // Starts another upstream, of the service "s" for prompts or "plain" for
+  // other requests, and announces it.
+  Upstream& StartUpstream(const std::string& version = "v1",
+                          const std::string& service = "s");
   // Sets the decisions in force on all hosts.
   void SetDecisions(const endivecart::fleet::Decisions& decisions);
   endivecart::gateway::Gateway& gateway(std::size_t host) {
@@ -45,6 +47,12 @@
   // Sends a prompt with these parts to the host with this number. The answer,
   // if any, is discarded.
   void SendPrompt(int host, const std::string& parts);
+  // Sends a request that may be repeated and isn't a prompt. Its path, which
+  // must begin with "/plain/", is the key of its answer.
+  void SendPlain(int host, const std::string& path);
+  // Answers the request with a short body.
+  static void AnswerPlain(RawUpstream::Connection& connection,
+                          const std::string& request);
   // Answers the request with an empty stream of one event.
   static void Answer(RawUpstream::Connection& connection,
                      const std::string& request,
@@ -55,7 +63,7 @@
   // Called with each complete request that reaches an upstream.
   Handler on_request;
   std::vector<std::unique_ptr<Upstream>> upstreams;
-  // Status lines of the answers that callers received, by prompt parts.
+  // Status lines of the answers that callers received, by prompt parts or path.
   std::map<std::string, std::vector<std::string>> answers;
 
  private:
@@ -69,9 +77,14 @@
   };
   struct PendingCall {
     std::unique_ptr<RawCaller> caller;
-    std::string parts;
+    std::string key;  // in `answers`
   };
 
+  // Sends the fields after the id.
+  void SendRequest(int host,
+                   const std::string& path,
+                   const std::string& fields,
+                   const std::string& key);
   endivecart::fleet::FleetFeed::Hooks FeedHooks();
   void AddHost(int number);
   void CollectAnswers();
@@ -82,7 +95,7 @@
   std::vector<PendingCall> calls_;
   std::vector<std::unique_ptr<endivecart::TimerSubscription>> timers_;
   int started_upstreams_ = 0;
-  int sent_prompts_ = 0;
+  int sent_requests_ = 0;
 };
 
 }  // namespace tests
