Quarantine: requests that are alike count like the parts of a prompt

What callers saw: one request, sent again and again, ended every plain upstream that ran it; orders and lookups of all callers were refused or failed for seconds at a time.

Cause: evidence was recorded against the shared parts of prompts only; a plain request has none, so its crashes were counted against the upstream alone, on each host alone. Class: a suspicion that must count over all hosts, with a subject that nothing looked for.

Change: the digest of a request (caller, path with query, body) is one more part for the judge that exists. Only parts that were in two crashes are questioned, since each broken run now has a part of its own and the number of questions is limited.

Ruled out: retries alone (first sends end upstreams as well); overload.

Policy: 24 cases with 1 to 300 hosts, one or two upstreams an attempt, pauses of 0.3 to 8 s, two control hosts: at most 3 sends later, no sound request refused.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -27,6 +27,16 @@
 // is left for running it, or for a retry by the caller.
 constexpr int kMaxWaitDivisor = 3;
 
+quarantine::PartList AllParts(quarantine::PartList request_keys,
+                              const std::optional<Prompt>& prompt) {
+  if (prompt) {
+    // First the keys: the number of parts is limited.
+    for (std::string& part : SharedPartsOf(*prompt))
+      request_keys.push_back(std::move(part));
+  }
+  return quarantine::PartKeys(request_keys);
+}
+
 }  // namespace
 
 Forwarding::Forwarding(Gateway& gateway,
@@ -41,13 +51,11 @@
       routes_(std::move(routes)),
       route_(route),
       customer_(customer),
-      shared_parts_(request_.prompt
-                        ? quarantine::PartKeys(SharedPartsOf(*request_.prompt))
-                        : quarantine::PartList()),
       request_keys_(quarantine::RequestKeys(
           {request_.method, request_.host, request_.target,
            customer_ ? std::string_view(customer_->id.str()) : "",
            request_.body})),
+      parts_(AllParts(request_keys_, request_.prompt)),
       accepted_at_(exchange_->received_at()) {}
 
 Forwarding::~Forwarding() = default;
@@ -139,7 +147,7 @@
 
 bool Forwarding::TryDispatch() {
   const auto self = shared_from_this();
-  if (gateway_.part_monitor_.IsQuarantined(shared_parts_)) {
+  if (gateway_.part_monitor_.IsQuarantined(parts_)) {
     StopWaiting();
     Send();
     return true;
@@ -359,7 +367,7 @@
   context.is_limited =
       gateway_.limits_.IsLimited(gateway_.UpstreamRun(chosen.upstream));
   context.has_limit_permit = chosen.has_limit_permit;
-  context.is_quarantined = gateway_.part_monitor_.IsQuarantined(shared_parts_);
+  context.is_quarantined = gateway_.part_monitor_.IsQuarantined(parts_);
   context.is_trial = is_trial_;
   return CheckSendInvariants(context);
 }
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -46,7 +46,8 @@
   enum class RunState { kNotRun, kMayHaveRun };
 
   void Send();
-  // Returns whether the prompt may be sent; otherwise ends the request.
+  // Returns whether the request may be sent, as far as its parts tell;
+  // otherwise ends it.
   bool AdmitParts();
   // Queues the request until an upstream has capacity or the maximum wait is
   // over.
@@ -98,8 +99,7 @@
   void EndNow(const char* reason);
   void OnCallerGone();
 
-  // Records a run that ended with its connection as evidence against the parts
-  // of its prompt.
+  // Records a run that ended with its connection as evidence against its parts.
   void RecordBrokenRun();
   // Records a complete answer as evidence for them.
   void RecordAnswered();
@@ -140,9 +140,10 @@
   const routes::RouteTablePtr routes_;
   const routes::Route& route_;
   const routes::Customer* const customer_;
-  const quarantine::PartList shared_parts_;  // of the prompt
   // Of the request as a whole.
   const quarantine::PartList request_keys_;
+  // These keys, and the shared parts of the prompt.
+  const quarantine::PartList parts_;
   routes::ServiceId service_;
   double move_draw_ = 0;  // in [0, 1); selects the version during a move
   const TimePoint accepted_at_;
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -29,8 +29,7 @@
   }
   head_ = head;
   head_received_ = true;
-  if (!shared_parts_.empty())
-    gateway_.part_monitor_.OnAlive(gateway_.UpstreamRun(upstream_), sent_at_);
+  gateway_.part_monitor_.OnAlive(gateway_.UpstreamRun(upstream_), sent_at_);
   if (metadata.weights_version && request_.prompt) {
     gateway_.upstreams_.RecordWeights(upstream_, request_.prompt->model,
                                       *metadata.weights_version);
--- a/src/endivecart/gateway/forwarding_permits.cc
+++ b/src/endivecart/gateway/forwarding_permits.cc
@@ -15,18 +15,16 @@
 }  // namespace
 
 bool Forwarding::AdmitParts() {
-  if (shared_parts_.empty())
-    return true;
-  const auto admission = gateway_.part_monitor_.Admit(
-      shared_parts_, gateway_.Rank(), gateway_.loop_.Now());
+  const auto admission = gateway_.part_monitor_.Admit(parts_, gateway_.Rank(),
+                                                      gateway_.loop_.Now());
   is_trial_ = admission.is_trial;
   if (admission.allowed)
     return true;
   gateway_.metrics_.Add("endivecart_quarantined_requests_total");
   if (started_ || run_state_ != RunState::kNotRun) {
-    GiveUp("quarantined_part");
+    GiveUp("quarantined");
   } else {
-    Refuse(503, "quarantined_part", admission.retry_after);
+    Refuse(503, "quarantined", admission.retry_after);
   }
   return false;
 }
@@ -49,13 +47,12 @@
 
 void Forwarding::RecordBrokenRun() {
   const TimePoint now = gateway_.loop_.Now();
-  // A part that crashes upstreams does so as soon as they begin to answer.
+  // What crashes upstreams does so before or as soon as they begin to answer.
   const bool was_under_way =
       first_event_of_send_at_ && now - *first_event_of_send_at_ > kTimeToCrash;
-  if (!shared_parts_.empty() && !was_under_way) {
+  if (!was_under_way) {
     gateway_.part_monitor_.OnBroken(gateway_.UpstreamRun(upstream_),
-                                    StableHash(request_.id.str()),
-                                    shared_parts_, now);
+                                    StableHash(request_.id.str()), parts_, now);
   }
 }
 
@@ -65,7 +62,7 @@
   const bool has_framing = head_.fields.Has("Content-Length") ||
                            head_.fields.Has("Transfer-Encoding");
   if (has_framing)
-    gateway_.part_monitor_.OnAnswered(shared_parts_, gateway_.loop_.Now());
+    gateway_.part_monitor_.OnAnswered(parts_, gateway_.loop_.Now());
 }
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/quarantine/findings.cc
+++ b/src/endivecart/quarantine/findings.cc
@@ -11,10 +11,10 @@
 constexpr std::size_t kRequestDigestDigits = 24;
 
 std::string RequestKey(const RequestIdentity& identity) {
-  return "request:" + Sha256HexOfFields({identity.method, identity.host,
-                                         identity.target, identity.customer,
-                                         identity.body})
-                          .substr(0, kRequestDigestDigits);
+  return "request:" +
+         Sha256HexOfFields({identity.method, identity.host, identity.target,
+                            identity.customer, identity.body})
+             .substr(0, kRequestDigestDigits);
 }
 
 }  // namespace
--- a/src/endivecart/quarantine/part_judge.cc
+++ b/src/endivecart/quarantine/part_judge.cc
@@ -153,14 +153,20 @@
 
 bool PartJudge::UpdateQuestions(const std::map<std::string, Evidence>& evidence,
                                 TimePoint now) {
+  // Most parts were in one crash by chance; the next may make these suspect.
+  const auto is_candidate = [](const Evidence& against) {
+    return against.crashes.size() + 1 >= kCrashes;
+  };
   std::erase_if(questioned_since_, [&](const auto& entry) {
-    return !evidence.contains(entry.first);
+    const auto it = evidence.find(entry.first);
+    return it == evidence.end() || !is_candidate(it->second);
   });
   bool is_new = false;
-  for (const auto& [part, unused] : evidence) {
+  for (const auto& [part, against] : evidence) {
     if (questioned_since_.size() >= kMaxQuestioned)
       break;
-    is_new |= questioned_since_.try_emplace(part, now).second;
+    if (is_candidate(against))
+      is_new |= questioned_since_.try_emplace(part, now).second;
   }
   return is_new;
 }
--- a/src/endivecart/quarantine/quarantine_unittest.cc
+++ b/src/endivecart/quarantine/quarantine_unittest.cc
@@ -44,6 +44,28 @@
     ++requests_;
     refused_sound += Send({Name("s")}, false, "sound") ? 0 : 1;
   }
+  // Sends a request that crashes its upstream, as often as a caller's attempt
+  // allows, with requests of others that break off with it. One of these goes
+  // on to the next upstream too.
+  void SendCrashingRequest(int upstreams_per_attempt) {
+    const std::uint64_t attempt = ++requests_;
+    const std::uint64_t unlucky = ++requests_;
+    const std::string unlucky_key = "request:" + Name("unlucky");
+    for (int i = 0; i < upstreams_per_attempt; ++i) {
+      ++requests_;
+      const std::string upstream = Name("u");
+      last_upstream = upstream;
+      if (!Send({"request:bad"}, true, upstream, attempt))
+        return;
+      bad_sent_at.push_back(now);
+      Send({unlucky_key}, true, upstream, unlucky);
+      Send({"request:" + Name("beside")}, true, upstream);
+      for (int step = 0; step < 8; ++step) {
+        SendSound();
+        Step();
+      }
+    }
+  }
   // Returns whether it was sent.
   bool SendBad(const std::string& bad = "bad") {
     ++requests_;
@@ -157,6 +179,58 @@
   BOOST_TEST(fleet.refused_sound == 0);
 }
 
+// Guards against BUDGET: requests that are alike, crash what runs them and come
+// again at any host.
+BOOST_DATA_TEST_CASE(a_crashing_request_is_withheld_by_all_hosts_in_time,
+                     boost::unit_test::data::make({1, 6, 70, 300}) *
+                         boost::unit_test::data::make({1, 2}) *
+                         boost::unit_test::data::make({300, 2000, 8000}),
+                     host_count,
+                     upstreams_per_attempt,
+                     interval_ms) {
+  SimulatedFleet fleet(static_cast<std::size_t>(host_count), 2);
+  fleet.Run(Millis(500));
+  for (int i = 0; i < 12; ++i) {
+    fleet.SendCrashingRequest(upstreams_per_attempt);
+    fleet.Run(Millis(interval_ms));
+  }
+  BOOST_REQUIRE_GE(fleet.bad_sent_at.size(), 3u);
+  const TimePoint third_crash = fleet.bad_sent_at[2] + kRunTime;
+  BOOST_TEST(fleet.BadSentAfter(third_crash + kContactWindow) <= 3);
+  BOOST_TEST(fleet.HostsWithQuarantine({"request:bad"}) == fleet.hosts.size());
+  BOOST_TEST(fleet.refused_sound == 0);
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_popular_request_beside_the_crashing_one_is_not_withheld) {
+  SimulatedFleet fleet(6);
+  fleet.Run(Millis(500));
+  for (int i = 0; i < 10; ++i) {
+    fleet.Send({"request:popular"}, false, "sound");
+    fleet.SendCrashingRequest(2);
+    fleet.Send({"request:popular"}, true, fleet.last_upstream);
+    fleet.Run(Millis(500));
+  }
+  BOOST_TEST(fleet.HostsWithQuarantine({"request:bad"}) == 6u);
+  BOOST_TEST(fleet.HostsWithQuarantine({"request:popular"}) == 0u);
+}
+
+// One incident after the other; the first one's evidence lasts.
+BOOST_AUTO_TEST_CASE(crashing_parts_and_requests_are_told_apart) {
+  SimulatedFleet fleet(70, 3);
+  fleet.Run(Millis(500));
+  fleet.Run(Millis(3000), Millis(60));
+  for (int i = 0; i < 6; ++i) {
+    fleet.SendCrashingRequest(2);
+    fleet.SendBad();
+    fleet.Run(Millis(500));
+  }
+  BOOST_TEST(fleet.HostsWithQuarantine({"bad"}) == 70u);
+  BOOST_TEST(fleet.HostsWithQuarantine({"request:bad"}) == 70u);
+  BOOST_TEST(fleet.HostsWithQuarantine({"common"}) == 0u);
+  BOOST_TEST(fleet.refused_sound == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_second_crashing_part_is_withheld_in_time) {
   SimulatedFleet fleet(70);
   fleet.Run(Millis(500));
