--- a/src/endivecart/quarantine/quarantine.h
+++ b/src/endivecart/quarantine/quarantine.h
@@ -1,9 +1,9 @@
 #ifndef ENDIVECART_QUARANTINE_QUARANTINE_H_
 #define ENDIVECART_QUARANTINE_QUARANTINE_H_
 
-// Public header of the quarantine library: finds prompt parts and
-// requests that crash upstreams, from what all hosts observe, and withholds them from upstreams.
-// Does no I/O and reads no clock.
+// Public header of the quarantine library: finds prompt parts and requests that
+// crash upstreams, from what all hosts observe, and withholds them from
+// upstreams. Does no I/O and reads no clock.
 
 #include "endivecart/quarantine/findings.h"         // IWYU pragma: export
 #include "endivecart/quarantine/part_judge.h"       // IWYU pragma: export
