Tests: draws of the crowded engines don't depend on the order of arguments

hosts_with_delayed_updates_do_not_fill_an_engine_far_beyond_its_memory failed on this machine (another processor architecture than before): two random draws were arguments of one call, and compilers evaluate these in different orders, so the same seed gave another run here: 192,800 tokens at one engine where 186,000 are allowed. The draws now come one by one, in the order that the runs so far had; bound and seed are unchanged.

--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -332,9 +332,11 @@
     std::uniform_real_distribution<double> draw(0, 1);
     for (std::size_t i = 0; i < view.size(); ++i)
       view[i].has_capacity = free[i] > 0 && draw(random_) < probabilities[i];
-    const auto choice =
-        PlacePrompt(view, MakePrompt("p" + std::to_string(random_() % 300)), "",
-                    {}, random_());
+    // Drawn one by one: the order in which arguments are evaluated is
+    // unspecified.
+    const std::uint64_t tie_breaker = random_();
+    const Prompt placed = MakePrompt("p" + std::to_string(random_() % 300));
+    const auto choice = PlacePrompt(view, placed, "", {}, tie_breaker);
     if (!choice) {
       if (prompt.attempts < 8)
         waiting_.push_back({prompt.rank, prompt.host, prompt.attempts + 1});
