Observability: hosts notice and log that they are cut off from a service

A policy module without network now decides that, from connections that fail or all fall silent, and probes: connections without a request to three upstreams of several domains, kept for later requests if they are established. gateway.cut_off and gateway.reached, and a gauge. No decision about requests changes.

--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -33,6 +33,8 @@
   // Retries at another upstream if the current one is silent and a retry is
   // allowed.
   void FailOverFromSilentUpstream();
+  // Reports an outstanding send, in case that all upstreams are silent.
+  void ReportWaiting() const;
   // Records the speed of a running request for its version as soon as it is
   // known: a slow stream may last until its time limit.
   void RecordSpeedOfRun();
@@ -85,6 +87,8 @@
   UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
   void PlanCache(UpstreamRequest& out) const;
 
+  // Records that the upstream has sent data.
+  void RecordData();
   void OnHead(const net::HttpResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEnd(net::CallResult end);
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -21,7 +21,9 @@
 }  // namespace
 
 void Forwarding::OnHead(const net::HttpResponseHead& head) {
-  gateway_.upstreams_.RecordActivity(upstream_);
+  RecordData();
+  if (call_->opened_connection())
+    gateway_.reach_.OnConnected(service_.str(), sent_at_);
   const AnswerMetadata metadata = gateway_.dialect_.read_answer(head);
   if (metadata.request_id != request_.id) {
     OnBadAnswer("answers_another_request");
@@ -50,7 +52,7 @@
 void Forwarding::OnBody(std::string_view bytes) {
   if (!head_received_ || !call_)
     return;
-  gateway_.upstreams_.RecordActivity(upstream_);
+  RecordData();
   if (!forwards_events_) {
     if (body_.size() + bytes.size() > kMaxAnswerBytes) {
       OnBadAnswer("too_large");
@@ -114,9 +116,12 @@
 
 void Forwarding::OnEnd(net::CallResult end) {
   const bool sent = call_->may_have_been_sent();
+  const bool opened_connection = call_->opened_connection();
   call_.reset();
   switch (end) {
     case net::CallResult::kNotSent:
+      if (opened_connection)
+        gateway_.reach_.OnUnreachable(service_.str(), gateway_.loop_.Now());
       EndSend(SendResult::kUnreachable);
       RetryOrGiveUp("unreachable");
       return;
--- a/src/endivecart/gateway/forwarding_rating.cc
+++ b/src/endivecart/gateway/forwarding_rating.cc
@@ -1,4 +1,5 @@
-// Rating of runs for the software version that served them.
+// What is learned from runs: activity of upstreams, speed and outcome of the
+// software version that served them.
 
 #include <algorithm>
 
@@ -41,6 +42,16 @@
   return speed;
 }
 
+void Forwarding::RecordData() {
+  gateway_.upstreams_.RecordActivity(upstream_);
+  gateway_.reach_.OnData(service_.str(), gateway_.loop_.Now());
+}
+
+void Forwarding::ReportWaiting() const {
+  if (call_ && call_->may_have_been_sent())
+    gateway_.reach_.OnWaiting(service_.str(), sent_at_, gateway_.loop_.Now());
+}
+
 void Forwarding::RecordSpeedOfRun() {
   if (!call_ || !IsStream() || outcome_recorded_ ||
       !gateway_.moves_.IsMoving(service_)) {
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -12,6 +12,7 @@
 constexpr Millis kRetryAfterStart{500};
 // Capacity may also become free through updates on other hosts' load.
 constexpr Millis kAdmitInterval{40};
+constexpr Millis kReachInterval{100};
 constexpr Millis kBadServerLoadLogInterval{60000};
 
 }  // namespace
@@ -27,12 +28,16 @@
       client_(client),
       metrics_(metrics),
       upstreams_(options_.domain, [&loop] { return loop.Now(); }),
+      prober_(loop, client, upstreams_, reach_),
       retry_limiter_(options_.retry_ratio, options_.retry_window),
       random_(options_.seed),
-      admit_timer_(loop.Every(kAdmitInterval, [this](TimePoint) {
-        if (!request_queue_.empty())
-          Admit();
-      })) {}
+      admit_timer_(loop.Every(kAdmitInterval,
+                              [this](TimePoint) {
+                                if (!request_queue_.empty())
+                                  Admit();
+                              })),
+      reach_timer_(
+          loop.Every(kReachInterval, [this](TimePoint) { ReachTick(); })) {}
 
 Gateway::~Gateway() = default;
 
@@ -174,6 +179,12 @@
       loop_.Now());
 }
 
+void Gateway::ReachTick() {
+  for (const auto& forwarding : active_)
+    forwarding->ReportWaiting();
+  prober_.Tick(random_());
+}
+
 void Gateway::AnswerAll() {
   const auto active = active_;  // active_ changes as requests end
   for (const auto& forwarding : active)
@@ -185,6 +196,8 @@
                static_cast<double>(part_monitor_.quarantines()));
   upstreams_.Expire();
   limits_.Expire(loop_.Now());
+  reach_.Expire(loop_.Now());
+  metrics_.Set("endivecart_cut_off", "", reach_.IsCutOff() ? 1 : 0);
   metrics_.Set("endivecart_limited_upstreams", "",
                static_cast<double>(limits_.limited()));
   const auto active = active_;  // active_ changes as requests end
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "endivecart/gateway/follower_wiring.h"
 #include "endivecart/gateway/move_tracker.h"
 #include "endivecart/gateway/prefill_rate_estimator.h"
+#include "endivecart/gateway/reach_prober.h"
 #include "endivecart/gateway/region_map.h"
 #include "endivecart/gateway/request_queue.h"
 #include "endivecart/gateway/retry_limiter.h"
@@ -67,6 +68,7 @@
   CacheView& cache() { return cache_; }
   quarantine::PartMonitor& part_monitor() { return part_monitor_; }
   limits::LimitMonitor& limits() { return limits_; }
+  const quarantine::ReachMonitor& reach() const { return reach_; }
   const MoveTracker& moves() const { return moves_; }
   bool HasRoutes() const { return routes_ != nullptr; }
   // Number of accepted requests that are not answered yet.
@@ -102,6 +104,8 @@
                       const AnswerMetadata& metadata,
                       TimePoint sent_at);
   void Admit();
+  // Looks for silent upstreams, and probes upstreams if necessary.
+  void ReachTick();
 
   const GatewayOptions options_;
   const Dialect dialect_;
@@ -113,6 +117,8 @@
   MoveTracker moves_;
   quarantine::PartMonitor part_monitor_;
   limits::LimitMonitor limits_;
+  quarantine::ReachMonitor reach_;
+  ReachProber prober_;
   RetryLimiter retry_limiter_;
   ColdStartLimiter cold_start_limiter_;
   PrefillRateEstimator prefill_rates_;
@@ -129,6 +135,7 @@
   std::optional<TimePoint> bad_server_load_logged_at_;
   std::unique_ptr<TimerSubscription> admit_soon_;
   std::unique_ptr<TimerSubscription> admit_timer_;
+  std::unique_ptr<TimerSubscription> reach_timer_;
 };
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -309,6 +309,37 @@
   return loads;
 }
 
+std::vector<settings::Endpoint> UpstreamTracker::ProbeTargets(
+    const routes::ServiceId& service,
+    std::size_t count,
+    std::uint64_t random) const {
+  using Target = std::pair<std::tuple<std::size_t, bool, std::uint64_t>,
+                           settings::Endpoint>;
+  std::map<DomainId, std::vector<std::pair<std::uint64_t, UpstreamId>>> ready;
+  for (const auto& [id, upstream] : registry_.all()) {
+    if (upstream.last.service == service &&
+        upstream.last.state == UpstreamState::kReady) {
+      ready[upstream.last.domain].emplace_back(StableHash(id.str(), random),
+                                               id);
+    }
+  }
+  // By position within its domain, then the own domain first.
+  std::vector<Target> targets;
+  for (auto& [domain, upstreams] : ready) {
+    std::sort(upstreams.begin(), upstreams.end());
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+      targets.push_back({{i, domain != own_domain_, upstreams[i].first},
+                         registry_.Find(upstreams[i].second)->last.address});
+    }
+  }
+  std::sort(targets.begin(), targets.end(),
+            [](const Target& a, const Target& b) { return a.first < b.first; });
+  std::vector<settings::Endpoint> addresses;
+  for (std::size_t i = 0; i < std::min(count, targets.size()); ++i)
+    addresses.push_back(targets[i].second);
+  return addresses;
+}
+
 void UpstreamTracker::Expire() {
   registry_.Expire(now_());
   std::erase_if(records_, [&](const auto& entry) {
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -108,6 +108,12 @@
                std::int64_t held_tokens);
   std::vector<fleet::LocalLoad> LocalLoads() const;
 
+  // Returns up to `count` addresses of ready upstreams of the service, of as
+  // many domains as possible, the own one first. `random` selects among them.
+  std::vector<settings::Endpoint> ProbeTargets(const routes::ServiceId& service,
+                                               std::size_t count,
+                                               std::uint64_t random) const;
+
   // Removes upstreams that the registry has expired.
   void Expire();
   const upstreams::UpstreamRegistry& registry() const { return registry_; }
--- a/src/endivecart/net/http_client.cc
+++ b/src/endivecart/net/http_client.cc
@@ -104,6 +104,14 @@
   return call;
 }
 
+void HttpClient::Preconnect(const settings::Endpoint& address,
+                            Millis timeout,
+                            std::function<void(bool)> done) {
+  const auto connection =
+      std::make_shared<HttpConnection>(pool_, address.ToString());
+  connection->Preconnect(address, timeout, std::move(done));
+}
+
 std::size_t HttpClient::ConnectionsTo(const settings::Endpoint& address) const {
   const auto it = pool_->addresses.find(address.ToString());
   return it == pool_->addresses.end() ? 0 : it->second.open;
--- a/src/endivecart/net/http_client.h
+++ b/src/endivecart/net/http_client.h
@@ -83,6 +83,12 @@
                     const CallOptions& options,
                     CallHooks hooks);
 
+  // Opens a connection and keeps it for later calls. Calls `done` once, from
+  // the event loop, with whether it was established within `timeout`.
+  void Preconnect(const settings::Endpoint& address,
+                  Millis timeout,
+                  std::function<void(bool)> done);
+
   // Returns the number of open connections to the address, idle ones included.
   std::size_t ConnectionsTo(const settings::Endpoint& address) const;
   std::size_t IdleConnectionsTo(const settings::Endpoint& address) const;
--- a/src/endivecart/net/http_connection.cc
+++ b/src/endivecart/net/http_connection.cc
@@ -45,6 +45,12 @@
   return Millis(seconds * 1000);
 }
 
+// Returns for how long an idle connection may be used.
+Millis UsableTimeOf(Millis idle_timeout) {
+  return Millis(static_cast<Millis::rep>(
+      static_cast<double>(idle_timeout.count()) * kIdleTimeoutFraction));
+}
+
 }  // namespace
 
 std::shared_ptr<HttpConnection> HttpConnectionPool::PopIdle(
@@ -95,16 +101,36 @@
   if (closed_ || connected_)
     return;
   timer_.reset();
+  const auto on_preconnected = std::exchange(on_preconnected_, nullptr);
+  if (error && on_preconnected) {
+    Close();
+    on_preconnected(false);
+    return;
+  }
   if (error) {
     End(CallResult::kNotSent);
     return;
   }
   connected_ = true;
   SetConnectionOptions(socket_);
+  if (on_preconnected) {
+    idle_timeout_ = UsableTimeOf(pool_->limits.idle_timeout);
+    ReturnToPool();
+    Read();
+    on_preconnected(true);
+    return;
+  }
   WriteRequest();
   Read();
 }
 
+void HttpConnection::Preconnect(const settings::Endpoint& to,
+                                Millis timeout,
+                                std::function<void(bool)> done) {
+  on_preconnected_ = std::move(done);
+  Connect(to, timeout);
+}
+
 void HttpConnection::SendRequest(CallSink* call, const HttpRequest& request) {
   call_ = call;
   is_head_ = request.method == "HEAD";
@@ -264,10 +290,8 @@
   CallSink* const call = std::exchange(call_, nullptr);
   const HttpFields fields = parser_ ? parser_->head().fields : HttpFields();
   if (result == CallResult::kComplete && keep_alive_) {
-    idle_timeout_ =
-        KeepAliveTimeout(fields).value_or(pool_->limits.idle_timeout);
-    idle_timeout_ = Millis(static_cast<Millis::rep>(
-        static_cast<double>(idle_timeout_.count()) * kIdleTimeoutFraction));
+    idle_timeout_ = UsableTimeOf(
+        KeepAliveTimeout(fields).value_or(pool_->limits.idle_timeout));
     ReturnToPool();
   } else {
     Close();
--- a/src/endivecart/net/http_connection.h
+++ b/src/endivecart/net/http_connection.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -62,6 +63,11 @@
   ~HttpConnection() { CountClosed(); }
 
   void Connect(const settings::Endpoint& to, Millis timeout);
+  // Connects without a call and returns to the pool; see
+  // HttpClient::Preconnect().
+  void Preconnect(const settings::Endpoint& to,
+                  Millis timeout,
+                  std::function<void(bool)> done);
   void SendRequest(CallSink* call, const HttpRequest& request);
   // Detaches the current call and closes the connection.
   void Cancel();
@@ -98,6 +104,7 @@
   bool paused_ = false;
   bool counted_closed_ = false;
   CallSink* call_ = nullptr;
+  std::function<void(bool)> on_preconnected_;
   bool is_head_ = false;
   std::string head_text_;
   std::string body_;
--- a/src/endivecart/quarantine/quarantine.h
+++ b/src/endivecart/quarantine/quarantine.h
@@ -3,12 +3,15 @@
 
 // Public header of the quarantine library: finds prompt parts and requests that
 // crash upstreams, from what all hosts observe, and withholds them from
-// upstreams. Does no I/O and reads no clock.
+// upstreams; finds hosts that are cut off from upstreams, and others that can
+// relay their requests. Does no I/O and reads no clock.
 
 #include "endivecart/quarantine/findings.h"         // IWYU pragma: export
 #include "endivecart/quarantine/part_judge.h"       // IWYU pragma: export
 #include "endivecart/quarantine/part_monitor.h"     // IWYU pragma: export
 #include "endivecart/quarantine/quarantine_list.h"  // IWYU pragma: export
+#include "endivecart/quarantine/reach.h"            // IWYU pragma: export
+#include "endivecart/quarantine/reach_monitor.h"    // IWYU pragma: export
 #include "endivecart/quarantine/sound_parts.h"      // IWYU pragma: export
 
 #endif  // ENDIVECART_QUARANTINE_QUARANTINE_H_
