Failing test: hosts that reach no upstream serve none of their callers

Six hosts over sockets, each with a proxy before each upstream; three lose their links in one of three ways. Later than the contact window these serve 0 of their callers' requests when links hang or are reset, while the others are served; established connections that live on suffice here. The simulated upstreams announce themselves again now, as real ones do: without that a host never trusted them again after a cut.

--- /dev/null
+++ b/src/endivecart/gateway/cut_off_host_unittest.cc
@@ -0,0 +1,121 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "support/gateway_fleet.h"
+
+namespace endivecart::gateway {
+namespace {
+
+using tests::GatewayFleet;
+using tests::RawProxy;
+using tests::RawUpstream;
+
+// Six hosts, of which some lose their links to all upstreams.
+struct CutFleet : GatewayFleet {
+  static constexpr int kHosts = 6;
+  static constexpr Millis kContactWindow{3000};
+
+  CutFleet() : GatewayFleet(kHosts, 6, true) {
+    on_request = [this](Upstream&, RawUpstream::Connection& connection,
+                        const std::string& request) {
+      if (request.starts_with("GET /plain/")) {
+        AnswerPlain(connection, request);
+      } else {
+        Answer(connection, request);
+      }
+    };
+    for (int i = 0; i < 3; ++i)
+      StartUpstream("v1", "plain");
+    RunFor(Millis(300));
+  }
+  // Sends prompts and other requests to each host in turn, 100 a second;
+  // answers are collected by host.
+  void Run(Millis time) {
+    const TimePoint end = loop.Now() + time;
+    for (; loop.Now() < end; ++round_) {
+      const int host = round_ % kHosts;
+      if (round_ / kHosts % 2 == 0) {
+        SendPrompt(host, "h" + std::to_string(host));
+      } else {
+        SendPlain(host, "/plain/h" + std::to_string(host));
+      }
+      RunFor(Millis(10));
+    }
+  }
+  // Share of the requests to a host that were answered with success.
+  double ServedBy(int host) {
+    double served = 0;
+    double all = 0;
+    for (const std::string prefix : {"h", "/plain/h"}) {
+      for (const std::string& status : answers[prefix + std::to_string(host)]) {
+        served += status == "HTTP/1.1 200 OK" ? 1 : 0;
+        ++all;
+      }
+    }
+    return all == 0 ? 0 : served / all;
+  }
+
+ private:
+  int round_ = 0;
+};
+
+std::string CutName(RawProxy::Cut cut) {
+  switch (cut) {
+    case RawProxy::Cut::kHang:
+      return "hang";
+    case RawProxy::Cut::kReset:
+      return "reset";
+    case RawProxy::Cut::kRefuseNew:
+      return "refuse new";
+  }
+  return "";
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(gateway_cut_off_hosts,
+                         CutFleet,
+                         *boost::unit_test::label("gateway"))
+
+// Guards against RECOVER: a host that had lost its links to all upstreams
+// refused its callers, while other hosts were served by the same upstreams.
+BOOST_DATA_TEST_CASE(callers_of_hosts_that_reach_no_upstream_are_served,
+                     boost::unit_test::data::make({0, 1, 2}),
+                     way) {
+  const auto cut = static_cast<RawProxy::Cut>(way);
+  Run(Millis(500));
+  for (const std::size_t host : {0, 2, 3})
+    CutLinks(host, cut);
+  Run(kContactWindow);
+  RunFor(Millis(500));
+  SendPlain(1, "/plain/other");
+  answers.clear();
+  Run(Millis(1500));
+  RunFor(Millis(500));
+  SendPlain(1, "/plain/other");  // collects the answers
+  for (int host = 0; host < kHosts; ++host)
+    BOOST_TEST(ServedBy(host) >= 0.98,
+               CutName(cut) << ", host " << host << ": " << ServedBy(host));
+}
+
+BOOST_AUTO_TEST_CASE(hosts_use_their_own_links_again_when_these_return) {
+  Run(Millis(300));
+  for (const std::size_t host : {0, 2, 3})
+    CutLinks(host, RawProxy::Cut::kReset);
+  Run(Millis(1500));
+  for (const std::size_t host : {0, 2, 3})
+    RestoreLinks(host);
+  Run(Millis(1000));
+  answers.clear();
+  Run(Millis(1000));
+  RunFor(Millis(300));
+  SendPlain(1, "/plain/other");  // collects the answers
+  for (int host = 0; host < kHosts; ++host) {
+    BOOST_TEST(ServedBy(host) == 1.0);
+    BOOST_TEST(!gateway(static_cast<std::size_t>(host)).reach().IsCutOff());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace endivecart::gateway
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -9,6 +9,7 @@
 namespace {
 
 const HostId kControlHost("control");
+constexpr Millis kAnnounceInterval{300};
 
 routes::RouteTablePtr MakeRoutes() {
   routes::RoutingConfiguration configuration;
@@ -41,12 +42,18 @@
 
 }  // namespace
 
-GatewayFleet::GatewayFleet(int hosts, int upstreams)
-    : feed_(1, &registry_, FeedHooks()) {
+GatewayFleet::GatewayFleet(int hosts, int upstreams, bool has_links)
+    : has_links_(has_links), feed_(1, &registry_, FeedHooks()) {
   for (int number = 0; number < hosts; ++number)
     AddHost(number);
   timers_.push_back(
       loop.Every(Millis(50), [this](TimePoint) { feed_.PushIfRequested(); }));
+  timers_.push_back(loop.Every(kAnnounceInterval, [this](TimePoint now) {
+    for (const auto& upstream : this->upstreams) {
+      if (!upstream->ended)
+        registry_.Refresh(upstream->id, now);
+    }
+  }));
   for (int i = 0; i < upstreams; ++i)
     StartUpstream();
   // Until every host has polled.
@@ -56,10 +63,13 @@
 fleet::FleetFeed::Hooks GatewayFleet::FeedHooks() {
   fleet::FleetFeed::Hooks hooks;
   hooks.send = [this](const HostId& to, const wire::Envelope& envelope) {
-    loop.Post([this, to, update = envelope.fleet_news()] {
+    loop.Post([this, to, update = envelope.fleet_news()]() mutable {
       for (const auto& host : hosts_) {
-        if (host->id == to)
-          host->follower->OnUpdate(kControlHost, update);
+        if (host->id != to)
+          continue;
+        if (has_links_)
+          UseLinks(*host, update);
+        host->follower->OnUpdate(kControlHost, update);
       }
     });
   };
@@ -115,6 +125,33 @@
       loop.Every(Millis(500), [&host](TimePoint) { host.gateway->Tick(); }));
 }
 
+void GatewayFleet::UseLinks(Host& host, wire::FleetUpdate& update) {
+  for (wire::AnnouncementRecord& record : *update.mutable_announcements()) {
+    const auto announcement = upstreams::FromRecord(record);
+    auto& link = host.links[announcement->address.port];
+    if (!link) {
+      link = std::make_unique<RawProxy>(loop, announcement->address);
+      if (host.cut)
+        link->CutLink(*host.cut);
+    }
+    record.set_address(link->address().ToString());
+  }
+}
+
+void GatewayFleet::CutLinks(std::size_t number, RawProxy::Cut cut) {
+  Host& host = *hosts_.at(number);
+  host.cut = cut;
+  for (const auto& [port, link] : host.links)
+    link->CutLink(cut);
+}
+
+void GatewayFleet::RestoreLinks(std::size_t number) {
+  Host& host = *hosts_.at(number);
+  host.cut.reset();
+  for (const auto& [port, link] : host.links)
+    link->Restore();
+}
+
 void GatewayFleet::SetDecisions(const fleet::Decisions& decisions) {
   for (const auto& host : hosts_) {
     host->gateway->SetDecisions(
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "endivecart/gateway/gateway.h"
 #include "support/loop_fixture.h"
 #include "support/plain_dialect.h"
+#include "support/raw_proxy.h"
 
 namespace tests {
 
@@ -30,7 +32,9 @@
   using Handler =
       std::function<void(Upstream&, RawUpstream::Connection&, std::string)>;
 
-  GatewayFleet(int hosts, int upstreams);
+  // With `has_links`, each host reaches each upstream through a proxy; see
+  // CutLinks().
+  GatewayFleet(int hosts, int upstreams, bool has_links = false);
 
   // Starts another upstream, of the service "s" for prompts or "plain" for
   // other requests, and announces it.
@@ -44,6 +48,9 @@
   // Ends an upstream as a crash does: it closes all connections, refuses
   // others and says nothing.
   static void Crash(Upstream& upstream);
+  // Cuts the host with this number off from all upstreams.
+  void CutLinks(std::size_t host, RawProxy::Cut cut);
+  void RestoreLinks(std::size_t host);
   // Sends a prompt with these parts to the host with this number. The answer,
   // if any, is discarded.
   void SendPrompt(int host, const std::string& parts);
@@ -74,6 +81,8 @@
     std::unique_ptr<endivecart::gateway::Gateway> gateway;
     std::unique_ptr<endivecart::fleet::FleetFollower> follower;
     std::unique_ptr<endivecart::net::HttpServer> server;
+    std::map<int, std::unique_ptr<RawProxy>> links;  // by the upstream's port
+    std::optional<RawProxy::Cut> cut;
   };
   struct PendingCall {
     std::unique_ptr<RawCaller> caller;
@@ -86,9 +95,12 @@
                    const std::string& fields,
                    const std::string& key);
   endivecart::fleet::FleetFeed::Hooks FeedHooks();
+  // Replaces the upstreams' addresses by those of the host's proxies.
+  void UseLinks(Host& host, endivecart::wire::FleetUpdate& update);
   void AddHost(int number);
   void CollectAnswers();
 
+  const bool has_links_;
   endivecart::upstreams::UpstreamRegistry registry_;
   endivecart::fleet::FleetFeed feed_;
   std::vector<std::unique_ptr<Host>> hosts_;
