Gateway: hosts that reach no upstream send through hosts that do

Cause: a host knows one way to upstreams, its own, and takes what it sees there for the state of the upstreams. Ruled out: late notice (refusals went on at the same rate for 12 s) and distrust (14 of 181 refusals).

Hosts report with each poll whether they are cut off from a service and when an upstream last answered them. A control host tells one that is cut off of up to eight others that were answered since, and it sends its requests through the less loaded of two of these, in the regions to which the request is restricted, through one host at most. The other host treats a request as its own: permits, placement, quarantine. Invariants: relayed once, within the allowed regions, not after a possible run, no quarantined part.

--- a/src/endivecart/base/invariant.cc
+++ b/src/endivecart/base/invariant.cc
@@ -26,7 +26,9 @@
     "graceful_stop",
     "configuration_monotone",
     "sound_part_not_withheld",
-    "quarantined_part_gets_no_work"};
+    "quarantined_part_gets_no_work",
+    "relayed_once",
+    "stays_in_region"};
 
 void LogViolation(Invariant invariant, std::string_view detail) {
   LogLine("invariant")
--- a/src/endivecart/base/invariant.h
+++ b/src/endivecart/base/invariant.h
@@ -25,6 +25,8 @@
   kConfigurationMonotone,  // an accepted configuration is never reverted
   kSoundPartNotWithheld,   // a part that was answered since is not quarantined
   kQuarantinedPartGetsNoWork,  // no prompt with a quarantined part is sent
+  kRelayedOnce,                // no request passes through two other hosts
+  kStaysInRegion,  // no request leaves the regions to which it is restricted
   kCount,
 };
 
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -5,6 +5,7 @@
 
 #include "endivecart/fleet/limit_messages.h"
 #include "endivecart/fleet/quarantine_messages.h"
+#include "endivecart/fleet/reach_messages.h"
 
 namespace endivecart::fleet {
 
@@ -40,6 +41,8 @@
   if (poll.serves_callers()) {
     part_judge_.OnReport(from, FromWire(poll.quarantine(), hooks_.now()),
                          hooks_.now());
+    relay_table_.OnReport(from, FromWire(poll.reach(), hooks_.now()),
+                          hooks_.now());
   }
   for (const auto& limit : FromWire(poll.limits(), hooks_.now()))
     push_requested_ |= limits_.Merge(limit);
@@ -76,6 +79,7 @@
   });
   UpdateMembership();
   limits_.Expire(now);
+  relay_table_.Expire(now);
   loads_.DropUnused(*roster_);
 }
 
@@ -114,6 +118,7 @@
   if (follower.poll.serves_callers())
     *update.mutable_limits() = ToWire(limits_.All(), now);
   if (is_answer && follower.poll.serves_callers()) {
+    *update.mutable_relays() = ToWire(relay_table_.RelaysFor(to, now), now);
     if (follower.poll.wants_loads()) {
       *update.mutable_fleet_loads() = loads_.Encode(
           to, {follower.poll.names_epoch(), follower.poll.names()}, *roster_,
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -120,6 +120,7 @@
   LoadTable loads_;
   quarantine::PartJudge part_judge_;
   limits::LimitTable limits_;  // of upstreams, as named to any follower
+  quarantine::RelayTable relay_table_;
   bool push_requested_ = false;
 };
 
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -5,6 +5,7 @@
 
 #include "endivecart/fleet/limit_messages.h"
 #include "endivecart/fleet/quarantine_messages.h"
+#include "endivecart/fleet/reach_messages.h"
 
 namespace endivecart::fleet {
 
@@ -54,6 +55,8 @@
     }
     if (hooks_.limit_findings)
       *poll.mutable_limits() = ToWire(hooks_.limit_findings(), hooks_.now());
+    if (hooks_.reach_report)
+      *poll.mutable_reach() = ToWire(hooks_.reach_report(), hooks_.now());
     for (wire::ServiceMoveReport& report : hooks_.move_reports())
       *poll.add_move_reports() = std::move(report);
   }
@@ -151,6 +154,8 @@
     hooks_.on_quarantine(FromWire(update.quarantine(), now));
   if (update.limits_size() > 0 && hooks_.on_limits)
     hooks_.on_limits(FromWire(update.limits(), now));
+  if (update.relays_size() > 0 && hooks_.on_relays)
+    hooks_.on_relays(FromWire(update.relays(), now));
   if (update.has_cache() && hooks_.on_cache)
     hooks_.on_cache(update.cache());
   if (update.has_decisions())
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -68,6 +68,10 @@
     // Limits that upstreams have named to this process, and to any. Optional.
     std::function<std::vector<limits::NamedLimit>()> limit_findings;
     std::function<void(const std::vector<limits::NamedLimit>&)> on_limits;
+    // How this process reaches upstreams, and hosts that may relay its requests
+    // while it is cut off from them. Optional.
+    std::function<quarantine::HostReach()> reach_report;
+    std::function<void(const std::vector<quarantine::RelayHost>&)> on_relays;
     std::function<TimePoint()> now;
   };
 
--- a/src/endivecart/gateway/caller_request.h
+++ b/src/endivecart/gateway/caller_request.h
@@ -89,6 +89,12 @@
   // Returns nullopt if a mandatory field is missing or malformed.
   std::function<std::optional<CallerRequest>(const net::HttpRequest&)> decode;
   std::function<net::HttpRequest(const UpstreamRequest&)> encode;
+  // Encodes a request for another host as its caller would have sent it there,
+  // with this much time left, to resume after this event if it isn't empty.
+  std::function<net::HttpRequest(const CallerRequest&,
+                                 Millis time_left,
+                                 const std::string& last_event_id)>
+      encode_for_relay;
   std::function<AnswerMetadata(const net::HttpResponseHead&)> read_answer;
   // Returns the header fields of an upstream's answer to forward to the caller.
   std::function<net::HttpFields(const net::HttpFields&)> fields_for_caller;
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -29,6 +29,11 @@
   hooks.on_limits = [&gateway](const std::vector<limits::NamedLimit>& limits) {
     gateway.limits().Apply(limits);
   };
+  hooks.reach_report = [&gateway] { return gateway.ReachReport(); };
+  hooks.on_relays =
+      [&gateway](const std::vector<quarantine::RelayHost>& relays) {
+        gateway.relays().Apply(relays, gateway.Now());
+      };
   hooks.on_cache = [&gateway](const wire::CacheUpdate& update) {
     gateway.cache().Apply(update, gateway.Now());
   };
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -44,7 +44,8 @@
                        CallerRequest request,
                        routes::RouteTablePtr routes,
                        const routes::Route& route,
-                       const routes::Customer* customer)
+                       const routes::Customer* customer,
+                       std::optional<RelayTicket> ticket_from_relay)
     : gateway_(gateway),
       exchange_(std::move(exchange)),
       request_(std::move(request)),
@@ -56,7 +57,9 @@
            customer_ ? std::string_view(customer_->id.str()) : "",
            request_.body})),
       parts_(AllParts(request_keys_, request_.prompt)),
-      accepted_at_(exchange_->received_at()) {}
+      accepted_at_(exchange_->received_at()),
+      ticket_from_relay_(std::move(ticket_from_relay)),
+      runs_(ticket_from_relay_ ? ticket_from_relay_->runs : 0) {}
 
 Forwarding::~Forwarding() = default;
 
@@ -80,7 +83,9 @@
   });
   service_ = gateway_.ChooseService(route_);
   move_draw_ = std::uniform_real_distribution<double>(0, 1)(gateway_.random_);
-  gateway_.retry_limiter_.CountRequest(service_, gateway_.loop_.Now());
+  // The host that sends it to an upstream counts it.
+  if (!ChooseRelay())
+    gateway_.retry_limiter_.CountRequest(service_, gateway_.loop_.Now());
   Send();
 }
 
@@ -100,6 +105,10 @@
 void Forwarding::Send() {
   if (!AdmitParts())
     return;
+  if (const auto relay = ChooseRelay()) {
+    StartRelayedCall(*relay);
+    return;
+  }
   const auto upstream = ChooseUpstream();
   if (upstream) {
     StartCall(*upstream);
@@ -112,7 +121,7 @@
         .Add("service", service_.str())
         .Add("upstreams", upstream_counts_.ToString())
         .Warn();
-    GiveUp(time_to_permit_ ? "limited" : "no_upstream");
+    GiveUp(time_to_permit_ ? "limited" : kReasonNoUpstream);
   }
 }
 
@@ -147,7 +156,7 @@
 
 bool Forwarding::TryDispatch() {
   const auto self = shared_from_this();
-  if (gateway_.part_monitor_.IsQuarantined(parts_)) {
+  if (gateway_.part_monitor_.IsQuarantined(parts_) || ChooseRelay()) {
     StopWaiting();
     Send();
     return true;
@@ -311,8 +320,7 @@
   out.urgency = Urgency();
   if (customer_ != nullptr)
     out.customer = customer_->id;
-  out.last_event_id =
-      last_event_id_ ? std::to_string(*last_event_id_) : request_.last_event_id;
+  out.last_event_id = LastEventIdToSend();
   if (request_.prompt)
     PlanCache(out);
   return out;
@@ -346,6 +354,11 @@
     out.fetch_cache_from[i] = home->last.address;
 }
 
+std::string Forwarding::LastEventIdToSend() const {
+  return last_event_id_ ? std::to_string(*last_event_id_)
+                        : request_.last_event_id;
+}
+
 Millis Forwarding::PrefillTime() const {
   return Millis(static_cast<std::int64_t>(
       static_cast<double>(SharedTokensOf(*request_.prompt)) /
@@ -400,13 +413,10 @@
   line.Info();
 }
 
-void Forwarding::StartCall(const Chosen& chosen) {
-  const UpstreamId& id = chosen.upstream;
-  const auto* upstream = gateway_.upstreams_.Find(id);
-  upstream_ = id;
-  tried_.insert(id);
+void Forwarding::ResetSend() {
   ++sends_;
   sent_at_ = gateway_.loop_.Now();
+  data_at_ = TimePoint{};
   head_ = {};
   head_received_ = false;
   forwards_events_ = false;
@@ -415,6 +425,14 @@
   outcome_recorded_ = false;
   body_.clear();
   splitter_ = EventSplitter();
+}
+
+void Forwarding::StartCall(const Chosen& chosen) {
+  const UpstreamId& id = chosen.upstream;
+  const auto* upstream = gateway_.upstreams_.Find(id);
+  ResetSend();
+  upstream_ = id;
+  tried_.insert(id);
   requests_there_ = chosen.requests_there;
   weights_version_ = request_.prompt ? gateway_.upstreams_.WeightsOf(
                                            *upstream, request_.prompt->model)
@@ -431,21 +449,27 @@
   options.connect_timeout =
       std::min(kConnectTimeout, std::max(TimeLeft(), Millis(1)));
   options.max_idle = MayRepeat() ? kMaxIdle : kMaxIdleNonIdempotent;
+  call_ = StartCallTo(upstream->last.address, gateway_.dialect_.encode(request),
+                      options);
+}
+
+net::HttpCallPtr Forwarding::StartCallTo(const settings::Endpoint& address,
+                                         const net::HttpRequest& request,
+                                         const net::CallOptions& options) {
   const auto weak = weak_from_this();
-  call_ = gateway_.client_.Start(upstream->last.address,
-                                 gateway_.dialect_.encode(request), options,
-                                 {[weak](const net::HttpResponseHead& head) {
-                                    if (const auto self = weak.lock())
-                                      self->OnHead(head);
-                                  },
-                                  [weak](std::string_view bytes) {
-                                    if (const auto self = weak.lock())
-                                      self->OnBody(bytes);
-                                  },
-                                  [weak](net::CallResult end) {
-                                    if (const auto self = weak.lock())
-                                      self->OnEnd(end);
-                                  }});
+  return gateway_.client_.Start(address, request, options,
+                                {[weak](const net::HttpResponseHead& head) {
+                                   if (const auto self = weak.lock())
+                                     self->OnHead(head);
+                                 },
+                                 [weak](std::string_view bytes) {
+                                   if (const auto self = weak.lock())
+                                     self->OnBody(bytes);
+                                 },
+                                 [weak](net::CallResult end) {
+                                   if (const auto self = weak.lock())
+                                     self->OnEnd(end);
+                                 }});
 }
 
 bool Forwarding::MayRetry(bool was_run) const {
@@ -459,7 +483,8 @@
 }
 
 void Forwarding::RetryOrGiveUp(const char* reason) {
-  if (MayRetry(false)) {
+  // A relay's send is no retry: none has reached an upstream.
+  if ((run_state_ == RunState::kNotRun && ChooseRelay()) || MayRetry(false)) {
     Send();
   } else {
     GiveUp(reason);
@@ -468,6 +493,10 @@
 
 void Forwarding::EndSend(SendResult result) {
   call_.reset();
+  if (relay_) {
+    gateway_.relays_.OnDone(*relay_);
+    relay_.reset();
+  }
   if (upstream_.empty())
     return;
   RecordMoveOutcome(result);
@@ -500,8 +529,9 @@
                         std::optional<Millis> retry_after) {
   CheckInvariant(run_state_ == RunState::kNotRun || !GuaranteesNotRun(status),
                  Invariant::kNotRunIsTrue, request_.id.str());
-  exchange_->Respond(
-      gateway_.dialect_.refusal(status, reason, retry_after, request_.id));
+  gateway_.RespondWithRefusal(
+      *exchange_, {status, reason, retry_after, request_.id},
+      ticket_from_relay_ && run_state_ == RunState::kNotRun);
   Finish(status, reason.c_str());
 }
 
@@ -549,6 +579,8 @@
       .Add("outcome", outcome)
       .Add("sends", sends_)
       .Add("ms", elapsed);
+  if (ticket_from_relay_)
+    line.Add("relayed", "yes");
   if (IsStream()) {
     line.Add("events", std::uint64_t{events_})
         .Add("first_event_ms",
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -8,6 +8,7 @@
 
 #include "endivecart/gateway/event_splitter.h"
 #include "endivecart/gateway/gateway.h"
+#include "endivecart/gateway/relayed_request.h"
 
 namespace endivecart::gateway {
 
@@ -26,13 +27,17 @@
              CallerRequest request,
              routes::RouteTablePtr routes,  // keeps route and customer alive
              const routes::Route& route,
-             const routes::Customer* customer);
+             const routes::Customer* customer,
+             std::optional<RelayTicket> ticket_from_relay);
   ~Forwarding();
 
   void Start();
   // Retries at another upstream if the current one is silent and a retry is
   // allowed.
   void FailOverFromSilentUpstream();
+  // Retries through another host if this one is cut off from the current
+  // upstream and a retry is allowed.
+  void FailOverFromCutLink();
   // Reports an outstanding send, in case that all upstreams are silent.
   void ReportWaiting() const;
   // Records the speed of a running request for its version as soon as it is
@@ -81,8 +86,25 @@
                       const HostRank& rank);
   std::optional<Chosen> ChooseUpstream();
   void StartCall(const Chosen& chosen);
+  // Resets the state of the current send for another.
+  void ResetSend();
+  net::HttpCallPtr StartCallTo(const settings::Endpoint& address,
+                               const net::HttpRequest& request,
+                               const net::CallOptions& options);
+  // Returns the event after which the next send resumes the stream; empty: from
+  // the start.
+  std::string LastEventIdToSend() const;
+
+  // Returns another host that can send this request to an upstream, if this one
+  // is cut off from the service. A request that came through another host goes
+  // through no second one.
+  std::optional<quarantine::RelayHost> ChooseRelay() const;
+  void StartRelayedCall(const quarantine::RelayHost& relay);
+  void OnRelayEnd(net::CallResult end, bool sent);
+  void OnRelayNotRun();
   bool SatisfiesInvariants(const Chosen& chosen,
                            const UpstreamRequest& request) const;
+  bool SatisfiesInvariants(const quarantine::RelayHost& relay) const;
   void LogSend(const Chosen& chosen, const UpstreamRequest& request) const;
   UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
   void PlanCache(UpstreamRequest& out) const;
@@ -90,14 +112,22 @@
   // Records that the upstream has sent data.
   void RecordData();
   void OnHead(const net::HttpResponseHead& head);
+  // Returns the head of the current answer as the caller gets it.
+  net::HttpResponseHead HeadForCaller() const;
+  // Records what an upstream's answer says besides the answer itself.
+  void RecordMetadata(const AnswerMetadata& metadata);
   void OnBody(std::string_view bytes);
   void OnEnd(net::CallResult end);
+  // Handles an answer that is complete, as far as its connection tells.
+  void OnAnswerEnd();
   void OnEvents();
   void ForwardEvent(const StreamEvent& event);
   void OnCompleteAnswer();
   void OnBadAnswer(const char* reason);
   void OnNotRun(const net::HttpResponseHead& head);
   void OnFailedRun(SendResult result, const char* reason);
+  // Ends a send that an upstream may have run without a usable answer.
+  void EndFailedRun(SendResult result, const char* reason);
   void OnDeadline();
   // Ends the request in whatever state it is.
   void EndNow(const char* reason);
@@ -160,7 +190,10 @@
   // Of the limited upstreams at the last choice; nullopt if there was none.
   std::optional<Millis> time_to_permit_;
 
+  // If it came through another host.
+  const std::optional<RelayTicket> ticket_from_relay_;
   std::set<UpstreamId> tried_;
+  std::set<HostId> tried_relays_;
   bool is_trial_ = false;  // of a quarantined part
   int sends_ = 0;          // including those that did not reach an upstream
   int runs_ = 0;           // sends that an upstream may have run
@@ -170,6 +203,8 @@
   // State of the current send:
   net::HttpCallPtr call_;
   UpstreamId upstream_;
+  std::optional<HostId> relay_;  // instead of an upstream
+  TimePoint data_at_{};          // last data
   std::uint64_t weights_version_ = 0;
   TimePoint sent_at_;
   std::optional<TimePoint> first_event_of_send_at_;
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -22,8 +22,6 @@
 
 void Forwarding::OnHead(const net::HttpResponseHead& head) {
   RecordData();
-  if (call_->opened_connection())
-    gateway_.reach_.OnConnected(service_.str(), sent_at_);
   const AnswerMetadata metadata = gateway_.dialect_.read_answer(head);
   if (metadata.request_id != request_.id) {
     OnBadAnswer("answers_another_request");
@@ -31,6 +29,26 @@
   }
   head_ = head;
   head_received_ = true;
+  if (!relay_)
+    RecordMetadata(metadata);
+  const bool success = head.status >= 200 && head.status < 300;
+  if (success && (!metadata.is_signed || metadata.has_unrequested_encoding)) {
+    OnBadAnswer("unsigned_or_coded");
+    return;
+  }
+  forwards_events_ = success && IsStream();
+}
+
+net::HttpResponseHead Forwarding::HeadForCaller() const {
+  net::HttpFields fields = gateway_.dialect_.fields_for_caller(head_.fields);
+  // Only hosts may say so to each other.
+  fields.Remove(kRelayNotRunField);
+  return {head_.status, fields};
+}
+
+void Forwarding::RecordMetadata(const AnswerMetadata& metadata) {
+  if (call_->opened_connection())
+    gateway_.reach_.OnConnected(service_.str(), sent_at_);
   gateway_.part_monitor_.OnAlive(gateway_.UpstreamRun(upstream_), sent_at_);
   if (metadata.weights_version && request_.prompt) {
     gateway_.upstreams_.RecordWeights(upstream_, request_.prompt->model,
@@ -41,12 +59,6 @@
   if (metadata.has_bad_server_load)
     gateway_.CountBadServerLoad(upstream_);
   gateway_.OnRequestLimit(upstream_, metadata, sent_at_);
-  const bool success = head.status >= 200 && head.status < 300;
-  if (success && (!metadata.is_signed || metadata.has_unrequested_encoding)) {
-    OnBadAnswer("unsigned_or_coded");
-    return;
-  }
-  forwards_events_ = success && IsStream();
 }
 
 void Forwarding::OnBody(std::string_view bytes) {
@@ -100,8 +112,7 @@
   if (!started_) {
     started_ = true;
     first_event_at_ = gateway_.loop_.Now();
-    exchange_->StartResponse(
-        {head_.status, gateway_.dialect_.fields_for_caller(head_.fields)});
+    exchange_->StartResponse(HeadForCaller());
   }
   if (event.id) {
     // The ids must be consecutive, so they give the expected number of events.
@@ -118,18 +129,22 @@
   const bool sent = call_->may_have_been_sent();
   const bool opened_connection = call_->opened_connection();
   call_.reset();
+  if (relay_) {
+    OnRelayEnd(end, sent);
+    return;
+  }
   switch (end) {
     case net::CallResult::kNotSent:
       if (opened_connection)
         gateway_.reach_.OnUnreachable(service_.str(), gateway_.loop_.Now());
       EndSend(SendResult::kUnreachable);
-      RetryOrGiveUp("unreachable");
+      RetryOrGiveUp(kReasonUnreachable);
       return;
     case net::CallResult::kBroken:
     case net::CallResult::kMalformedResponse:
       if (!sent) {
         EndSend(SendResult::kUnreachable);
-        RetryOrGiveUp("unreachable");
+        RetryOrGiveUp(kReasonUnreachable);
         return;
       }
       if (end == net::CallResult::kBroken)
@@ -137,8 +152,12 @@
       OnFailedRun(SendResult::kBroken, net::CallResultName(end).data());
       return;
     case net::CallResult::kComplete:
-      break;
+      OnAnswerEnd();
+      return;
   }
+}
+
+void Forwarding::OnAnswerEnd() {
   if (!head_received_) {
     RecordBrokenRun();
     OnFailedRun(SendResult::kBroken, "no_head");
@@ -146,10 +165,8 @@
     RecordBrokenRun();
     OnFailedRun(SendResult::kBroken, "event_cut");
   } else if (forwards_events_) {
-    if (!started_) {
-      exchange_->StartResponse(
-          {head_.status, gateway_.dialect_.fields_for_caller(head_.fields)});
-    }
+    if (!started_)
+      exchange_->StartResponse(HeadForCaller());
     if (events_ > 0)
       RecordAnswered();
     EndSend(SendResult::kAnswered);
@@ -166,8 +183,8 @@
   }
 }
 
-// The connection to an upstream that has failed or is cut off may otherwise
-// stay open until the time limit.
+// The connection to an upstream that has failed may otherwise stay open until
+// the time limit.
 void Forwarding::FailOverFromSilentUpstream() {
   if (!call_ || !call_->may_have_been_sent() ||
       !gateway_.upstreams_.IsSilent(upstream_) || !MayRepeat() ||
@@ -193,7 +210,8 @@
     return;
   }
   ++runs_;
-  if (server_error && head_.status != 504 && MayRetry(true)) {
+  // A relay has retried already.
+  if (server_error && head_.status != 504 && !relay_ && MayRetry(true)) {
     EndSend(SendResult::kFailed);
     Send();
     return;
@@ -206,9 +224,7 @@
     Finish(head_.status, "resume_failed");
     return;
   }
-  exchange_->Respond(
-      {{head_.status, gateway_.dialect_.fields_for_caller(head_.fields)},
-       body_});
+  exchange_->Respond({HeadForCaller(), body_});
   Finish(head_.status, "answered");
 }
 
@@ -228,11 +244,21 @@
 }
 
 void Forwarding::OnFailedRun(SendResult result, const char* reason) {
+  EndFailedRun(result, reason);
+  if (MayRetry(true)) {
+    Send();
+  } else {
+    GiveUp(reason);
+  }
+}
+
+void Forwarding::EndFailedRun(SendResult result, const char* reason) {
   run_state_ = RunState::kMayHaveRun;
   ++runs_;
   LogLine line("gateway.broken");
   line.Add("request", request_.id.str())
-      .Add("upstream", upstream_.str())
+      .Add(relay_ ? "host" : "upstream",
+           relay_ ? relay_->str() : upstream_.str())
       .Add("reason", reason)
       .Add("events", std::uint64_t{events_})
       .Add("ms", MillisBetween(sent_at_, gateway_.loop_.Now()))
@@ -241,11 +267,6 @@
     line.Add("shared_parts", SharedPartsText(*request_.prompt));
   line.Warn();
   EndSend(result);
-  if (MayRetry(true)) {
-    Send();
-  } else {
-    GiveUp(reason);
-  }
 }
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/forwarding_permits.cc
+++ b/src/endivecart/gateway/forwarding_permits.cc
@@ -46,6 +46,8 @@
 }
 
 void Forwarding::RecordBrokenRun() {
+  if (relay_)
+    return;
   const TimePoint now = gateway_.loop_.Now();
   // What crashes upstreams does so before or as soon as they begin to answer.
   const bool was_under_way =
@@ -59,6 +61,8 @@
 void Forwarding::RecordAnswered() {
   // Without framing, the end of a crashed upstream may look like the end of the
   // answer.
+  if (relay_)
+    return;
   const bool has_framing = head_.fields.Has("Content-Length") ||
                            head_.fields.Has("Transfer-Encoding");
   if (has_framing)
--- a/src/endivecart/gateway/forwarding_rating.cc
+++ b/src/endivecart/gateway/forwarding_rating.cc
@@ -43,12 +43,15 @@
 }
 
 void Forwarding::RecordData() {
+  data_at_ = gateway_.loop_.Now();
+  if (relay_)
+    return;
   gateway_.upstreams_.RecordActivity(upstream_);
   gateway_.reach_.OnData(service_.str(), gateway_.loop_.Now());
 }
 
 void Forwarding::ReportWaiting() const {
-  if (call_ && call_->may_have_been_sent())
+  if (call_ && !relay_ && call_->may_have_been_sent())
     gateway_.reach_.OnWaiting(service_.str(), sent_at_, gateway_.loop_.Now());
 }
 
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -29,6 +29,7 @@
       metrics_(metrics),
       upstreams_(options_.domain, [&loop] { return loop.Now(); }),
       prober_(loop, client, upstreams_, reach_),
+      relay_port_(options_.relay_port),
       retry_limiter_(options_.retry_ratio, options_.retry_window),
       random_(options_.seed),
       admit_timer_(loop.Every(kAdmitInterval,
@@ -65,51 +66,97 @@
   return least;
 }
 
-void Gateway::Refuse(const net::HttpExchangePtr& exchange,
-                     int status,
-                     const std::string& reason,
-                     std::optional<Millis> retry_after,
-                     const RequestId& id) {
+void Gateway::RespondWithRefusal(net::HttpExchange& exchange,
+                                 const Refusal& refusal,
+                                 bool tells_not_run) {
+  auto response = dialect_.refusal(refusal.status, refusal.reason,
+                                   refusal.retry_after, refusal.id);
+  if (tells_not_run)
+    response.head.fields.Add(kRelayNotRunField, refusal.reason);
+  exchange.Respond(response);
+}
+
+void Gateway::Refuse(net::HttpExchange& exchange,
+                     const Refusal& refusal,
+                     bool is_relayed) {
   LogLine("gateway.refused")
-      .Add("request", id.str())
-      .Add("status", status)
-      .Add("reason", reason)
+      .Add("request", refusal.id.str())
+      .Add("status", refusal.status)
+      .Add("reason", refusal.reason)
       .Add("routing_version", decisions_ ? decisions_->routing_version : 0)
       .Info();
-  metrics_.Add("endivecart_requests_total", "outcome=\"" + reason + "\"");
-  exchange->Respond(dialect_.refusal(status, reason, retry_after, id));
+  metrics_.Add("endivecart_requests_total",
+               "outcome=\"" + refusal.reason + "\"");
+  RespondWithRefusal(exchange, refusal, is_relayed);
 }
 
 void Gateway::Handle(net::HttpExchangePtr exchange) {
-  auto request = dialect_.decode(exchange->request());
+  const net::HttpRequest& received = exchange->request();
+  Accept(std::move(exchange), received, std::nullopt);
+}
+
+void Gateway::HandleRelayed(net::HttpExchangePtr exchange) {
+  net::HttpRequest received = exchange->request();
+  const auto text = received.fields.Find(kRelayedField);
+  const auto ticket = text ? ParseRelayTicket(*text) : std::nullopt;
+  if (!ticket) {
+    Refuse(*exchange, {400, "malformed", std::nullopt, RequestId()}, true);
+    return;
+  }
+  if (decisions_ && decisions_->routing_version < ticket->routing_version) {
+    const auto request = dialect_.decode(received);
+    Refuse(*exchange,
+           {503, kReasonOlderConfiguration, kRetryAfterStart,
+            request ? request->id : RequestId()},
+           true);
+    return;
+  }
+  received.fields.Remove(kRelayedField);
+  Accept(std::move(exchange), received, ticket);
+}
+
+void Gateway::Accept(net::HttpExchangePtr exchange,
+                     const net::HttpRequest& received,
+                     std::optional<RelayTicket> ticket) {
+  auto request = dialect_.decode(received);
+  const bool is_relayed = ticket.has_value();
   if (!request) {
-    Refuse(exchange, 400, "malformed", std::nullopt, RequestId());
+    Refuse(*exchange, {400, "malformed", std::nullopt, RequestId()},
+           is_relayed);
     return;
   }
   if (!routes_) {
-    Refuse(exchange, 503, "no_configuration", kRetryAfterStart, request->id);
+    Refuse(*exchange,
+           {503, kReasonNoConfiguration, kRetryAfterStart, request->id},
+           is_relayed);
     return;
   }
   const routes::Route* route = routes_->Match(request->host, request->path);
   if (route == nullptr) {
-    Refuse(exchange, 404, "no_route", std::nullopt, request->id);
+    Refuse(*exchange, {404, "no_route", std::nullopt, request->id}, is_relayed);
     return;
   }
   const routes::Customer* customer = nullptr;
   if (routes_->NeedsKey(*route)) {
     customer = routes_->FindCustomer(request->key);
     if (customer == nullptr) {
-      Refuse(exchange, 401, "unknown_key", std::nullopt, request->id);
+      Refuse(*exchange, {401, "unknown_key", std::nullopt, request->id},
+             is_relayed);
       return;
     }
   }
   const auto forwarding = std::make_shared<Forwarding>(
       *this, std::move(exchange), std::move(*request), routes_, *route,
-      customer);
+      customer, ticket);
   active_.insert(forwarding);
   forwarding->Start();
 }
 
+quarantine::HostReach Gateway::ReachReport() const {
+  return {options_.domain, relay_port_, static_cast<int>(active_.size()),
+          reach_.Report(loop_.Now())};
+}
+
 routes::ServiceId Gateway::ChooseService(const routes::Route& route) {
   int total = 0;
   for (const routes::WeightedService& target : route.services)
@@ -180,8 +227,12 @@
 }
 
 void Gateway::ReachTick() {
-  for (const auto& forwarding : active_)
+  const auto active = active_;  // active_ changes as requests end
+  for (const auto& forwarding : active) {
     forwarding->ReportWaiting();
+    if (reach_.IsCutOff())
+      forwarding->FailOverFromCutLink();
+  }
   prober_.Tick(random_());
 }
 
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "endivecart/gateway/prefill_rate_estimator.h"
 #include "endivecart/gateway/reach_prober.h"
 #include "endivecart/gateway/region_map.h"
+#include "endivecart/gateway/relayed_request.h"
 #include "endivecart/gateway/request_queue.h"
 #include "endivecart/gateway/retry_limiter.h"
 #include "endivecart/gateway/upstream_tracker.h"
@@ -36,6 +37,8 @@
   Millis retry_window{10000};
   // How long older weights may still serve after a newer version was decided.
   Millis old_weights_grace{8000};
+  // Where other hosts may send requests; 0: nowhere.
+  int relay_port = 0;
   std::uint64_t seed = 1;
 };
 
@@ -56,6 +59,14 @@
 
   // Handles one request of a caller.
   void Handle(net::HttpExchangePtr exchange);
+  // Handles a request that another host passed on, since it is cut off from the
+  // upstreams. It is never passed on again.
+  void HandleRelayed(net::HttpExchangePtr exchange);
+  // Tells control hosts that this host takes no more requests from others.
+  void StopRelaying() { relay_port_ = 0; }
+  // Returns what to report about the way to upstreams.
+  quarantine::HostReach ReachReport() const;
+  quarantine::RelaySelector& relays() { return relays_; }
 
   // Sets the decisions in force. If `routes` is null, the previous routes stay.
   void SetDecisions(fleet::DecisionsPtr decisions,
@@ -86,11 +97,25 @@
  private:
   friend class Forwarding;
 
-  void Refuse(const net::HttpExchangePtr& exchange,
-              int status,
-              const std::string& reason,
-              std::optional<Millis> retry_after,
-              const RequestId& id);
+  // An answer that the system itself gives.
+  struct Refusal {
+    int status = 0;
+    std::string reason;
+    std::optional<Millis> retry_after;
+    RequestId id;
+  };
+
+  void Accept(net::HttpExchangePtr exchange,
+              const net::HttpRequest& received,
+              std::optional<RelayTicket> ticket);
+  void Refuse(net::HttpExchange& exchange,
+              const Refusal& refusal,
+              bool is_relayed);
+  // `tells_not_run`: whether to guarantee to a host that relayed the request
+  // that it was not run.
+  void RespondWithRefusal(net::HttpExchange& exchange,
+                          const Refusal& refusal,
+                          bool tells_not_run);
   routes::ServiceId ChooseService(const routes::Route& route);
   // Returns the oldest version of the weights that may serve a request; 0: any.
   std::uint64_t MinWeights(const ModelId& model) const;
@@ -119,6 +144,8 @@
   limits::LimitMonitor limits_;
   quarantine::ReachMonitor reach_;
   ReachProber prober_;
+  quarantine::RelaySelector relays_;
+  int relay_port_ = 0;
   RetryLimiter retry_limiter_;
   ColdStartLimiter cold_start_limiter_;
   PrefillRateEstimator prefill_rates_;
--- a/src/endivecart/gateway/send_invariants.cc
+++ b/src/endivecart/gateway/send_invariants.cc
@@ -71,4 +71,16 @@
   return CheckCache(context) && holds;
 }
 
+bool CheckRelayInvariants(const RelayContext& context) {
+  const std::string& id = context.request->id.str();
+  bool holds =
+      CheckInvariant(!context.was_relayed, Invariant::kRelayedOnce, id);
+  holds &= CheckInvariant(context.may_be_there, Invariant::kStaysInRegion, id);
+  holds &= CheckInvariant(context.may_repeat || !context.may_have_run,
+                          Invariant::kAtMostOnce, id);
+  holds &= CheckInvariant(!context.is_quarantined || context.is_trial,
+                          Invariant::kQuarantinedPartGetsNoWork, id);
+  return holds;
+}
+
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/send_invariants.h
+++ b/src/endivecart/gateway/send_invariants.h
@@ -29,6 +29,20 @@
 // then not be sent. Violations are counted and logged.
 bool CheckSendInvariants(const SendContext& context);
 
+// The state of a request just before another host gets it.
+struct RelayContext {
+  const CallerRequest* request = nullptr;
+  bool was_relayed = false;     // it came through another host
+  bool may_be_there = true;     // the host is in an allowed region
+  bool may_repeat = false;      // the request may run more than once
+  bool may_have_run = false;    // an earlier send may have been run
+  bool is_quarantined = false;  // a part of the prompt crashes upstreams
+  bool is_trial = false;        // may be sent anyway
+};
+
+// The same for a request that another host is to send to an upstream.
+bool CheckRelayInvariants(const RelayContext& context);
+
 }  // namespace endivecart::gateway
 
 #endif  // ENDIVECART_GATEWAY_SEND_INVARIANTS_H_
--- a/src/endivecart/gateway/send_invariants_unittest.cc
+++ b/src/endivecart/gateway/send_invariants_unittest.cc
@@ -26,9 +26,14 @@
 
   // Returns whether exactly this invariant is violated and counted.
   bool Violates(Invariant invariant) {
+    return IsOnlyOneViolated(invariant,
+                             [this] { return CheckSendInvariants(context); });
+  }
+  static bool IsOnlyOneViolated(Invariant invariant,
+                                const std::function<bool()>& check) {
     const std::uint64_t before = InvariantMonitor::Get().Violations(invariant);
     const std::uint64_t all = InvariantMonitor::Get().TotalViolations();
-    const bool held = CheckSendInvariants(context);
+    const bool held = check();
     return !held &&
            InvariantMonitor::Get().Violations(invariant) == before + 1 &&
            InvariantMonitor::Get().TotalViolations() == all + 1;
@@ -125,6 +130,24 @@
   BOOST_TEST(Violates(Invariant::kAnswerComplete));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_is_relayed_once_within_its_regions) {
+  RelayContext relay;
+  relay.request = &caller;
+  const auto check = [&relay] { return CheckRelayInvariants(relay); };
+  BOOST_TEST(check());
+  relay.was_relayed = true;
+  BOOST_TEST(IsOnlyOneViolated(Invariant::kRelayedOnce, check));
+  relay.was_relayed = false;
+  relay.may_be_there = false;
+  BOOST_TEST(IsOnlyOneViolated(Invariant::kStaysInRegion, check));
+  relay.may_be_there = true;
+  relay.may_have_run = true;
+  BOOST_TEST(IsOnlyOneViolated(Invariant::kAtMostOnce, check));
+  relay.may_repeat = true;
+  relay.is_quarantined = true;
+  BOOST_TEST(IsOnlyOneViolated(Invariant::kQuarantinedPartGetsNoWork, check));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -22,10 +22,12 @@
 // answers takes.
 constexpr Millis kFinalAnswerTime{300};
 constexpr std::size_t kMaxCallerConnections = 2500;
+constexpr std::size_t kMaxRelayConnections = 800;
 
-net::HttpServerLimits ServerLimits(const routes::CallerLimits& limits) {
+net::HttpServerLimits ServerLimits(const routes::CallerLimits& limits,
+                                   std::size_t max_connections) {
   net::HttpServerLimits out;
-  out.max_connections = kMaxCallerConnections;
+  out.max_connections = max_connections;
   out.max_header_bytes = limits.max_header_bytes;
   out.max_body_bytes = limits.max_body_bytes;
   out.header_timeout = limits.header_timeout;
@@ -43,6 +45,7 @@
   options.retry_window = settings.bounds.retry_window;
   // The last fifth of the deadline is for requests in progress.
   options.old_weights_grace = settings.bounds.weights_deadline * 4 / 5;
+  options.relay_port = settings.relay ? settings.relay->port : 0;
   options.seed = seed;
   return options;
 }
@@ -66,6 +69,7 @@
 
   Result<bool, NodeError> Open();
   void OpenFollower();
+  Result<bool, NodeError> OpenRelay();
   void ApplyDecisions(const fleet::DecisionsPtr& decisions);
   bool IsReady() const { return gateway.HasRoutes() && !stopping; }
   void StopTick(TimePoint now);
@@ -80,6 +84,7 @@
   std::unique_ptr<fleet::FleetBus> bus;
   std::optional<fleet::FleetFollower> follower;
   std::unique_ptr<net::HttpServer> callers;
+  std::unique_ptr<net::HttpServer> relay;
   std::unique_ptr<net::HttpServer> ready;
   std::unique_ptr<net::HttpServer> metrics_server;
   std::vector<std::unique_ptr<TimerSubscription>> timers;
@@ -125,14 +130,16 @@
   bus = std::move(*opened);
   OpenFollower();
   bus->ConnectTo(settings.contacts);
-  auto listening =
-      net::HttpServer::Listen(loop, *settings.callers, ServerLimits({}),
-                              [this](net::HttpExchangePtr exchange) {
-                                gateway.Handle(std::move(exchange));
-                              });
+  auto listening = net::HttpServer::Listen(
+      loop, *settings.callers, ServerLimits({}, kMaxCallerConnections),
+      [this](net::HttpExchangePtr exchange) {
+        gateway.Handle(std::move(exchange));
+      });
   if (!listening)
     return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
   callers = std::move(*listening);
+  if (auto opened_relay = OpenRelay(); !opened_relay)
+    return opened_relay;
   listening = ListenForChecks(loop, *settings.ready, hooks.is_readiness_check,
                               [this] { return IsReady(); });
   if (!listening)
@@ -152,6 +159,20 @@
   return true;
 }
 
+Result<bool, NodeError> EntryNode::Parts::OpenRelay() {
+  if (!settings.relay)
+    return true;
+  auto listening = net::HttpServer::Listen(
+      loop, *settings.relay, ServerLimits({}, kMaxRelayConnections),
+      [this](net::HttpExchangePtr exchange) {
+        gateway.HandleRelayed(std::move(exchange));
+      });
+  if (!listening)
+    return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
+  relay = std::move(*listening);
+  return true;
+}
+
 void EntryNode::Parts::ApplyDecisions(const fleet::DecisionsPtr& decisions) {
   routes::RouteTablePtr table;
   if (decisions->routing_version != 0) {
@@ -159,7 +180,12 @@
     if (decoded) {
       auto configuration = std::make_shared<const routes::RoutingConfiguration>(
           std::move(*decoded));
-      callers->SetLimits(ServerLimits(configuration->limits));
+      callers->SetLimits(
+          ServerLimits(configuration->limits, kMaxCallerConnections));
+      if (relay) {
+        relay->SetLimits(
+            ServerLimits(configuration->limits, kMaxRelayConnections));
+      }
       table = std::make_shared<const routes::RouteTable>(configuration);
     } else {
       LogLine("node.configuration_unreadable")
@@ -180,9 +206,14 @@
       std::chrono::duration_cast<Millis>(now - stop_started_at);
   if (elapsed < kBalancerDelay)
     return;
-  callers->StopAccepting();
-  callers->CloseIdle();
-  const bool done = gateway.active() == 0 && callers->connections() == 0;
+  bool done = gateway.active() == 0;
+  for (net::HttpServer* server : {callers.get(), relay.get()}) {
+    if (server == nullptr)
+      continue;
+    server->StopAccepting();
+    server->CloseIdle();
+    done = done && server->connections() == 0;
+  }
   const Millis limit = settings.bounds.stop_time - kStopMargin;
   if (!done && elapsed >= limit - kFinalAnswerTime)
     gateway.AnswerAll();
@@ -225,7 +256,10 @@
       .Info();
   parts_->stopping = true;
   parts_->stop_started_at = parts_->loop.Now();
+  parts_->gateway.StopRelaying();
   parts_->callers->DisableKeepAlive();
+  if (parts_->relay)
+    parts_->relay->DisableKeepAlive();
   parts_->stop_timer = parts_->loop.Every(
       kStopTick, [this](TimePoint now) { parts_->StopTick(now); });
 }
--- a/src/endivecart/quarantine/quarantine.h
+++ b/src/endivecart/quarantine/quarantine.h
@@ -12,6 +12,8 @@
 #include "endivecart/quarantine/quarantine_list.h"  // IWYU pragma: export
 #include "endivecart/quarantine/reach.h"            // IWYU pragma: export
 #include "endivecart/quarantine/reach_monitor.h"    // IWYU pragma: export
+#include "endivecart/quarantine/relay_selector.h"   // IWYU pragma: export
+#include "endivecart/quarantine/relay_table.h"      // IWYU pragma: export
 #include "endivecart/quarantine/sound_parts.h"      // IWYU pragma: export
 
 #endif  // ENDIVECART_QUARANTINE_QUARANTINE_H_
--- a/src/endivecart/quarantine/reach_monitor.cc
+++ b/src/endivecart/quarantine/reach_monitor.cc
@@ -104,6 +104,11 @@
              : std::nullopt;
 }
 
+TimePoint ReachMonitor::LastData(const std::string& service) const {
+  const auto it = services_.find(service);
+  return it == services_.end() ? TimePoint{} : it->second.data_at;
+}
+
 bool ReachMonitor::IsCutOff() const {
   return std::any_of(services_.begin(), services_.end(),
                      [](const auto& entry) { return entry.second.is_cut_off; });
--- a/src/endivecart/quarantine/reach_monitor.h
+++ b/src/endivecart/quarantine/reach_monitor.h
@@ -50,6 +50,8 @@
   // it isn't.
   std::optional<TimePoint> CutOffSince(const std::string& service) const;
   bool IsCutOff() const;
+  // Returns when data last arrived from any upstream of the service.
+  TimePoint LastData(const std::string& service) const;
   std::vector<ServiceReach> Report(TimePoint now) const;
   void Expire(TimePoint now);
 
--- a/src/endivecart/settings/node_settings.cc
+++ b/src/endivecart/settings/node_settings.cc
@@ -85,6 +85,7 @@
   JsonReader listen = reader.Object("listen", true);
   settings.callers = ReadEndpoint(listen, "callers");
   settings.ready = ReadEndpoint(listen, "ready");
+  settings.relay = ReadEndpoint(listen, "relay");
   settings.operators = ReadEndpoint(listen, "operators");
   settings.metrics = ReadEndpoint(listen, "metrics");
   listen.RefuseUnknownKeys();
--- a/src/endivecart/settings/node_settings.h
+++ b/src/endivecart/settings/node_settings.h
@@ -46,6 +46,7 @@
   std::map<DomainId, std::string> regions;  // of each failure domain
   std::optional<Endpoint> callers;
   std::optional<Endpoint> ready;      // readiness checks
+  std::optional<Endpoint> relay;      // requests from other hosts
   std::optional<Endpoint> operators;  // operators and upstreams
   std::optional<Endpoint> metrics;
   int peer_port = 0;             // the same on all voters
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -87,7 +87,12 @@
 void GatewayFleet::AddHost(int number) {
   hosts_.push_back(std::make_unique<Host>());
   Host& host = *hosts_.back();
-  host.id = HostId("h" + std::to_string(number));
+  // Each has an address of its own, where others relay requests.
+  host.id = HostId("127.0.0." + std::to_string(number + 1));
+  host.relay = std::move(*net::HttpServer::Listen(
+      loop, {host.id.str(), 0}, {}, [&host](net::HttpExchangePtr exchange) {
+        host.gateway->HandleRelayed(std::move(exchange));
+      }));
   host.client = std::make_unique<net::HttpClient>(loop);
   host.metrics = std::make_unique<MetricsRegistry>();
   gateway::GatewayOptions options;
@@ -95,6 +100,7 @@
   options.domain = DomainId("a");
   options.regions = gateway::RegionMap({{DomainId("a"), "north"}});
   options.seed = static_cast<std::uint64_t>(number) + 1;
+  options.relay_port = host.relay->port();
   host.gateway = std::make_unique<gateway::Gateway>(
       options, PlainDialect(), loop, *host.client, *host.metrics);
   fleet::FleetFollower::Hooks hooks;
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -81,6 +81,7 @@
     std::unique_ptr<endivecart::gateway::Gateway> gateway;
     std::unique_ptr<endivecart::fleet::FleetFollower> follower;
     std::unique_ptr<endivecart::net::HttpServer> server;
+    std::unique_ptr<endivecart::net::HttpServer> relay;
     std::map<int, std::unique_ptr<RawProxy>> links;  // by the upstream's port
     std::optional<RawProxy::Cut> cut;
   };
--- a/tests/support/plain_dialect.h
+++ b/tests/support/plain_dialect.h
@@ -32,6 +32,10 @@
         out.prompt->parts.push_back({part, 10});
     }
     out.body = request.body;
+    out.last_event_id =
+        std::string(request.fields.Find("Last-Event").value_or(""));
+    out.fields = request.fields;
+    out.fields.RemoveHopByHop();
     return std::optional(out);
   };
   dialect.encode = [](const UpstreamRequest& request) {
@@ -49,6 +53,17 @@
       out.fields.Add("Label", request.cache_label);
     return out;
   };
+  dialect.encode_for_relay = [](const CallerRequest& request, Millis time_left,
+                                const std::string& last_event_id) {
+    net::HttpRequest out;
+    out.method = request.method;
+    out.target = request.target;
+    out.fields = request.fields;
+    out.fields.Set("Timeout", std::to_string(time_left.count()));
+    if (!last_event_id.empty())
+      out.fields.Set("Last-Event", last_event_id);
+    return out;
+  };
   dialect.read_answer = [](const net::HttpResponseHead& head) {
     AnswerMetadata metadata;
     metadata.request_id =
@@ -66,8 +81,10 @@
     return out;
   };
   dialect.refusal = [](int status, const std::string& reason,
-                       std::optional<Millis> retry_after, const RequestId&) {
+                       std::optional<Millis> retry_after, const RequestId& id) {
     auto response = net::MakeResponse(status, "", reason);
+    if (!id.empty())
+      response.head.fields.Add("Id", id.str());
     if (retry_after)
       response.head.fields.Add("Retry", std::to_string(retry_after->count()));
     return response;
