Observability: all hosts know and log which upstreams are brittle

Upstreams may say with their answers that they fail if they have to refuse more than so many requests within a second (Server-Brittle). Nothing read that. It is parsed and merged like a named limit, reaches all hosts through the control hosts, and is in gateway.request_limit (refusals_per_s). Malformed values are logged and counted. No decision about requests changes.

--- a/src/endivecart/fleet/limit_messages.cc
+++ b/src/endivecart/fleet/limit_messages.cc
@@ -11,8 +11,10 @@
   for (const limits::NamedLimit& limit : limits) {
     wire::NamedLimitRecord& record = *records.Add();
     record.set_upstream_run(limit.upstream_run);
-    record.set_is_limited(limit.requests_per_s.has_value());
-    record.set_requests_per_s(limit.requests_per_s.value_or(0));
+    record.set_is_limited(limit.limits.requests_per_s.has_value());
+    record.set_requests_per_s(limit.limits.requests_per_s.value_or(0));
+    record.set_is_brittle(limit.limits.refusals_per_s.has_value());
+    record.set_refusals_per_s(limit.limits.refusals_per_s.value_or(0));
     const auto age = std::chrono::duration_cast<Millis>(now - limit.at).count();
     record.set_age_ms(static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(age, 0, INT32_MAX)));
@@ -25,15 +27,19 @@
   std::vector<limits::NamedLimit> limits;
   for (const wire::NamedLimitRecord& record : records) {
     const double limit = record.requests_per_s();
-    if (!std::isfinite(limit) || limit < 0) {
+    const double refusals = record.refusals_per_s();
+    if (!std::isfinite(limit) || limit < 0 || !std::isfinite(refusals) ||
+        refusals < 0) {
       LogLine("fleet.limit_unusable")
           .Add("upstream", record.upstream_run())
           .Warn();
       continue;
     }
-    limits.push_back({record.upstream_run(),
-                      record.is_limited() ? std::optional(limit) : std::nullopt,
-                      now - Millis(record.age_ms())});
+    limits.push_back(
+        {record.upstream_run(),
+         {record.is_limited() ? std::optional(limit) : std::nullopt,
+          record.is_brittle() ? std::optional(refusals) : std::nullopt},
+         now - Millis(record.age_ms())});
   }
   return limits;
 }
--- a/src/endivecart/gateway/caller_request.h
+++ b/src/endivecart/gateway/caller_request.h
@@ -8,6 +8,7 @@
 
 #include "endivecart/base/base.h"
 #include "endivecart/gateway/server_load.h"
+#include "endivecart/limits/limits.h"
 #include "endivecart/net/net.h"
 
 namespace endivecart::gateway {
@@ -76,9 +77,8 @@
   std::optional<std::uint64_t> weights_version;
   std::optional<ServerLoad> server_load;
   bool has_bad_server_load = false;  // a load was sent, but is malformed
-  // The requests per second that the upstream takes from all hosts together.
-  std::optional<double> request_limit;
-  bool has_bad_request_limit = false;  // a limit was sent, but is malformed
+  limits::UpstreamLimits limits;
+  bool has_bad_limits = false;  // a limit was sent, but is malformed
 
   bool operator==(const AnswerMetadata&) const = default;
 };
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -195,12 +195,12 @@
 void Gateway::OnRequestLimit(const UpstreamId& upstream,
                              const AnswerMetadata& metadata,
                              TimePoint sent_at) {
-  if (metadata.has_bad_request_limit) {
+  if (metadata.has_bad_limits) {
     metrics_.Add("endivecart_bad_request_limits_total");
     LogLine("gateway.bad_request_limit").Add("upstream", upstream.str()).Warn();
     return;
   }
-  limits_.OnAnswer(UpstreamRun(upstream), metadata.request_limit, sent_at,
+  limits_.OnAnswer(UpstreamRun(upstream), metadata.limits, sent_at,
                    loop_.Now());
 }
 
--- a/src/endivecart/limits/limit_monitor.cc
+++ b/src/endivecart/limits/limit_monitor.cc
@@ -21,24 +21,22 @@
   } else {
     line.Add("requests_per_s", "unlimited");
   }
+  if (const auto refusals = known_.FindRefusalLimit(upstream_run))
+    line.Add("refusals_per_s", *refusals);
   line.Info();
 }
 
 void LimitMonitor::OnAnswer(const std::string& upstream_run,
-                            std::optional<double> requests_per_s,
+                            const UpstreamLimits& limits,
                             TimePoint sent_at,
                             TimePoint now) {
-  if (!requests_per_s && !known_.Knows(upstream_run))
+  const bool names_any = limits != UpstreamLimits();
+  if (!names_any && !known_.Knows(upstream_run))
     return;
-  if (requests_per_s) {
-    own_.Merge({upstream_run, requests_per_s, now});
-  } else {
-    own_.Merge({upstream_run, std::nullopt, sent_at});
-  }
-  if (known_.Merge(
-          {upstream_run, requests_per_s, requests_per_s ? now : sent_at})) {
+  const NamedLimit named{upstream_run, limits, names_any ? now : sent_at};
+  own_.Merge(named);
+  if (known_.Merge(named))
     LogChange(upstream_run);
-  }
 }
 
 void LimitMonitor::Apply(const std::vector<NamedLimit>& limits) {
@@ -79,7 +77,7 @@
   const auto all = known_.All();
   return static_cast<std::size_t>(
       std::count_if(all.begin(), all.end(), [](const NamedLimit& limit) {
-        return limit.requests_per_s.has_value();
+        return limit.limits.requests_per_s.has_value();
       }));
 }
 
--- a/src/endivecart/limits/limit_monitor.h
+++ b/src/endivecart/limits/limit_monitor.h
@@ -17,7 +17,7 @@
  public:
   // Records what an answer to a request sent at `sent_at` says.
   void OnAnswer(const std::string& upstream_run,
-                std::optional<double> requests_per_s,
+                const UpstreamLimits& limits,
                 TimePoint sent_at,
                 TimePoint now);
   // Merges what a control host knows.
@@ -31,6 +31,11 @@
   bool IsLimited(const std::string& upstream_run) const {
     return known_.Find(upstream_run).has_value();
   }
+  // Returns the refusals per second that the upstream can bear; nullopt if it
+  // isn't brittle.
+  std::optional<double> RefusalLimit(const std::string& upstream_run) const {
+    return known_.FindRefusalLimit(upstream_run);
+  }
   // Acquires a permit for one request to a limited upstream.
   bool TryAcquire(const std::string& upstream_run, TimePoint now);
   // Returns when to ask again for a limited upstream.
--- a/src/endivecart/limits/limit_table.cc
+++ b/src/endivecart/limits/limit_table.cc
@@ -7,10 +7,10 @@
 namespace {
 
 Millis MemoryOf(const NamedLimit& limit) {
-  if (!limit.requests_per_s)
+  if (!limit.limits.requests_per_s)
     return LimitTable::kMemory;
   const double rate =
-      std::max(*limit.requests_per_s, LimitTable::kMinRequestsPerS);
+      std::max(*limit.limits.requests_per_s, LimitTable::kMinRequestsPerS);
   return std::max(
       LimitTable::kMemory,
       Millis(static_cast<Millis::rep>(1000 / rate) * LimitTable::kIntervals));
@@ -23,7 +23,7 @@
   if (it != limits_.end()) {
     if (limit.at <= it->second.at)
       return false;
-    const bool changed = it->second.requests_per_s != limit.requests_per_s;
+    const bool changed = it->second.limits != limit.limits;
     it->second = limit;
     return changed;
   }
@@ -34,7 +34,7 @@
                                    }));
   }
   limits_.emplace(limit.upstream_run, limit);
-  return limit.requests_per_s.has_value();
+  return limit.limits != UpstreamLimits();
 }
 
 bool LimitTable::Expire(TimePoint now) {
@@ -45,9 +45,15 @@
 
 std::optional<double> LimitTable::Find(const std::string& upstream_run) const {
   const auto it = limits_.find(upstream_run);
-  if (it == limits_.end() || !it->second.requests_per_s)
+  if (it == limits_.end() || !it->second.limits.requests_per_s)
     return std::nullopt;
-  return std::max(*it->second.requests_per_s, kMinRequestsPerS);
+  return std::max(*it->second.limits.requests_per_s, kMinRequestsPerS);
+}
+
+std::optional<double> LimitTable::FindRefusalLimit(
+    const std::string& upstream_run) const {
+  const auto it = limits_.find(upstream_run);
+  return it == limits_.end() ? std::nullopt : it->second.limits.refusals_per_s;
 }
 
 std::vector<NamedLimit> LimitTable::All() const {
--- a/src/endivecart/limits/limit_table.h
+++ b/src/endivecart/limits/limit_table.h
@@ -11,13 +11,23 @@
 
 namespace endivecart::limits {
 
-// What is known of the limit of one upstream's incarnation.
+// What an upstream says of itself with an answer.
+struct UpstreamLimits {
+  // Requests per second that it takes from all hosts together; nullopt: any
+  // number.
+  std::optional<double> requests_per_s;
+  // Requests that it can refuse in a second, for want of room, before it fails;
+  // nullopt if it isn't brittle.
+  std::optional<double> refusals_per_s;
+
+  bool operator==(const UpstreamLimits&) const = default;
+};
+
+// What is known of the limits of one upstream's incarnation.
 struct NamedLimit {
   std::string upstream_run;
-  // Requests per second from all hosts together; nullopt if the upstream has
-  // stopped naming a limit.
-  std::optional<double> requests_per_s;
-  // When the answer that says so arrived. For the end of a limit, when its
+  UpstreamLimits limits;
+  // When the answer that says so arrived. If it names no limit, when its
   // request was sent: the answer may have been delayed.
   TimePoint at{};
 
@@ -45,6 +55,9 @@
   // Returns the limit in force, at least kMinRequestsPerS; nullopt if there is
   // none.
   std::optional<double> Find(const std::string& upstream_run) const;
+  // Returns the refusals per second that the upstream can bear; nullopt if it
+  // isn't brittle.
+  std::optional<double> FindRefusalLimit(const std::string& upstream_run) const;
   // Returns whether there is, or recently was, a limit.
   bool Knows(const std::string& upstream_run) const {
     return limits_.contains(upstream_run);
--- a/src/endivecart/limits/limits_unittest.cc
+++ b/src/endivecart/limits/limits_unittest.cc
@@ -57,7 +57,8 @@
   }
 
   TimePoint now = TimePoint(Millis(1000000));
-  std::optional<double> limit;  // that the upstream names
+  std::optional<double> limit;          // that the upstream names
+  std::optional<double> refusal_limit;  // that it names too
   std::vector<LimitMonitor> hosts;
   std::vector<bool> in_touch;
   std::vector<LimitTable> merged;
@@ -68,7 +69,7 @@
     if (!hosts[host].TryAcquire("u/1", now))
       return;
     sent_at.push_back(now);
-    hosts[host].OnAnswer("u/1", limit, now, now);
+    hosts[host].OnAnswer("u/1", {limit, refusal_limit}, now, now);
   }
   void Exchange(LimitTable& table) {
     bool tell = false;
@@ -123,6 +124,20 @@
     BOOST_TEST(!host.IsLimited("u/1"));
 }
 
+BOOST_AUTO_TEST_CASE(all_hosts_know_which_upstreams_are_brittle) {
+  SimulatedFleet fleet(70);
+  fleet.refusal_limit = 3;
+  fleet.Run(Millis(1500));
+  for (const LimitMonitor& host : fleet.hosts) {
+    BOOST_TEST(host.RefusalLimit("u/1").value_or(0) == 3);
+    BOOST_TEST(!host.IsLimited("u/1"));
+  }
+  fleet.refusal_limit = std::nullopt;
+  fleet.Run(Millis(1500));
+  for (const LimitMonitor& host : fleet.hosts)
+    BOOST_TEST(!host.RefusalLimit("u/1").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_limit_that_changes_is_followed) {
   SimulatedFleet fleet(6);
   fleet.limit = 20;
@@ -157,7 +172,7 @@
   LimitMonitor host;
   const TimePoint now(Millis(1000));
   BOOST_TEST(host.TryAcquire("u/1", now));
-  host.OnAnswer("u/1", 5.0, now, now);
+  host.OnAnswer("u/1", {5.0, std::nullopt}, now, now);
   BOOST_TEST(!host.TryAcquire("u/1", now));
   host.SetRank({1, 0});
   BOOST_TEST(host.TryAcquire("u/1", now));
@@ -169,10 +184,10 @@
 BOOST_AUTO_TEST_CASE(an_answer_that_was_sent_before_the_limit_does_not_end_it) {
   LimitMonitor host;
   const TimePoint now(Millis(1000));
-  host.OnAnswer("u/1", 5.0, now, now);
-  host.OnAnswer("u/1", std::nullopt, now - Millis(50), now + Millis(10));
+  host.OnAnswer("u/1", {5.0, std::nullopt}, now, now);
+  host.OnAnswer("u/1", {}, now - Millis(50), now + Millis(10));
   BOOST_TEST(host.IsLimited("u/1"));
-  host.OnAnswer("u/1", std::nullopt, now + Millis(20), now + Millis(30));
+  host.OnAnswer("u/1", {}, now + Millis(20), now + Millis(30));
   BOOST_TEST(!host.IsLimited("u/1"));
 }
 
@@ -180,7 +195,7 @@
   LimitMonitor host;
   host.SetRank({6, 0});
   TimePoint now(Millis(1000));
-  host.OnAnswer("u/1", 0.0, now, now);
+  host.OnAnswer("u/1", {0.0, std::nullopt}, now, now);
   int sent = 0;
   for (int second = 0; second < 170; ++second) {
     now += Millis(1000);
@@ -194,7 +209,7 @@
 BOOST_AUTO_TEST_CASE(an_unconfirmed_limit_is_forgotten) {
   LimitMonitor host;
   const TimePoint now(Millis(1000));
-  host.OnAnswer("u/1", 5.0, now, now);
+  host.OnAnswer("u/1", {5.0, std::nullopt}, now, now);
   host.Expire(now + LimitTable::kMemory);
   BOOST_TEST(host.IsLimited("u/1"));
   host.Expire(now + LimitTable::kMemory + Millis(1));
@@ -204,7 +219,8 @@
 BOOST_AUTO_TEST_CASE(the_number_of_limits_is_bounded) {
   LimitTable table;
   for (int i = 0; i < 5000; ++i)
-    table.Merge({"u" + std::to_string(i), 1.0, TimePoint(Millis(i))});
+    table.Merge(
+        {"u" + std::to_string(i), {1.0, std::nullopt}, TimePoint(Millis(i))});
   BOOST_TEST(table.All().size() == LimitTable::kMaxLimits);
   BOOST_TEST(table.Knows("u4999"));
   ShareLimiter shares;
--- a/tests/support/plain_dialect.h
+++ b/tests/support/plain_dialect.h
@@ -71,7 +71,9 @@
     metadata.is_signed = head.fields.Has("Signed");
     metadata.not_run = head.fields.Has("Not-Run");
     if (const auto limit = head.fields.Find("Limit"))
-      metadata.request_limit = std::stod(std::string(*limit));
+      metadata.limits.requests_per_s = std::stod(std::string(*limit));
+    if (const auto limit = head.fields.Find("Brittle"))
+      metadata.limits.refusals_per_s = std::stod(std::string(*limit));
     return metadata;
   };
   dialect.fields_for_caller = [](const net::HttpFields& fields) {
