--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -188,7 +188,7 @@
   announcement.service = routes::ServiceId(service);
   announcement.address = upstream.server.address();
   announcement.domain = DomainId("a");
-  announcement.slots = 64;
+  announcement.slots = upstream_slots;
   announcement.software_version = VersionId(version);
   announcement.state = upstreams::UpstreamState::kReady;
   registry_.Apply(announcement, loop.Now(), loop.Now());
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -70,6 +70,7 @@
   // Called with each complete request that reaches an upstream.
   Handler on_request;
   std::vector<std::unique_ptr<Upstream>> upstreams;
+  int upstream_slots = 64;  // that further upstreams announce
   // Status lines of the answers that callers received, by prompt parts or path.
   std::map<std::string, std::vector<std::string>> answers;
 
