Limits: hosts divide the slots of brittle upstreams

Cause: for plain services nothing bounds the requests in progress at an upstream, only their distribution, and each host sees its own refusals. Limiting refusals as they come was ruled out: they are known after the fall.

Each host gets an equal share of the slots; while most of them are unused, a few hosts in turn may exceed theirs by one. What doesn't fit waits at the host, for a third of the time left at most. A refusal pauses the host and keeps all hosts to their shares for 3 s. Waiting requests block only those for the same service, else a full one would hold up all of its rank.

--- a/src/endivecart/fleet/limit_messages.cc
+++ b/src/endivecart/fleet/limit_messages.cc
@@ -5,6 +5,16 @@
 
 namespace endivecart::fleet {
 
+namespace {
+
+std::uint32_t AgeMillis(TimePoint at, TimePoint now) {
+  const auto age = std::chrono::duration_cast<Millis>(now - at).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(age, 0, INT32_MAX));
+}
+
+}  // namespace
+
 LimitRecords ToWire(const std::vector<limits::NamedLimit>& limits,
                     TimePoint now) {
   LimitRecords records;
@@ -15,9 +25,9 @@
     record.set_requests_per_s(limit.limits.requests_per_s.value_or(0));
     record.set_is_brittle(limit.limits.refusals_per_s.has_value());
     record.set_refusals_per_s(limit.limits.refusals_per_s.value_or(0));
-    const auto age = std::chrono::duration_cast<Millis>(now - limit.at).count();
-    record.set_age_ms(static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(age, 0, INT32_MAX)));
+    record.set_age_ms(AgeMillis(limit.at, now));
+    if (limit.refused_at != TimePoint{})
+      record.set_refused_age_ms(AgeMillis(limit.refused_at, now));
   }
   return records;
 }
@@ -39,7 +49,9 @@
         {record.upstream_run(),
          {record.is_limited() ? std::optional(limit) : std::nullopt,
           record.is_brittle() ? std::optional(refusals) : std::nullopt},
-         now - Millis(record.age_ms())});
+         now - Millis(record.age_ms()),
+         record.has_refused_age_ms() ? now - Millis(record.refused_age_ms())
+                                     : TimePoint{}});
   }
   return limits;
 }
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -127,7 +127,7 @@
 
 void Forwarding::Wait() {
   const TimePoint now = gateway_.loop_.Now();
-  ticket_ = gateway_.request_queue_.Add(Rank(), now);
+  ticket_ = gateway_.request_queue_.Add(Rank(), service_.str(), now);
   gateway_.waiting_[*ticket_] = weak_from_this();
   const Millis max_wait = TimeLeft() / kMaxWaitDivisor;
   LogLine("gateway.wait")
@@ -274,6 +274,7 @@
   const HostRank rank = gateway_.Rank();
   MarkCapacity(candidates, service, rank.hosts);
   gateway_.limits_.SetRank(rank);
+  const bool lacks_room = KeepWithinRoom(candidates);
   is_full_ = false;
   time_to_permit_.reset();
   while (!candidates.empty()) {
@@ -306,8 +307,10 @@
                   candidates[choice->index].requests,
                   upstream_counts_.ToString(),
                   is_cold,
+                  true,
                   true};
   }
+  is_full_ = lacks_room;
   return std::nullopt;
 }
 
@@ -380,6 +383,10 @@
   context.is_limited =
       gateway_.limits_.IsLimited(gateway_.UpstreamRun(chosen.upstream));
   context.has_limit_permit = chosen.has_limit_permit;
+  context.is_brittle =
+      gateway_.limits_.RefusalLimit(gateway_.UpstreamRun(chosen.upstream))
+          .has_value();
+  context.has_room = chosen.has_room;
   context.is_quarantined = gateway_.part_monitor_.IsQuarantined(parts_);
   context.is_trial = is_trial_;
   return CheckSendInvariants(context);
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -78,7 +78,11 @@
     std::string counts;
     bool has_cold_start_permit = false;
     bool has_limit_permit = false;
+    bool has_room = false;
   };
+  // Removes candidates that are brittle and have no room for another request.
+  // Returns whether there were any.
+  bool KeepWithinRoom(std::vector<Candidate>& candidates) const;
   // Acquires what the rates of a limited or cold upstream require.
   bool AcquirePermits(const UpstreamId& id,
                       bool is_cold,
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -17,6 +17,8 @@
 // With more unsent bytes, reading from the upstream pauses until the caller has
 // received them.
 constexpr std::size_t kMaxUnsentBytes = 256UL << 10;
+// Status of an upstream that has no room.
+constexpr int kNoRoom = 503;
 
 }  // namespace
 
@@ -234,6 +236,10 @@
       .Add("upstream", upstream_.str())
       .Add("status", head.status)
       .Info();
+  if (head.status == kNoRoom) {
+    gateway_.limits_.OnRefused(gateway_.UpstreamRun(upstream_),
+                               gateway_.loop_.Now());
+  }
   EndSend(SendResult::kRefused);
   RetryOrGiveUp("refused");
 }
--- a/src/endivecart/gateway/forwarding_permits.cc
+++ b/src/endivecart/gateway/forwarding_permits.cc
@@ -29,6 +29,30 @@
   return false;
 }
 
+bool Forwarding::KeepWithinRoom(std::vector<Candidate>& candidates) const {
+  const limits::LimitMonitor& limits = gateway_.limits_;
+  const auto run_of = [this](const Candidate& candidate) {
+    return gateway_.UpstreamRun(candidate.id);
+  };
+  // Upstreams of a service are brittle together. One that has just returned may
+  // not have said so yet.
+  const bool is_brittle = std::any_of(
+      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
+        return limits.RefusalLimit(run_of(candidate)).has_value();
+      });
+  if (!is_brittle)
+    return false;
+  const TimePoint now = gateway_.loop_.Now();
+  const auto places = gateway_.upstreams_.PlacesInService(service_);
+  return std::erase_if(candidates, [&](const Candidate& candidate) {
+           const auto place = places.find(candidate.id);
+           const limits::Room room{candidate.slots, candidate.requests,
+                                   candidate.own_requests,
+                                   place == places.end() ? 0 : place->second};
+           return !limits.HasRoom(run_of(candidate), room, now);
+         }) > 0;
+}
+
 bool Forwarding::AcquirePermits(const UpstreamId& id,
                                 bool is_cold,
                                 const routes::Service* service,
--- a/src/endivecart/gateway/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -19,6 +19,7 @@
   bool has_capacity = true;  // for this request; see HasCapacityFor()
   int slots = 1;
   int requests = 0;                // in progress there, of all hosts
+  int own_requests = 0;            // of these, of this host
   std::int64_t prompt_tokens = 0;  // not yet prefilled, of all hosts
   // Cache that the requests in progress will have used when they end.
   std::int64_t held_tokens = 0;
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -601,8 +601,8 @@
 
 BOOST_AUTO_TEST_CASE(the_most_urgent_request_goes_first) {
   RequestQueue queue;
-  const auto late = queue.Add(2, At(0));
-  const auto urgent = queue.Add(0, At(1));
+  const auto late = queue.Add(2, "s", At(0));
+  const auto urgent = queue.Add(0, "s", At(1));
   const auto order = AdmitAll(
       queue, [](auto) { return true; }, At(2));
   BOOST_TEST(order == (std::vector<std::uint64_t>{urgent, late}),
@@ -612,12 +612,12 @@
 
 BOOST_AUTO_TEST_CASE(a_large_request_is_not_overtaken_by_small_ones_forever) {
   RequestQueue queue;
-  const auto large = queue.Add(1, At(0));
-  const auto small = queue.Add(1, At(10));
+  const auto large = queue.Add(1, "s", At(0));
+  const auto small = queue.Add(1, "s", At(10));
   const auto fits = [&](auto ticket) { return ticket != large; };
   BOOST_TEST(AdmitAll(queue, fits, At(100)).size() == 1u);
-  const auto next = queue.Add(1, At(120));
-  const auto other = queue.Add(2, At(120));
+  const auto next = queue.Add(1, "s", At(120));
+  const auto other = queue.Add(2, "s", At(120));
   // A request that waits too long blocks only its own rank.
   const auto admitted = AdmitAll(queue, fits, At(400));
   BOOST_TEST(admitted == std::vector<std::uint64_t>{other},
@@ -627,6 +627,17 @@
   (void)next;
 }
 
+BOOST_AUTO_TEST_CASE(a_request_blocks_none_for_other_upstreams) {
+  RequestQueue queue;
+  const auto stuck = queue.Add(1, "full", At(0));
+  queue.Add(1, "full", At(10));
+  const auto other = queue.Add(1, "s", At(10));
+  const auto fits = [&](auto ticket) { return ticket != stuck; };
+  const auto admitted = AdmitAll(queue, fits, At(400));
+  BOOST_TEST(admitted == std::vector<std::uint64_t>{other},
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/gateway/request_queue.cc
+++ b/src/endivecart/gateway/request_queue.cc
@@ -15,9 +15,11 @@
   return urgency * kPriorities + std::min(route_priority, kPriorities - 1);
 }
 
-RequestQueue::Ticket RequestQueue::Add(int rank, TimePoint now) {
+RequestQueue::Ticket RequestQueue::Add(int rank,
+                                       const std::string& group,
+                                       TimePoint now) {
   const Ticket ticket = next_++;
-  waiting_[ticket] = {rank, now};
+  waiting_[ticket] = {rank, group, now};
   return ticket;
 }
 
--- a/src/endivecart/gateway/request_queue.h
+++ b/src/endivecart/gateway/request_queue.h
@@ -3,7 +3,10 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
+#include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "endivecart/base/base.h"
@@ -25,8 +28,9 @@
 
   using Ticket = std::uint64_t;
 
-  // `rank`: see RankOf().
-  Ticket Add(int rank, TimePoint now);
+  // `rank`: see RankOf(). `group`: of requests for the same upstreams; those of
+  // other groups may always overtake.
+  Ticket Add(int rank, const std::string& group, TimePoint now);
   void Remove(Ticket ticket);
   bool empty() const { return waiting_.empty(); }
   std::size_t size() const { return waiting_.size(); }
@@ -35,20 +39,22 @@
   // was sent to an upstream, and may then Remove() it.
   template <class TryPlace>
   void Admit(TryPlace try_place, TimePoint now) {
-    std::map<int, bool> blocked;  // by rank
+    std::set<std::pair<int, std::string>> blocked;  // rank and group
     for (const Ticket ticket : SortedTickets()) {
       const auto it = waiting_.find(ticket);
-      if (it == waiting_.end() || blocked[it->second.rank])
+      if (it == waiting_.end() ||
+          blocked.contains({it->second.rank, it->second.group}))
         continue;
       const Entry entry = it->second;
       if (!try_place(ticket) && now - entry.since >= kMaxOvertakenTime)
-        blocked[entry.rank] = true;
+        blocked.emplace(entry.rank, entry.group);
     }
   }
 
  private:
   struct Entry {
     int rank = 0;
+    std::string group;
     TimePoint since;
   };
 
--- a/src/endivecart/gateway/send_invariants.cc
+++ b/src/endivecart/gateway/send_invariants.cc
@@ -57,6 +57,8 @@
                           Invariant::kUpstreamCapacity, id);
   holds &= CheckInvariant(!context.is_limited || context.has_limit_permit,
                           Invariant::kUpstreamCapacity, id);
+  holds &= CheckInvariant(!context.is_brittle || context.has_room,
+                          Invariant::kUpstreamCapacity, id);
   holds &= CheckInvariant(!context.is_quarantined || context.is_trial,
                           Invariant::kQuarantinedPartGetsNoWork, id);
   holds &= CheckInvariant(context.request->upstream == context.upstream->id &&
--- a/src/endivecart/gateway/send_invariants.h
+++ b/src/endivecart/gateway/send_invariants.h
@@ -20,6 +20,8 @@
   bool has_cold_start_permit = false;  // from ColdStartLimiter
   bool is_limited = false;             // the upstream named a limit
   bool has_limit_permit = false;       // from LimitMonitor
+  bool is_brittle = false;             // the upstream says so
+  bool has_room = false;               // by LimitMonitor
   bool is_quarantined = false;         // a part of the prompt crashes upstreams
   bool is_trial = false;  // the one request that may be sent anyway
 };
--- a/src/endivecart/gateway/send_invariants_unittest.cc
+++ b/src/endivecart/gateway/send_invariants_unittest.cc
@@ -130,6 +130,13 @@
   BOOST_TEST(Violates(Invariant::kAnswerComplete));
 }
 
+BOOST_AUTO_TEST_CASE(a_brittle_upstream_gets_no_more_than_it_has_room_for) {
+  context.is_brittle = true;
+  BOOST_TEST(Violates(Invariant::kUpstreamCapacity));
+  context.has_room = true;
+  BOOST_TEST(CheckSendInvariants(context));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_relayed_once_within_its_regions) {
   RelayContext relay;
   relay.request = &caller;
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -194,6 +194,7 @@
                               now - record.refused_at < kAvoidAfterRefusal);
       candidate.slots = announcement.slots;
       candidate.requests = record.requests;
+      candidate.own_requests = record.requests;
       candidate.prompt_tokens = record.prompt_tokens;
       candidate.held_tokens = record.held_tokens;
       candidate.latency_ms = record.latency_ms;
@@ -340,6 +341,24 @@
   return addresses;
 }
 
+std::map<UpstreamId, double> UpstreamTracker::PlacesInService(
+    const routes::ServiceId& service) const {
+  std::vector<std::pair<std::uint64_t, UpstreamId>> order;
+  for (const auto& [id, upstream] : registry_.all()) {
+    if (upstream.last.service == service &&
+        upstream.last.state == UpstreamState::kReady) {
+      order.emplace_back(StableHash(id.str()), id);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  std::map<UpstreamId, double> places;
+  for (std::size_t i = 0; i < order.size(); ++i) {
+    places[order[i].second] =
+        static_cast<double>(i) / static_cast<double>(order.size());
+  }
+  return places;
+}
+
 void UpstreamTracker::Expire() {
   registry_.Expire(now_());
   std::erase_if(records_, [&](const auto& entry) {
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -114,6 +114,11 @@
                                                std::size_t count,
                                                std::uint64_t random) const;
 
+  // Returns for each upstream of the service, in an order that hardly changes
+  // when one is added or removed, its position as a fraction of their number.
+  std::map<UpstreamId, double> PlacesInService(
+      const routes::ServiceId& service) const;
+
   // Removes upstreams that the registry has expired.
   void Expire();
   const upstreams::UpstreamRegistry& registry() const { return registry_; }
--- a/src/endivecart/limits/limit_monitor.cc
+++ b/src/endivecart/limits/limit_monitor.cc
@@ -33,7 +33,7 @@
   const bool names_any = limits != UpstreamLimits();
   if (!names_any && !known_.Knows(upstream_run))
     return;
-  const NamedLimit named{upstream_run, limits, names_any ? now : sent_at};
+  const NamedLimit named{upstream_run, limits, names_any ? now : sent_at, {}};
   own_.Merge(named);
   if (known_.Merge(named))
     LogChange(upstream_run);
@@ -46,6 +46,24 @@
   }
 }
 
+void LimitMonitor::OnRefused(const std::string& upstream_run, TimePoint now) {
+  const auto refusals_per_s = RefusalLimit(upstream_run);
+  if (!refusals_per_s)
+    return;
+  rooms_.OnRefused(upstream_run, *refusals_per_s, rank_, now);
+  // Adds to what the answer said; its own time leaves that as it is.
+  const NamedLimit refused{upstream_run, {}, {}, now};
+  own_.Merge(refused);
+  known_.Merge(refused);
+}
+
+bool LimitMonitor::HasRoom(const std::string& upstream_run,
+                           const Room& room,
+                           TimePoint now) const {
+  return rooms_.HasRoom(upstream_run, room, known_.RefusedAt(upstream_run),
+                        rank_, now);
+}
+
 std::vector<NamedLimit> LimitMonitor::Findings(TimePoint now) {
   Expire(now);
   return own_.All();
@@ -71,6 +89,7 @@
 void LimitMonitor::Expire(TimePoint now) {
   own_.Expire(now);
   known_.Expire(now);
+  rooms_.Expire(now);
 }
 
 std::size_t LimitMonitor::limited() const {
--- a/src/endivecart/limits/limit_monitor.h
+++ b/src/endivecart/limits/limit_monitor.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "endivecart/limits/limit_table.h"
+#include "endivecart/limits/room_limiter.h"
 #include "endivecart/limits/share_limiter.h"
 
 namespace endivecart::limits {
@@ -36,6 +37,13 @@
   std::optional<double> RefusalLimit(const std::string& upstream_run) const {
     return known_.FindRefusalLimit(upstream_run);
   }
+  // Records that the upstream refused a request for want of room.
+  void OnRefused(const std::string& upstream_run, TimePoint now);
+  // Returns whether one more request to a brittle upstream is safe. Upstreams
+  // of one service are brittle together, so it need not have said so itself.
+  bool HasRoom(const std::string& upstream_run,
+               const Room& room,
+               TimePoint now) const;
   // Acquires a permit for one request to a limited upstream.
   bool TryAcquire(const std::string& upstream_run, TimePoint now);
   // Returns when to ask again for a limited upstream.
@@ -49,6 +57,7 @@
   LimitTable own_;    // from answers to this host
   LimitTable known_;  // from all hosts
   ShareLimiter shares_;
+  RoomLimiter rooms_;
   HostRank rank_;
 };
 
--- a/src/endivecart/limits/limit_table.cc
+++ b/src/endivecart/limits/limit_table.cc
@@ -21,10 +21,14 @@
 bool LimitTable::Merge(const NamedLimit& limit) {
   const auto it = limits_.find(limit.upstream_run);
   if (it != limits_.end()) {
-    if (limit.at <= it->second.at)
-      return false;
-    const bool changed = it->second.limits != limit.limits;
-    it->second = limit;
+    NamedLimit& known = it->second;
+    bool changed = limit.refused_at - known.refused_at > kRefusalInterval;
+    known.refused_at = std::max(known.refused_at, limit.refused_at);
+    if (limit.at > known.at) {
+      changed |= known.limits != limit.limits;
+      known.limits = limit.limits;
+      known.at = limit.at;
+    }
     return changed;
   }
   if (limits_.size() >= kMaxLimits) {
@@ -56,6 +60,11 @@
   return it == limits_.end() ? std::nullopt : it->second.limits.refusals_per_s;
 }
 
+TimePoint LimitTable::RefusedAt(const std::string& upstream_run) const {
+  const auto it = limits_.find(upstream_run);
+  return it == limits_.end() ? TimePoint{} : it->second.refused_at;
+}
+
 std::vector<NamedLimit> LimitTable::All() const {
   std::vector<NamedLimit> all;
   for (const auto& [run, limit] : limits_)
--- a/src/endivecart/limits/limit_table.h
+++ b/src/endivecart/limits/limit_table.h
@@ -30,6 +30,8 @@
   // When the answer that says so arrived. If it names no limit, when its
   // request was sent: the answer may have been delayed.
   TimePoint at{};
+  // When it last refused a request for want of room, while it was brittle.
+  TimePoint refused_at{};
 
   bool operator==(const NamedLimit&) const = default;
 };
@@ -46,9 +48,11 @@
   // An upstream that takes fewer gets this many, to find out when it recovers.
   static constexpr double kMinRequestsPerS = 1.0 / 60;
   static constexpr std::size_t kMaxLimits = 2048;
+  // Refusals that follow each other sooner are no news.
+  static constexpr Millis kRefusalInterval{1000};
 
   // Adds what an answer says or another process knows. Returns whether a limit
-  // changed.
+  // changed, or there was a refusal after a time without.
   bool Merge(const NamedLimit& limit);
   // Removes what is too old. Returns whether any limit was removed.
   bool Expire(TimePoint now);
@@ -58,6 +62,8 @@
   // Returns the refusals per second that the upstream can bear; nullopt if it
   // isn't brittle.
   std::optional<double> FindRefusalLimit(const std::string& upstream_run) const;
+  // Returns when it was last refused there; TimePoint{} if never.
+  TimePoint RefusedAt(const std::string& upstream_run) const;
   // Returns whether there is, or recently was, a limit.
   bool Knows(const std::string& upstream_run) const {
     return limits_.contains(upstream_run);
