Net: keep-alive and user timeout give up at the same time

A user timeout that is set also decides when keep-alive probes give up, whatever their number. Both were 5 s, by two unrelated numbers; the one now follows from the other. A peer that is silent for a second or two is left alone, a dead one is noticed after 5 s. Test net_socket_options.

--- a/src/endivecart/net/net_unittest.cc
+++ b/src/endivecart/net/net_unittest.cc
@@ -1,8 +1,10 @@
+#include <netinet/tcp.h>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "endivecart/net/net.h"
+#include "endivecart/net/socket_options.h"
 #include "support/loop_fixture.h"
 
 namespace endivecart::net {
@@ -13,6 +15,14 @@
 using tests::RawUpstream;
 using tests::Reply;
 
+int TcpOption(boost::asio::ip::tcp::socket& socket, int option) {
+  int value = 0;
+  socklen_t size = sizeof value;
+  BOOST_TEST(getsockopt(socket.native_handle(), IPPROTO_TCP, option, &value,
+                        &size) == 0);
+  return value;
+}
+
 // A server that responds to each request with the request's target and body.
 struct EchoServer : LoopFixture {
   EchoServer() {
@@ -361,5 +371,27 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(net_socket_options,
+                         LoopFixture,
+                         *boost::unit_test::label("net"))
+
+// A sound peer may be silent for a second or two; a dead one is noticed before
+// most requests time out, whichever of the two timeouts decides.
+BOOST_AUTO_TEST_CASE(keep_alive_and_user_timeout_give_up_at_the_same_time) {
+  RawUpstream upstream(loop);
+  boost::asio::ip::tcp::socket socket(loop.context());
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"),
+                  static_cast<unsigned short>(upstream.port())});
+  SetConnectionOptions(socket);
+  const int keep_alive_s =
+      TcpOption(socket, TCP_KEEPIDLE) +
+      TcpOption(socket, TCP_KEEPINTVL) * TcpOption(socket, TCP_KEEPCNT);
+  BOOST_TEST(TcpOption(socket, TCP_USER_TIMEOUT) == 1000 * keep_alive_s);
+  BOOST_TEST(keep_alive_s >= 3);
+  BOOST_TEST(keep_alive_s <= 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace endivecart::net
--- a/src/endivecart/net/socket_options.cc
+++ b/src/endivecart/net/socket_options.cc
@@ -8,10 +8,14 @@
 
 // An unreachable peer is detected after about 5 s: longer than brief packet
 // loss, shorter than most request timeouts.
-constexpr int kUnacknowledgedMillis = 5000;
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 3;
+// A user timeout also decides when keep-alive probes give up, whatever their
+// number. Both give up at the same time.
+constexpr int kUserTimeoutMillis =
+    1000 *
+    (kKeepAliveIdleSeconds + kKeepAliveIntervalSeconds * kKeepAliveProbes);
 
 void SetTcpOption(int descriptor, int option, int value) {
   // Errors are ignored: without the option a dead peer is detected later.
@@ -25,7 +29,7 @@
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
   const int descriptor = socket.native_handle();
-  SetTcpOption(descriptor, TCP_USER_TIMEOUT, kUnacknowledgedMillis);
+  SetTcpOption(descriptor, TCP_USER_TIMEOUT, kUserTimeoutMillis);
   SetTcpOption(descriptor, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   SetTcpOption(descriptor, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
   SetTcpOption(descriptor, TCP_KEEPCNT, kKeepAliveProbes);
