--- a/src/endivecart/gateway/cache_view.h
+++ b/src/endivecart/gateway/cache_view.h
@@ -52,6 +52,10 @@
 
   const fleet::CachePosition& position() const { return position_; }
   std::size_t parts() const { return parts_.size(); }
+  // Returns the time since the update from which fetches are planned.
+  Millis Age(TimePoint now) const {
+    return std::chrono::duration_cast<Millis>(now - updated_at_);
+  }
 
  private:
   struct Store {
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -414,6 +414,14 @@
         .Add("label", request.cache_label)
         .Add("parts_fetched", std::int64_t{count(request.fetch_cache_from)})
         .Add("parts_saved", std::int64_t{count(request.save_cache_to)});
+    if (!request.fetch_cache_from.empty()) {
+      const fleet::CachePosition& position = gateway_.cache_.position();
+      line.Add("cache_term", position.term)
+          .Add("cache_cursor", position.cursor)
+          .Add("cache_age_ms",
+               gateway_.cache_.Age(gateway_.loop_.Now()).count())
+          .Add("fetch_until_ms", request.fetch_until_ms.value_or(0));
+    }
   }
   if (!request.last_event_id.empty())
     line.Add("after_event", request.last_event_id);
