Failing test: fetches meet parts that are being written

Catalogue, stores and 1 to 30 hosts without network, random seeds: stores restart and are written anew, labels retire, hosts are cut off, updates are lost, leaders change, writers and fetches are slow. A fetch must not meet a part that is incomplete or freed before its end.

--- /dev/null
+++ b/src/endivecart/gateway/cache_protocol_unittest.cc
@@ -0,0 +1,443 @@
+#include <algorithm>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <memory>
+#include <random>
+
+#include "endivecart/gateway/cache_view.h"
+
+namespace endivecart::gateway {
+namespace {
+
+using fleet::CacheCatalog;
+using fleet::CacheEvent;
+using fleet::CacheList;
+using fleet::CachePartName;
+
+constexpr Millis kStep{10};
+constexpr Millis kPollInterval{250};
+constexpr std::int64_t kTokens = 100;
+
+// What may go wrong in a run.
+struct Troubles {
+  bool stores_restart = false;
+  bool hosts_are_cut_off = false;  // for seconds; updates come afterwards
+  bool updates_are_lost = false;
+  bool writers_are_slow = false;  // saves take as long as partials are kept
+  bool labels_retire = false;
+  bool leaders_change = false;
+  bool fetches_are_slow = false;  // they end shortly before their deadline
+};
+
+// A store as the platform's: it frees and forgets nothing by itself, and tells
+// complete parts from those that are being written.
+class SimulatedStore {
+ public:
+  struct Part {
+    TimePoint complete_at{};
+    std::uint64_t writing = 0;  // a number for each save
+  };
+
+  const Part* Find(const CachePartName& name) const {
+    const auto it = parts_.find(name);
+    return it == parts_.end() ? nullptr : &it->second;
+  }
+  static bool IsComplete(const Part& part, TimePoint now) {
+    return part.complete_at <= now;
+  }
+  void Save(const CachePartName& name, TimePoint complete_at) {
+    parts_.try_emplace(name, Part{complete_at, ++writings_});
+  }
+  // Records events of parts that are now complete.
+  void Step(TimePoint now) {
+    for (const auto& [name, part] : parts_) {
+      if (part.complete_at > now - kStep && part.complete_at <= now)
+        events_.push_back({true, name, kTokens});
+    }
+  }
+  void Free(const std::vector<CachePartName>& names) {
+    for (const CachePartName& name : names) {
+      if (parts_.erase(name) > 0)
+        events_.push_back({false, name, kTokens});
+    }
+  }
+  void Restart() {
+    ++epoch_;
+    parts_.clear();
+    events_.clear();
+  }
+  CacheList List(TimePoint now) const {
+    CacheList list;
+    list.epoch = epoch_;
+    list.next = events_.size();
+    for (const auto& [name, part] : parts_)
+      (IsComplete(part, now) ? list.complete : list.partial)
+          .emplace_back(name, kTokens);
+    return list;
+  }
+  fleet::CacheEvents EventsSince(std::uint64_t since, TimePoint now) const {
+    fleet::CacheEvents events;
+    events.epoch = epoch_;
+    events.next = events_.size();
+    events.clock_ms = ClockOf(now);
+    for (std::size_t i = since; i < events_.size(); ++i)
+      events.events.push_back(events_[i]);
+    return events;
+  }
+  static std::uint64_t ClockOf(TimePoint now) {
+    return static_cast<std::uint64_t>(
+               std::chrono::duration_cast<Millis>(now.time_since_epoch())
+                   .count()) +
+           5000;
+  }
+  std::uint64_t epoch() const { return epoch_; }
+
+ private:
+  std::uint64_t epoch_ = 1;
+  std::uint64_t writings_ = 0;
+  std::map<CachePartName, Part> parts_;
+  std::vector<CacheEvent> events_;
+};
+
+// A catalogue, stores and hosts that fetch and save parts, on a manual clock.
+// Counts fetches that meet a part which is incomplete, or freed meanwhile.
+class CacheFleet {
+ public:
+  // `parts` are stored at the beginning; requests ask for `requested` ones.
+  CacheFleet(std::size_t hosts,
+             int parts,
+             int requested,
+             const Troubles& troubles,
+             int seed)
+      : troubles_(troubles),
+        requested_(requested),
+        hosts_(hosts),
+        random_(static_cast<std::uint64_t>(seed)) {
+    for (int i = 0; i < 3; ++i) {
+      routes::CacheStore settings;
+      settings.address = {"10.0.0." + std::to_string(i + 1), 80};
+      settings.cache_tokens = 100'000'000;
+      settings_.push_back(settings);
+    }
+    for (int part = 0; part < parts; ++part)
+      stores_[part % 3].Save(NameOf(part, live_label_), now_ - kStep);
+    NewLeader();
+  }
+
+  void Run(Millis time) {
+    for (Millis passed{0}; passed < time; passed += kStep) {
+      now_ += kStep;
+      for (SimulatedStore& store : stores_)
+        store.Step(now_);
+      RunLater();
+      if (now_.time_since_epoch() % Millis(4000) == Millis(0))
+        Disturb();
+      LeadStep();
+      for (std::size_t host = 0; host < hosts_.size(); ++host)
+        HostStep(host);
+    }
+  }
+
+  int bad_fetches = 0;
+  int fetches = 0;
+  int saves = 0;
+
+ private:
+  struct Host {
+    CacheView view;
+    TimePoint poll_due{};
+    bool is_polling = false;
+    std::uint64_t poll_number = 0;
+    TimePoint cut_until{};
+  };
+  using Action = std::function<void()>;
+
+  CachePartName NameOf(int part, int label) const {
+    return {"m." + std::to_string(label), "p" + std::to_string(part)};
+  }
+  bool Chance(double probability) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+  }
+  Millis Between(int low, int high) {
+    return Millis(std::uniform_int_distribution<int>(low, high)(random_));
+  }
+  void After(Millis delay, Action action) {
+    later_.emplace(now_ + delay, std::move(action));
+  }
+  void RunLater() {
+    while (!later_.empty() && later_.begin()->first <= now_) {
+      const Action action = std::move(later_.begin()->second);
+      later_.erase(later_.begin());
+      action();
+    }
+  }
+  std::size_t StoreAt(const settings::Endpoint& address) const {
+    return static_cast<std::size_t>(
+        std::find_if(settings_.begin(), settings_.end(),
+                     [&](const auto& s) { return s.address == address; }) -
+        settings_.begin());
+  }
+
+  void NewLeader() {
+    catalog_ = std::make_shared<CacheCatalog>();
+    catalog_->SetStores(settings_);
+    catalog_->OnLeadershipGained(++term_, now_);
+  }
+  void Disturb() {
+    if (troubles_.stores_restart)
+      stores_[random_() % stores_.size()].Restart();
+    if (troubles_.labels_retire)
+      ++live_label_;
+    if (troubles_.leaders_change && Chance(0.5))
+      NewLeader();
+    for (Host& host : hosts_) {
+      if (troubles_.hosts_are_cut_off && Chance(0.3))
+        host.cut_until = now_ + Between(2000, 6000);
+    }
+  }
+  void LeadStep() {
+    for (const fleet::CacheRead& read : catalog_->NextReads(now_)) {
+      After(Between(10, 50), [this, read, catalog = catalog_] {
+        SimulatedStore& store = stores_[StoreAt(read.store)];
+        const TimePoint read_at = now_;
+        if (read.is_list) {
+          After(Between(10, 200), [=, this, list = store.List(read_at)] {
+            catalog->OnList(read.store, list, now_);
+          });
+        } else {
+          After(Between(10, 800),
+                [=, this, events = store.EventsSince(read.since, read_at)] {
+                  catalog->OnEvents(read.store, events, now_);
+                });
+        }
+      });
+    }
+    if (now_.time_since_epoch() % Millis(1000) == Millis(0)) {
+      const std::string live = "m." + std::to_string(live_label_);
+      catalog_->Retire([&](const std::string& label) { return label == live; },
+                       now_);
+    }
+    for (const fleet::CacheFree& order : catalog_->NextFrees(now_)) {
+      After(Between(5, 150), [this, order] {
+        SimulatedStore& store = stores_[StoreAt(order.store)];
+        if (order.epoch == store.epoch() &&
+            SimulatedStore::ClockOf(now_) <= order.until_ms) {
+          store.Free(order.parts);
+        }
+      });
+    }
+  }
+
+  void HostStep(std::size_t number) {
+    Host& host = hosts_[number];
+    if (now_ >= host.poll_due && !host.is_polling)
+      Poll(number);
+    if (Chance(0.2))
+      Request(number);
+  }
+  void Poll(std::size_t number) {
+    Host& host = hosts_[number];
+    host.poll_due = now_ + kPollInterval;
+    host.is_polling = true;
+    const std::uint64_t poll = ++host.poll_number;
+    // A poll without an answer is given up.
+    After(Millis(1000), [this, number, poll] {
+      if (hosts_[number].poll_number == poll)
+        hosts_[number].is_polling = false;
+    });
+    const TimePoint asked_at = now_;
+    if (now_ < host.cut_until)
+      return;
+    After(Between(2, 10), [this, number, poll, asked_at] {
+      const auto update =
+          catalog_->UpdateSince(hosts_[number].view.position(), now_);
+      if (!update || (troubles_.updates_are_lost && Chance(0.2)))
+        return;
+      After(Between(2, 20), [this, number, poll, asked_at, update = *update] {
+        Deliver(number, update, asked_at, poll);
+      });
+    });
+  }
+  // What is under way when a host is cut off arrives some time later.
+  void Deliver(std::size_t number,
+               const wire::CacheUpdate& update,
+               TimePoint asked_at,
+               std::uint64_t poll) {
+    const TimePoint cut_until = hosts_[number].cut_until;
+    if (now_ < cut_until) {
+      const auto left = std::chrono::duration_cast<Millis>(cut_until - now_);
+      After(left + Between(0, 1000),
+            [=, this] { Apply(hosts_[number], update, asked_at, poll); });
+    } else {
+      Apply(hosts_[number], update, asked_at, poll);
+    }
+  }
+  void Apply(Host& host,
+             const wire::CacheUpdate& update,
+             TimePoint /*asked_at*/,
+             std::uint64_t poll) {
+    if (host.poll_number == poll)
+      host.is_polling = false;
+    host.view.Apply(update, now_);
+  }
+
+  void Request(std::size_t number) {
+    // Some requests still run on former weights.
+    int label = live_label_;
+    while (label > 1 && live_label_ - label < 2 && Chance(0.3))
+      --label;
+    const int part =
+        static_cast<int>(random_() % static_cast<std::uint64_t>(requested_));
+    const CachePartName name = NameOf(part, label);
+    Prompt prompt;
+    prompt.parts = {{name.id, kTokens}, {"own", kTokens}};
+    const CachePlan plan = hosts_[number].view.Plan(
+        prompt, name.label, [](const DomainId&) { return true; },
+        CacheCatalog::kFetchLimit, now_);
+    if (!plan.fetch.empty() && plan.fetch[0])
+      Fetch(StoreAt(*plan.fetch[0]), name, plan.fetch_until_ms);
+    if (!plan.save.empty() && plan.save[0])
+      Save(StoreAt(*plan.save[0]), name);
+  }
+  void Save(std::size_t store, const CachePartName& name) {
+    ++saves;
+    const Millis write_time = troubles_.writers_are_slow && Chance(0.3)
+                                  ? Between(8000, 14000)
+                                  : Between(100, 1200);
+    After(Between(20, 400), [this, store, name, write_time] {
+      stores_[store].Save(name, now_ + write_time);
+    });
+  }
+  // A fetch begins at some time and ends before its deadline, else it is thrown
+  // away.
+  void Fetch(std::size_t store,
+             const CachePartName& name,
+             std::optional<std::uint64_t> until_ms) {
+    ++fetches;
+    const Millis left =
+        until_ms ? Millis(*until_ms) - Millis(SimulatedStore::ClockOf(now_))
+                 : CacheCatalog::kFetchLimit;
+    if (left <= kStep)
+      return;
+    const auto most = static_cast<int>(left.count());
+    const Millis start = troubles_.fetches_are_slow
+                             ? Between(most / 2, most - 1)
+                             : Between(1, std::min(most - 1, 100));
+    After(start, [=, this] {
+      const auto* part = stores_[store].Find(name);
+      if (part == nullptr)
+        return;  // a miss
+      if (!SimulatedStore::IsComplete(*part, now_)) {
+        ++bad_fetches;
+        return;
+      }
+      const std::uint64_t writing = part->writing;
+      const std::uint64_t epoch = stores_[store].epoch();
+      After(left - start, [=, this] {
+        if (stores_[store].epoch() != epoch)
+          return;  // restarted: the transfer has broken off
+        const auto* at_end = stores_[store].Find(name);
+        bad_fetches += at_end == nullptr || at_end->writing != writing ? 1 : 0;
+      });
+    });
+  }
+
+  const Troubles troubles_;
+  const int requested_;
+  TimePoint now_ = TimePoint(Millis(1'000'000));
+  std::vector<routes::CacheStore> settings_;
+  std::array<SimulatedStore, 3> stores_;
+  std::shared_ptr<CacheCatalog> catalog_;
+  std::uint64_t term_ = 0;
+  std::vector<Host> hosts_;
+  int live_label_ = 1;
+  std::multimap<TimePoint, Action> later_;
+  std::mt19937_64 random_;
+};
+
+constexpr Millis kRunTime{24000};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_cache_protocol,
+                      *boost::unit_test::label("gateway"))
+
+BOOST_DATA_TEST_CASE(parts_are_fetched_and_saved_without_trouble,
+                     boost::unit_test::data::make({1, 6, 30}),
+                     hosts) {
+  CacheFleet fleet(static_cast<std::size_t>(hosts), 600, 600, {}, 1);
+  fleet.Run(kRunTime);
+  BOOST_TEST(fleet.bad_fetches == 0);
+  BOOST_TEST(fleet.fetches > 100 * hosts);
+}
+
+// Guards against MIXED: a host that was still catching up with the removals of
+// a restarted store fetched parts that were just being written there again.
+BOOST_DATA_TEST_CASE(hosts_that_lag_behind_a_restart_fetch_no_incomplete_part,
+                     boost::unit_test::data::make({1, 2, 3}),
+                     seed) {
+  Troubles troubles;
+  troubles.stores_restart = true;
+  CacheFleet fleet(6, 30000, 40, troubles, seed);
+  fleet.Run(kRunTime);
+  BOOST_TEST_MESSAGE("fetches " << fleet.fetches << ", bad "
+                                << fleet.bad_fetches);
+  BOOST_TEST(fleet.bad_fetches == 0);
+  BOOST_TEST(fleet.fetches > 1000);
+}
+
+// Guards against MIXED: an update that was held up for seconds made what the
+// host knew look fresh.
+BOOST_DATA_TEST_CASE(updates_that_are_held_up_prove_nothing,
+                     boost::unit_test::data::make({1, 2, 3}),
+                     seed) {
+  Troubles troubles;
+  troubles.labels_retire = true;
+  troubles.hosts_are_cut_off = true;
+  CacheFleet fleet(30, 300, 60, troubles, seed);
+  fleet.Run(kRunTime);
+  BOOST_TEST_MESSAGE("fetches " << fleet.fetches << ", bad "
+                                << fleet.bad_fetches);
+  BOOST_TEST(fleet.bad_fetches == 0);
+  BOOST_TEST(fleet.fetches > 1000);
+}
+
+// Guards against MIXED: parts were saved to a restarted store while fetches
+// that had been planned before could still begin.
+BOOST_DATA_TEST_CASE(a_restarted_store_is_written_after_the_last_old_fetch,
+                     boost::unit_test::data::make({1, 2, 3}),
+                     seed) {
+  Troubles troubles;
+  troubles.stores_restart = true;
+  troubles.fetches_are_slow = true;
+  troubles.updates_are_lost = true;
+  CacheFleet fleet(30, 600, 60, troubles, seed);
+  fleet.Run(kRunTime);
+  BOOST_TEST_MESSAGE("fetches " << fleet.fetches << ", bad "
+                                << fleet.bad_fetches);
+  BOOST_TEST(fleet.bad_fetches == 0);
+  BOOST_TEST(fleet.fetches > 1000);
+}
+
+BOOST_DATA_TEST_CASE(no_mix_of_troubles_leads_to_a_bad_fetch,
+                     boost::unit_test::data::xrange(1, 11) *
+                         boost::unit_test::data::make({3, 30}),
+                     seed,
+                     hosts) {
+  Troubles troubles;
+  troubles.stores_restart = seed % 2 == 0;
+  troubles.labels_retire = true;
+  troubles.hosts_are_cut_off = seed % 3 != 0;
+  troubles.writers_are_slow = seed % 4 == 0;
+  troubles.leaders_change = true;
+  troubles.updates_are_lost = true;
+  troubles.fetches_are_slow = seed % 5 < 3;
+  CacheFleet fleet(static_cast<std::size_t>(hosts), 5000, 100, troubles, seed);
+  fleet.Run(kRunTime);
+  BOOST_TEST(fleet.bad_fetches == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace endivecart::gateway
