Gateway: a send that reached no upstream takes no retry from the limit

After a row of crashes callers got 503 "unreachable" while nine upstreams were sound: each host has to find out by itself that each of the ended ones is gone, and a failed connection took a retry from the limit each time.

The limit is to spare upstreams; what reaches none gives them nothing to do. Failures are still counted by each host alone.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -487,19 +487,22 @@
                                  }});
 }
 
-bool Forwarding::MayRetry(bool was_run) const {
+bool Forwarding::MayRetry(SendEffect effect) const {
+  const bool was_run = effect == SendEffect::kMayHaveRun;
   if (TimeLeft() < kMinRetryTime)
     return false;
   if (was_run && (!MayRepeat() || runs_ >= route_.max_attempts))
     return false;
   if (!was_run && sends_ >= route_.max_attempts + kMaxExtraSends)
     return false;
-  return gateway_.retry_limiter_.TryAcquire(service_, gateway_.loop_.Now());
+  // What reached no upstream gives none of them more to do.
+  return effect == SendEffect::kNotReached ||
+         gateway_.retry_limiter_.TryAcquire(service_, gateway_.loop_.Now());
 }
 
-void Forwarding::RetryOrGiveUp(const char* reason) {
+void Forwarding::RetryOrGiveUp(const char* reason, SendEffect effect) {
   // A relay's send is no retry: none has reached an upstream.
-  if ((run_state_ == RunState::kNotRun && ChooseRelay()) || MayRetry(false)) {
+  if ((run_state_ == RunState::kNotRun && ChooseRelay()) || MayRetry(effect)) {
     Send();
   } else {
     GiveUp(reason);
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -149,8 +149,10 @@
   void EndSend(SendResult result);
   // Returns whether the request may be sent once more, and if so takes a retry
   // from the limiter. `was_run`: whether the last send may have run it.
-  bool MayRetry(bool was_run) const;
-  void RetryOrGiveUp(const char* reason);
+  // What a send has done to an upstream.
+  enum class SendEffect { kNotReached, kRefused, kMayHaveRun };
+  bool MayRetry(SendEffect effect) const;
+  void RetryOrGiveUp(const char* reason, SendEffect effect);
   void GiveUp(const char* reason);
   void Refuse(int status,
               const std::string& reason,
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -140,13 +140,13 @@
       if (opened_connection)
         gateway_.reach_.OnUnreachable(service_.str(), gateway_.loop_.Now());
       EndSend(SendResult::kUnreachable);
-      RetryOrGiveUp(kReasonUnreachable);
+      RetryOrGiveUp(kReasonUnreachable, SendEffect::kNotReached);
       return;
     case net::CallResult::kBroken:
     case net::CallResult::kMalformedResponse:
       if (!sent) {
         EndSend(SendResult::kUnreachable);
-        RetryOrGiveUp(kReasonUnreachable);
+        RetryOrGiveUp(kReasonUnreachable, SendEffect::kNotReached);
         return;
       }
       if (end == net::CallResult::kBroken)
@@ -213,7 +213,8 @@
   }
   ++runs_;
   // A relay has retried already.
-  if (server_error && head_.status != 504 && !relay_ && MayRetry(true)) {
+  if (server_error && head_.status != 504 && !relay_ &&
+      MayRetry(SendEffect::kMayHaveRun)) {
     EndSend(SendResult::kFailed);
     Send();
     return;
@@ -241,7 +242,7 @@
                                gateway_.loop_.Now());
   }
   EndSend(SendResult::kRefused);
-  RetryOrGiveUp("refused");
+  RetryOrGiveUp("refused", SendEffect::kRefused);
 }
 
 void Forwarding::OnBadAnswer(const char* reason) {
@@ -251,7 +252,7 @@
 
 void Forwarding::OnFailedRun(SendResult result, const char* reason) {
   EndFailedRun(result, reason);
-  if (MayRetry(true)) {
+  if (MayRetry(SendEffect::kMayHaveRun)) {
     Send();
   } else {
     GiveUp(reason);
