Gateway: probes prefer upstreams that aren't known to be unreachable

After several crashes all three probes could go to upstreams that had ended, and a host then took itself to be cut off although others were in reach. Found by reading; no test shows it.

--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -314,7 +314,7 @@
     const routes::ServiceId& service,
     std::size_t count,
     std::uint64_t random) const {
-  using Target = std::pair<std::tuple<std::size_t, bool, std::uint64_t>,
+  using Target = std::pair<std::tuple<bool, std::size_t, bool, std::uint64_t>,
                            settings::Endpoint>;
   std::map<DomainId, std::vector<std::pair<std::uint64_t, UpstreamId>>> ready;
   for (const auto& [id, upstream] : registry_.all()) {
@@ -324,13 +324,17 @@
                                                id);
     }
   }
-  // By position within its domain, then the own domain first.
+  // First those that aren't known to be unreachable, then by position within
+  // the domain, then the own domain.
   std::vector<Target> targets;
   for (auto& [domain, upstreams] : ready) {
     std::sort(upstreams.begin(), upstreams.end());
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
-      targets.push_back({{i, domain != own_domain_, upstreams[i].first},
-                         registry_.Find(upstreams[i].second)->last.address});
+      const auto* upstream = registry_.Find(upstreams[i].second);
+      targets.push_back(
+          {{IsDistrusted(*upstream, RecordOf(upstreams[i].second)), i,
+            domain != own_domain_, upstreams[i].first},
+           upstream->last.address});
     }
   }
   std::sort(targets.begin(), targets.end(),
