Cache: a lease begins when the answered poll was sent

An update that was held up, by a partition or on a busy control host, renewed the lease when it arrived, though it may be older than the time after which withdrawn parts are freed. Polls are numbered now and answers name the number; the lease begins at the send time of that poll. An update that answers no poll of this process renews nothing, so that beside control hosts of an older release hosts fetch no cache.

Test an_update_that_was_held_up_is_as_old_as_its_poll: with the former rule the first check fails, since the lease began at arrival.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -117,6 +117,8 @@
     *update.mutable_quarantine() = ToWire(ruling, now);
   if (follower.poll.serves_callers())
     *update.mutable_limits() = ToWire(limits_.All(), now);
+  if (is_answer)
+    update.set_answered_poll(follower.poll.number());
   if (is_answer && follower.poll.serves_callers()) {
     *update.mutable_relays() = ToWire(relay_table_.RelaysFor(to, now), now);
     if (follower.poll.wants_loads()) {
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -67,6 +67,8 @@
   if (primary.empty())
     primary = NextProbedHost();
   ++polls_;
+  // No process gets an answer to a poll of its predecessor.
+  poll.set_number(options_.incarnation + polls_);
   for (auto& [host, control] : control_hosts_) {
     if ((host != primary && !polls_all) || IsAnswerPending(control))
       continue;
@@ -83,6 +85,7 @@
     out.set_feed_incarnation(control.feed_incarnation);
     out.set_feed_cursor(control.feed_cursor);
     control.polled_at = hooks_.now();
+    control.poll_number = poll.number();
     hooks_.send(host, std::move(envelope));
   }
 }
@@ -156,8 +159,13 @@
     hooks_.on_limits(FromWire(update.limits(), now));
   if (update.relays_size() > 0 && hooks_.on_relays)
     hooks_.on_relays(FromWire(update.relays(), now));
-  if (update.has_cache() && hooks_.on_cache)
-    hooks_.on_cache(update.cache());
+  if (update.has_cache() && hooks_.on_cache) {
+    const bool answers_last_poll =
+        update.answered_poll() != 0 &&
+        update.answered_poll() == control.poll_number;
+    hooks_.on_cache(update.cache(),
+                    answers_last_poll ? control.polled_at : TimePoint{});
+  }
   if (update.has_decisions())
     ApplyDecisions(update.decisions());
   std::vector<HostId> named;
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -60,7 +60,9 @@
     std::function<void()> on_loads;
     // This and cache_position are optional, for processes that use cache
     // stores.
-    std::function<void(const wire::CacheUpdate&)> on_cache;
+    // `asked_at`: when the poll was sent that it answers, so that it contains
+    // all that happened before; TimePoint{} if unknown.
+    std::function<void(const wire::CacheUpdate&, TimePoint asked_at)> on_cache;
     std::function<CachePosition()> cache_position;
     // Optional, for processes that send prompts.
     std::function<quarantine::HostFindings()> quarantine_findings;
@@ -112,6 +114,7 @@
   struct ControlHost {
     TimePoint listed_at;
     TimePoint polled_at{};
+    std::uint64_t poll_number = 0;  // of the last poll
     TimePoint last_update_at{};
     bool has_update = false;
     bool in_contact = false;
--- a/src/endivecart/gateway/cache_protocol_unittest.cc
+++ b/src/endivecart/gateway/cache_protocol_unittest.cc
@@ -285,11 +285,12 @@
   }
   void Apply(Host& host,
              const wire::CacheUpdate& update,
-             TimePoint /*asked_at*/,
+             TimePoint asked_at,
              std::uint64_t poll) {
     if (host.poll_number == poll)
       host.is_polling = false;
-    host.view.Apply(update, now_);
+    host.view.Apply(update, host.poll_number == poll ? asked_at : TimePoint{},
+                    now_);
   }
 
   void Request(std::size_t number) {
--- a/src/endivecart/gateway/cache_view.cc
+++ b/src/endivecart/gateway/cache_view.cc
@@ -30,12 +30,16 @@
                     kMinFetchTimeout, fleet::CacheCatalog::kFetchLimit);
 }
 
-void CacheView::Apply(const wire::CacheUpdate& update, TimePoint now) {
+void CacheView::Apply(const wire::CacheUpdate& update,
+                      TimePoint asked_at,
+                      TimePoint now) {
   // A leader of an earlier term may still send updates.
   if (update.term() < position_.term)
     return;
-  if (update.reset() || update.term() > position_.term)
+  if (update.reset() || update.term() > position_.term) {
     parts_.clear();
+    known_until_ = TimePoint{};
+  }
   if (update.term() > position_.term && !update.reset())
     return;  // the updates before this one are missing
   const bool is_new_term = update.term() > position_.term;
@@ -44,7 +48,8 @@
   is_complete_ = !update.has_more();
   // What is known may be used for longer only if no removal is missing.
   if (!update.lacks_removals()) {
-    updated_at_ = now;
+    known_until_ = std::max(known_until_, asked_at);
+    clock_at_ = now;
     servers_clock_ms_ = update.servers_clock_ms();
   }
   // A new leader always sends its list, which may be empty.
@@ -112,7 +117,7 @@
                           Millis fetch_timeout,
                           TimePoint now) const {
   CachePlan plan;
-  if (stores_.empty() || now - updated_at_ > fleet::CacheCatalog::kUpdateLease)
+  if (stores_.empty() || now - known_until_ > fleet::CacheCatalog::kUpdateLease)
     return plan;
   plan.fetch.resize(prompt.parts.size());
   plan.save.resize(prompt.parts.size());
@@ -146,7 +151,7 @@
   if (!has_save)
     plan.save.clear();
   if (has_fetch && servers_clock_ms_ != 0) {
-    const auto age = std::chrono::duration_cast<Millis>(now - updated_at_);
+    const auto age = std::chrono::duration_cast<Millis>(now - clock_at_);
     plan.fetch_until_ms =
         servers_clock_ms_ +
         static_cast<std::uint64_t>(
--- a/src/endivecart/gateway/cache_view.h
+++ b/src/endivecart/gateway/cache_view.h
@@ -38,7 +38,11 @@
 // whose lease has expired is not used.
 class CacheView {
  public:
-  void Apply(const wire::CacheUpdate& update, TimePoint now);
+  // Applies an update that was asked for at `asked_at`. It contains all that
+  // happened before; how long it took to arrive says nothing.
+  void Apply(const wire::CacheUpdate& update,
+             TimePoint asked_at,
+             TimePoint now);
 
   // Plans to fetch the parts that a store holds and to save the other ones. The
   // last part is neither fetched nor saved, because no other prompt shares it.
@@ -52,9 +56,9 @@
 
   const fleet::CachePosition& position() const { return position_; }
   std::size_t parts() const { return parts_.size(); }
-  // Returns the time since the update from which fetches are planned.
+  // Returns the age of the knowledge from which fetches are planned.
   Millis Age(TimePoint now) const {
-    return std::chrono::duration_cast<Millis>(now - updated_at_);
+    return std::chrono::duration_cast<Millis>(now - known_until_);
   }
 
  private:
@@ -79,8 +83,9 @@
   // Whether all parts of the catalogue were received. Before, a part that is
   // unknown here may well be stored, so none is saved.
   bool is_complete_ = false;
-  TimePoint updated_at_{};              // when all removals were known
-  std::uint64_t servers_clock_ms_ = 0;  // at updated_at_
+  TimePoint known_until_{};  // all removals before it are known
+  TimePoint clock_at_{};
+  std::uint64_t servers_clock_ms_ = 0;  // at clock_at_ or earlier
   std::vector<Store> stores_;
   // For each part that is completely stored, the indices of its stores.
   std::unordered_map<std::uint64_t, std::vector<std::uint32_t>> parts_;
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -34,8 +34,9 @@
       [&gateway](const std::vector<quarantine::RelayHost>& relays) {
         gateway.relays().Apply(relays, gateway.Now());
       };
-  hooks.on_cache = [&gateway](const wire::CacheUpdate& update) {
-    gateway.cache().Apply(update, gateway.Now());
+  hooks.on_cache = [&gateway](const wire::CacheUpdate& update,
+                              TimePoint asked_at) {
+    gateway.cache().Apply(update, asked_at, gateway.Now());
   };
   hooks.cache_position = [&gateway] { return gateway.cache().position(); };
 }
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -448,7 +448,7 @@
 
 BOOST_AUTO_TEST_CASE(stored_parts_are_fetched_and_missing_shared_parts_saved) {
   CacheView view;
-  view.Apply(MakeCacheUpdate(true), At(0));
+  view.Apply(MakeCacheUpdate(true), At(0), At(0));
   const auto plan =
       view.Plan(MakePrompt("p"), kLabel, kAnywhere, kMaxFetchTime, At(100));
   BOOST_TEST(plan.fetch.at(1)->ToString() == "10.0.0.2:80");
@@ -475,7 +475,7 @@
   BOOST_CHECK(FetchTimeout(Millis(0), Millis(800), Millis(90)) ==
               kMaxFetchTime);
   CacheView view;
-  view.Apply(MakeCacheUpdate(true), At(0));
+  view.Apply(MakeCacheUpdate(true), At(0), At(0));
   const auto plan =
       view.Plan(MakePrompt("p"), kLabel, kAnywhere, Millis(400), At(100));
   BOOST_TEST(plan.fetch_until_ms.value() == 7000u + 100u + 400u);
@@ -483,7 +483,7 @@
 
 BOOST_AUTO_TEST_CASE(an_expired_update_is_not_used) {
   CacheView view;
-  view.Apply(MakeCacheUpdate(true), At(0));
+  view.Apply(MakeCacheUpdate(true), At(0), At(0));
   const auto lease =
       static_cast<int>(fleet::CacheCatalog::kUpdateLease.count());
   const auto late = view.Plan(MakePrompt("p"), kLabel, kAnywhere, kMaxFetchTime,
@@ -493,14 +493,14 @@
 
 BOOST_AUTO_TEST_CASE(cache_of_another_label_is_not_fetched) {
   CacheView view;
-  view.Apply(MakeCacheUpdate(false), At(0));
+  view.Apply(MakeCacheUpdate(false), At(0), At(0));
   BOOST_CHECK(view.Plan(MakePrompt("p"), "m.2", kAnywhere, kMaxFetchTime, At(1))
                   .fetch.empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_store_in_a_disallowed_domain_is_not_used) {
   CacheView view;
-  view.Apply(MakeCacheUpdate(true), At(0));
+  view.Apply(MakeCacheUpdate(true), At(0), At(0));
   const auto plan = view.Plan(
       MakePrompt("p"), kLabel,
       [](const DomainId& domain) { return domain == DomainId("a"); },
@@ -511,12 +511,12 @@
 
 BOOST_AUTO_TEST_CASE(stores_that_a_new_leader_does_not_know_are_not_used) {
   CacheView view;
-  view.Apply(MakeCacheUpdate(true), At(0));
+  view.Apply(MakeCacheUpdate(true), At(0), At(0));
   auto update = MakeCacheUpdate(true);
   update.set_term(3);
   update.clear_stores();
   update.clear_added();
-  view.Apply(update, At(1));
+  view.Apply(update, At(1), At(1));
   BOOST_CHECK(view.Plan(MakePrompt("p"), kLabel, kAnywhere, kMaxFetchTime,
                         At(2)) == CachePlan());
 }
@@ -525,20 +525,66 @@
   CacheView view;
   auto update = MakeCacheUpdate(true);
   update.set_has_more(true);
-  view.Apply(update, At(0));
+  view.Apply(update, At(0), At(0));
   const auto plan =
       view.Plan(MakePrompt("p"), kLabel, kAnywhere, kMaxFetchTime, At(1));
   BOOST_TEST(plan.fetch.at(1).has_value());
   BOOST_TEST(plan.save.empty());
 }
 
+BOOST_AUTO_TEST_CASE(parts_of_a_store_that_lost_them_are_discarded) {
+  CacheView view;
+  auto update = MakeCacheUpdate(true);
+  view.Apply(update, At(0), At(0));
+  BOOST_TEST(view.parts() == 1u);
+  update.clear_added();
+  for (auto& store : *update.mutable_stores())
+    store.set_generation(1);
+  view.Apply(update, At(1), At(1));
+  BOOST_TEST(view.parts() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(an_update_that_lacks_removals_renews_no_lease) {
+  CacheView view;
+  auto update = MakeCacheUpdate(true);
+  view.Apply(update, At(0), At(0));
+  update.set_reset(false);
+  update.set_has_more(true);
+  update.set_lacks_removals(true);
+  view.Apply(update, At(1400), At(1400));
+  const auto plan = [&](int at) {
+    return view.Plan(MakePrompt("p"), kLabel, kAnywhere, kMaxFetchTime, At(at));
+  };
+  BOOST_CHECK(plan(1400) != CachePlan());
+  BOOST_CHECK(plan(1600) == CachePlan());
+}
+
+// Guards against MIXED: an update that a partition had held up made what a host
+// knew look fresh.
+BOOST_AUTO_TEST_CASE(an_update_that_was_held_up_is_as_old_as_its_poll) {
+  CacheView view;
+  const auto lease =
+      static_cast<int>(fleet::CacheCatalog::kUpdateLease.count());
+  const auto plan = [&](int at) {
+    return view.Plan(MakePrompt("p"), kLabel, kAnywhere, kMaxFetchTime, At(at));
+  };
+  view.Apply(MakeCacheUpdate(true), At(0), At(5000));
+  BOOST_CHECK(plan(5000) == CachePlan());
+  view.Apply(MakeCacheUpdate(true), At(5000), At(5000 + lease / 2));
+  BOOST_CHECK(plan(5000 + lease) != CachePlan());
+  BOOST_CHECK(plan(5000 + lease + 1) == CachePlan());
+  // It answers no poll of this process.
+  view.Apply(MakeCacheUpdate(true), TimePoint{}, At(9000));
+  BOOST_CHECK(plan(9000) == CachePlan());
+}
+
 BOOST_AUTO_TEST_CASE(an_update_of_an_earlier_term_is_ignored) {
   CacheView view;
-  view.Apply(MakeCacheUpdate(true), At(0));
+  view.Apply(MakeCacheUpdate(true), At(0), At(0));
   auto old = MakeCacheUpdate(true);
   old.set_term(1);
   old.clear_added();
-  view.Apply(old, At(1));
+  view.Apply(old, At(1), At(1));
   BOOST_TEST(view.parts() == 1u);
   BOOST_TEST(view.position().term == 2u);
 }
