--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -58,7 +58,7 @@
            request_.body})),
       parts_(AllParts(request_keys_, request_.prompt)),
       accepted_at_(exchange_->received_at()),
-      ticket_from_relay_(std::move(ticket_from_relay)),
+      ticket_from_relay_(ticket_from_relay),
       runs_(ticket_from_relay_ ? ticket_from_relay_->runs : 0) {}
 
 Forwarding::~Forwarding() = default;
