Quarantine: the failures of upstreams count over all hosts

Callers at many hosts were sent, one host after the other, to an upstream that failed everything: UpstreamTracker counted three failures in a row on each host alone.

Hosts report failures since their last answer to the control host that they rely on. It counts them together, asks for answers, and rules that an upstream fails after three in a row over 600 ms without an answer to anybody. Hosts then prefer others; after the last failure first one host returns to it, then twice as many each half second. Hosts that are cut off, a single domain's links and stale connections prove nothing. An extension of quarantine/, without network.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "endivecart/fleet/failure_messages.h"
 #include "endivecart/fleet/limit_messages.h"
 #include "endivecart/fleet/quarantine_messages.h"
 #include "endivecart/fleet/reach_messages.h"
@@ -38,12 +39,8 @@
     follower.missing_version = decisions_.routing_version;
     follower.missing_since = follower.polled_at;
   }
-  if (poll.serves_callers()) {
-    part_judge_.OnReport(from, FromWire(poll.quarantine(), hooks_.now()),
-                         hooks_.now());
-    relay_table_.OnReport(from, FromWire(poll.reach(), hooks_.now()),
-                          hooks_.now());
-  }
+  if (poll.serves_callers())
+    RecordFindings(from, poll);
   for (const auto& limit : FromWire(poll.limits(), hooks_.now()))
     push_requested_ |= limits_.Merge(limit);
   for (const wire::ServiceMoveReport& report : poll.move_reports())
@@ -51,6 +48,21 @@
   Send(from, follower, true);
 }
 
+void FleetFeed::RecordFindings(const HostId& from,
+                               const wire::FleetPoll& poll) {
+  const TimePoint now = hooks_.now();
+  part_judge_.OnReport(from, FromWire(poll.quarantine(), now), now);
+  const quarantine::HostReach reach = FromWire(poll.reach(), now);
+  relay_table_.OnReport(from, reach, now);
+  if (poll.wants_loads()) {
+    const bool is_cut_off =
+        std::any_of(reach.services.begin(), reach.services.end(),
+                    [](const auto& service) { return service.is_cut_off; });
+    failure_judge_.OnReport(from, reach.domain, FromWire(poll.failures(), now),
+                            !is_cut_off, now);
+  }
+}
+
 void FleetFeed::PushDecisions(const Decisions& decisions) {
   decisions_ = decisions;
   for (auto& [host, follower] : followers_)
@@ -125,6 +137,9 @@
       *update.mutable_fleet_loads() = loads_.Encode(
           to, {follower.poll.names_epoch(), follower.poll.names()}, *roster_,
           now);
+      const auto& failures = failure_judge_.CurrentRuling(now);
+      if (failures != quarantine::FailureRuling())
+        *update.mutable_failures() = ToWire(failures, now);
     }
     auto cache = hooks_.cache_update(
         {follower.poll.cache_term(), follower.poll.cache_cursor(),
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -105,6 +105,8 @@
 
   void Send(const HostId& to, Follower& follower, bool is_answer);
   void AddAnnouncements(Follower& follower, wire::FleetUpdate& update) const;
+  // Hands the judges and tables what a process that serves callers reported.
+  void RecordFindings(const HostId& from, const wire::FleetPoll& poll);
   void UpdateMembership();
 
   const std::uint64_t incarnation_;
@@ -121,6 +123,7 @@
   quarantine::PartJudge part_judge_;
   limits::LimitTable limits_;  // of upstreams, as named to any follower
   quarantine::RelayTable relay_table_;
+  quarantine::FailureJudge failure_judge_;
   bool push_requested_ = false;
 };
 
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "endivecart/fleet/failure_messages.h"
 #include "endivecart/fleet/limit_messages.h"
 #include "endivecart/fleet/quarantine_messages.h"
 #include "endivecart/fleet/reach_messages.h"
@@ -57,6 +58,8 @@
       *poll.mutable_limits() = ToWire(hooks_.limit_findings(), hooks_.now());
     if (hooks_.reach_report)
       *poll.mutable_reach() = ToWire(hooks_.reach_report(), hooks_.now());
+    if (hooks_.failures)
+      *poll.mutable_failures() = ToWire(hooks_.failures(), hooks_.now());
     for (wire::ServiceMoveReport& report : hooks_.move_reports())
       *poll.add_move_reports() = std::move(report);
   }
@@ -78,6 +81,7 @@
     out.set_wants_loads(options_.serves_callers && host == primary);
     if (host != primary) {
       out.clear_loads();
+      out.clear_failures();
     } else if (host == loads_sender_) {
       out.set_names_epoch(loads_.known_names().epoch);
       out.set_names(static_cast<std::uint32_t>(loads_.known_names().count));
@@ -145,6 +149,8 @@
     loads_.Apply(update.fleet_loads(), now, hooks_.on_heard);
     if (hooks_.on_loads)
       hooks_.on_loads();
+    if (hooks_.on_failures)
+      hooks_.on_failures(FromWire(update.failures(), now));
   }
   if (update.leader_host() == from.str()) {
     leader_ = from;
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -74,6 +74,10 @@
     // while it is cut off from them. Optional.
     std::function<quarantine::HostReach()> reach_report;
     std::function<void(const std::vector<quarantine::RelayHost>&)> on_relays;
+    // Failures of upstreams that this process observed, and the ruling of the
+    // control host that it relies on. Optional.
+    std::function<std::vector<quarantine::UpstreamFailures>()> failures;
+    std::function<void(const quarantine::FailureRuling&)> on_failures;
     std::function<TimePoint()> now;
   };
 
--- a/src/endivecart/fleet/limit_messages.cc
+++ b/src/endivecart/fleet/limit_messages.cc
@@ -1,19 +1,10 @@
 #include "endivecart/fleet/limit_messages.h"
 
-#include <algorithm>
 #include <cmath>
 
-namespace endivecart::fleet {
-
-namespace {
+#include "endivecart/fleet/message_times.h"
 
-std::uint32_t AgeMillis(TimePoint at, TimePoint now) {
-  const auto age = std::chrono::duration_cast<Millis>(now - at).count();
-  return static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(age, 0, INT32_MAX));
-}
-
-}  // namespace
+namespace endivecart::fleet {
 
 LimitRecords ToWire(const std::vector<limits::NamedLimit>& limits,
                     TimePoint now) {
--- a/src/endivecart/fleet/quarantine_messages.cc
+++ b/src/endivecart/fleet/quarantine_messages.cc
@@ -1,6 +1,6 @@
 #include "endivecart/fleet/quarantine_messages.h"
 
-#include <algorithm>
+#include "endivecart/fleet/message_times.h"
 
 namespace endivecart::fleet {
 
@@ -11,12 +11,6 @@
 using quarantine::Quarantine;
 using quarantine::SoundPart;
 
-std::uint32_t AgeMs(TimePoint at, TimePoint now) {
-  const auto age = std::chrono::duration_cast<Millis>(now - at).count();
-  return static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(age, 0, INT32_MAX));
-}
-
 // Parts are compared as sorted lists; a peer may send them in any order.
 PartList Parts(const google::protobuf::RepeatedPtrField<std::string>& parts) {
   return quarantine::PartKeys({parts.begin(), parts.end()});
@@ -27,17 +21,17 @@
            TimePoint now) {
   for (const std::string& part : quarantine.parts)
     record.add_parts(part);
-  record.set_age_ms(AgeMs(quarantine.since, now));
+  record.set_age_ms(AgeMillis(quarantine.since, now));
   record.set_failed_trials(
       static_cast<std::uint32_t>(quarantine.failed_trials));
-  record.set_asked_age_ms(AgeMs(quarantine.asked_at, now));
+  record.set_asked_age_ms(AgeMillis(quarantine.asked_at, now));
 }
 
 void AddTo(wire::SoundPartRecord& record,
            const SoundPart& sound,
            TimePoint now) {
   record.set_part(sound.part);
-  record.set_age_ms(AgeMs(sound.at, now));
+  record.set_age_ms(AgeMillis(sound.at, now));
 }
 
 Quarantine ToQuarantine(const wire::QuarantineRecord& record, TimePoint now) {
@@ -59,7 +53,7 @@
     wire::BrokenRunRecord& record = *message.add_runs();
     record.set_upstream_run(run.upstream_run);
     record.set_request(run.request);
-    record.set_age_ms(AgeMs(run.at, now));
+    record.set_age_ms(AgeMillis(run.at, now));
     for (const std::string& part : run.parts)
       record.add_parts(part);
   }
--- a/src/endivecart/fleet/reach_messages.cc
+++ b/src/endivecart/fleet/reach_messages.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "endivecart/fleet/message_times.h"
+
 namespace endivecart::fleet {
 
 namespace {
@@ -20,10 +22,7 @@
     wire::ServiceReachRecord& out = *record.add_services();
     out.set_service(service.service);
     out.set_is_cut_off(service.is_cut_off);
-    const auto age =
-        std::chrono::duration_cast<Millis>(now - service.answered_at).count();
-    out.set_answered_age_ms(static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(age, 0, INT32_MAX)));
+    out.set_answered_age_ms(AgeMillis(service.answered_at, now));
   }
   return record;
 }
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -29,6 +29,12 @@
   hooks.on_limits = [&gateway](const std::vector<limits::NamedLimit>& limits) {
     gateway.limits().Apply(limits);
   };
+  hooks.failures = [&gateway] {
+    return gateway.upstreams().failures().Report(gateway.Now());
+  };
+  hooks.on_failures = [&gateway](const quarantine::FailureRuling& ruling) {
+    gateway.upstreams().failures().Apply(ruling, gateway.Now());
+  };
   hooks.reach_report = [&gateway] { return gateway.ReachReport(); };
   hooks.on_relays =
       [&gateway](const std::vector<quarantine::RelayHost>& relays) {
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -381,10 +381,10 @@
   context.is_cold = gateway_.upstreams_.IsCold(chosen.upstream);
   context.has_cold_start_permit = chosen.has_cold_start_permit;
   context.is_limited =
-      gateway_.limits_.IsLimited(gateway_.UpstreamRun(chosen.upstream));
+      gateway_.limits_.IsLimited(gateway_.upstreams_.RunOf(chosen.upstream));
   context.has_limit_permit = chosen.has_limit_permit;
   context.is_brittle =
-      gateway_.limits_.RefusalLimit(gateway_.UpstreamRun(chosen.upstream))
+      gateway_.limits_.RefusalLimit(gateway_.upstreams_.RunOf(chosen.upstream))
           .has_value();
   context.has_room = chosen.has_room;
   context.is_quarantined = gateway_.part_monitor_.IsQuarantined(parts_);
@@ -434,6 +434,7 @@
   data_at_ = TimePoint{};
   head_ = {};
   head_received_ = false;
+  on_used_connection_ = false;
   forwards_events_ = false;
   first_event_of_send_at_.reset();
   events_of_send_ = 0;
@@ -521,9 +522,11 @@
   if (pending_prefill_tokens_ > 0)
     gateway_.upstreams_.FinishPrefill(upstream_, pending_prefill_tokens_);
   pending_prefill_tokens_ = 0;
-  gateway_.upstreams_.EndWork(upstream_, result,
-                              MillisBetween(sent_at_, gateway_.loop_.Now()),
-                              HeldTokens());
+  gateway_.upstreams_.EndWork(
+      upstream_,
+      {result, MillisBetween(sent_at_, gateway_.loop_.Now()),
+       on_used_connection_ && !head_received_ && result == SendResult::kBroken},
+      HeldTokens());
   upstream_ = UpstreamId();
   gateway_.AdmitSoon();
 }
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -222,7 +222,8 @@
   std::optional<UpstreamId> home_;  // likely caches the shared parts
   net::HttpResponseHead head_;
   bool head_received_ = false;
-  bool forwards_events_ = false;  // events of a stream go to the caller
+  bool on_used_connection_ = false;  // one that had served another request
+  bool forwards_events_ = false;     // events of a stream go to the caller
   std::string body_;
   EventSplitter splitter_;
 
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -51,7 +51,8 @@
 void Forwarding::RecordMetadata(const AnswerMetadata& metadata) {
   if (call_->opened_connection())
     gateway_.reach_.OnConnected(service_.str(), sent_at_);
-  gateway_.part_monitor_.OnAlive(gateway_.UpstreamRun(upstream_), sent_at_);
+  gateway_.part_monitor_.OnAlive(gateway_.upstreams_.RunOf(upstream_),
+                                 sent_at_);
   if (metadata.weights_version && request_.prompt) {
     gateway_.upstreams_.RecordWeights(upstream_, request_.prompt->model,
                                       *metadata.weights_version);
@@ -100,8 +101,11 @@
 
 void Forwarding::ForwardEvent(const StreamEvent& event) {
   last_event_at_ = gateway_.loop_.Now();
-  if (!first_event_of_send_at_)
+  if (!first_event_of_send_at_) {
     first_event_of_send_at_ = last_event_at_;
+    if (!relay_)
+      gateway_.upstreams_.RecordAnswer(upstream_);
+  }
   ++events_of_send_;
   RecordSpeedOfRun();
   if (pending_prefill_tokens_ > 0) {
@@ -130,6 +134,7 @@
 void Forwarding::OnEnd(net::CallResult end) {
   const bool sent = call_->may_have_been_sent();
   const bool opened_connection = call_->opened_connection();
+  on_used_connection_ = !opened_connection;
   call_.reset();
   if (relay_) {
     OnRelayEnd(end, sent);
@@ -238,7 +243,7 @@
       .Add("status", head.status)
       .Info();
   if (head.status == kNoRoom) {
-    gateway_.limits_.OnRefused(gateway_.UpstreamRun(upstream_),
+    gateway_.limits_.OnRefused(gateway_.upstreams_.RunOf(upstream_),
                                gateway_.loop_.Now());
   }
   EndSend(SendResult::kRefused);
--- a/src/endivecart/gateway/forwarding_permits.cc
+++ b/src/endivecart/gateway/forwarding_permits.cc
@@ -32,7 +32,7 @@
 bool Forwarding::KeepWithinRoom(std::vector<Candidate>& candidates) const {
   const limits::LimitMonitor& limits = gateway_.limits_;
   const auto run_of = [this](const Candidate& candidate) {
-    return gateway_.UpstreamRun(candidate.id);
+    return gateway_.upstreams_.RunOf(candidate.id);
   };
   // Upstreams of a service are brittle together. One that has just returned may
   // not have said so yet.
@@ -58,7 +58,7 @@
                                 const routes::Service* service,
                                 const HostRank& rank) {
   const TimePoint now = gateway_.loop_.Now();
-  const std::string run = gateway_.UpstreamRun(id);
+  const std::string run = gateway_.upstreams_.RunOf(id);
   if (!gateway_.limits_.TryAcquire(run, now)) {
     const Millis wait = gateway_.limits_.TimeToNext(run, now);
     time_to_permit_ = std::min(time_to_permit_.value_or(wait), wait);
@@ -77,7 +77,7 @@
   const bool was_under_way =
       first_event_of_send_at_ && now - *first_event_of_send_at_ > kTimeToCrash;
   if (!was_under_way) {
-    gateway_.part_monitor_.OnBroken(gateway_.UpstreamRun(upstream_),
+    gateway_.part_monitor_.OnBroken(gateway_.upstreams_.RunOf(upstream_),
                                     StableHash(request_.id.str()), parts_, now);
   }
 }
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -182,12 +182,6 @@
   LogLine("gateway.bad_server_load").Add("upstream", upstream.str()).Warn();
 }
 
-std::string Gateway::UpstreamRun(const UpstreamId& upstream) const {
-  const auto* known = upstreams_.Find(upstream);
-  return upstream.str() + "/" +
-         std::to_string(known ? known->last.start_time_ms : 0);
-}
-
 HostRank Gateway::Rank() const {
   return follower_ ? follower_->Place() : HostRank();
 }
@@ -200,7 +194,7 @@
     LogLine("gateway.bad_request_limit").Add("upstream", upstream.str()).Warn();
     return;
   }
-  limits_.OnAnswer(UpstreamRun(upstream), metadata.limits, sent_at,
+  limits_.OnAnswer(upstreams_.RunOf(upstream), metadata.limits, sent_at,
                    loop_.Now());
 }
 
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -121,8 +121,6 @@
   std::uint64_t MinWeights(const ModelId& model) const;
   void Remove(const std::shared_ptr<Forwarding>& forwarding);
   void CountBadServerLoad(const UpstreamId& upstream);
-  // Identifies the incarnation of an upstream.
-  std::string UpstreamRun(const UpstreamId& upstream) const;
   // This host's rank among those that serve callers, as far as known.
   HostRank Rank() const;
   void OnRequestLimit(const UpstreamId& upstream,
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -365,7 +365,7 @@
   }
   void FailToConnect(const char* id) {
     tracker.StartWork(UpstreamId(id), 0, 0);
-    tracker.EndWork(UpstreamId(id), SendResult::kUnreachable, 1, 0);
+    tracker.EndWork(UpstreamId(id), {SendResult::kUnreachable, 1}, 0);
   }
   int CountSuspect(const char* domain) {
     UpstreamTracker::Query query;
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -116,6 +116,12 @@
   return upstream != nullptr && IsSilent(*upstream, RecordOf(id));
 }
 
+std::string UpstreamTracker::RunOf(const UpstreamId& id) const {
+  const AnnouncedUpstream* upstream = registry_.Find(id);
+  return id.str() + "/" +
+         std::to_string(upstream ? upstream->last.start_time_ms : 0);
+}
+
 void UpstreamTracker::RecordActivity(const UpstreamId& id) {
   records_[id].active_at = now_();
   if (const AnnouncedUpstream* upstream = registry_.Find(id))
@@ -155,6 +161,9 @@
   std::vector<Candidate> candidates;
   UpstreamCounts found;
   const TimePoint now = now_();
+  const bool any_fails = failures_.KnowsFailing(now);
+  const HostRank rank =
+      any_fails && others != nullptr ? others->Place() : HostRank();
   for (const auto& [id, upstream] : registry_.all()) {
     const upstreams::Announcement& announcement = upstream.last;
     if (announcement.service != query.service ||
@@ -188,10 +197,11 @@
       candidate.id = id;
       candidate.domain = announcement.domain;
       candidate.is_near = announcement.domain == own_domain_;
-      candidate.is_suspect = IsSilent(upstream, record) ||
-                             IsDomainSuspect(announcement.domain) ||
-                             (record.refused_at != TimePoint{} &&
-                              now - record.refused_at < kAvoidAfterRefusal);
+      candidate.is_suspect =
+          IsSilent(upstream, record) || IsDomainSuspect(announcement.domain) ||
+          (record.refused_at != TimePoint{} &&
+           now - record.refused_at < kAvoidAfterRefusal) ||
+          (any_fails && failures_.IsFailing(RunOf(id), own_domain_, rank, now));
       candidate.slots = announcement.slots;
       candidate.requests = record.requests;
       candidate.own_requests = record.requests;
@@ -256,22 +266,22 @@
 }
 
 void UpstreamTracker::EndWork(const UpstreamId& id,
-                              SendResult result,
-                              double latency_ms,
+                              const SendEnd& end,
                               std::int64_t held_tokens) {
   Record& record = records_[id];
   --record.requests;
   record.held_tokens -= held_tokens;
   const TimePoint now = now_();
   Millis distrust{0};
-  switch (result) {
+  switch (end.result) {
     case SendResult::kAnswered:
+      RecordAnswer(id);
       record.failures_in_row = 0;
       record.distrusted_since = TimePoint{};
       record.latency_ms = record.latency_ms == 0
-                              ? latency_ms
+                              ? end.latency_ms
                               : record.latency_ms * (1 - kLatencyWeight) +
-                                    latency_ms * kLatencyWeight;
+                                    end.latency_ms * kLatencyWeight;
       return;
     case SendResult::kRefused:
       record.refused_at = now;
@@ -280,11 +290,14 @@
       return;
     case SendResult::kUnreachable:
       RecordUnreachable(id);
+      failures_.OnFailed(RunOf(id), now);
       distrust = kDistrustAfterUnreachable;
       break;
     case SendResult::kFailed:
     case SendResult::kBroken:
     case SendResult::kSilent:
+      if (!end.is_stale_connection)
+        failures_.OnFailed(RunOf(id), now);
       if (++record.failures_in_row < kFailuresToDistrust)
         return;
       distrust = kDistrustAfterFailures;
@@ -295,7 +308,7 @@
   record.distrusted_until = now + distrust;
   LogLine("gateway.upstream_distrusted")
       .Add("upstream", id.str())
-      .Add("after", SendResultName(result))
+      .Add("after", SendResultName(end.result))
       .Add("at_least_ms", distrust.count())
       .Warn();
 }
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -27,6 +27,16 @@
 
 std::string_view SendResultName(SendResult result);
 
+struct SendEnd {
+  SendResult result = SendResult::kAbandoned;
+  double latency_ms = 0;
+  // It broke off before any answer on a connection that was used before: maybe
+  // only the connection was stale.
+  bool is_stale_connection = false;
+
+  bool operator==(const SendEnd&) const = default;
+};
+
 // Counts of a service's upstreams by the reason why they are not used, for
 // logs.
 struct UpstreamCounts {
@@ -95,6 +105,14 @@
   bool IsSilent(const UpstreamId& id) const;
   // Records that the upstream has sent this host data.
   void RecordActivity(const UpstreamId& id);
+  // Records the begin of an answer.
+  void RecordAnswer(const UpstreamId& id) {
+    failures_.OnAnswered(RunOf(id), now_());
+  }
+  // Identifies the incarnation of an upstream.
+  std::string RunOf(const UpstreamId& id) const;
+  // What this host and all others know of failing upstreams.
+  quarantine::FailureMonitor& failures() { return failures_; }
 
   // Record the begin and end of a request. `prompt_tokens` count as load until
   // FinishPrefill(), `held_tokens` until EndWork().
@@ -103,8 +121,7 @@
                  std::int64_t held_tokens);
   void FinishPrefill(const UpstreamId& id, std::int64_t prompt_tokens);
   void EndWork(const UpstreamId& id,
-               SendResult result,
-               double latency_ms,
+               const SendEnd& end,
                std::int64_t held_tokens);
   std::vector<fleet::LocalLoad> LocalLoads() const;
 
@@ -167,6 +184,7 @@
   fleet::DecisionsPtr decisions_;
   std::map<UpstreamId, Record> records_;
   std::map<DomainId, DomainFailures> domain_failures_;
+  quarantine::FailureMonitor failures_;
 };
 
 }  // namespace endivecart::gateway
