Quarantine: it outlasts a restart of all processes

After a loss of power of all processes, callers' requests that had crashed upstreams were sent to three more of them: hosts and control hosts only had the quarantine in memory, and each learned it from the others.

Control hosts keep it in a file beside the log, replaced atomically and synced on the disk thread whenever it changes; ages go on by the time of day. Hosts learn it with their first update, before they are ready. A control host that was down alone may hold what was released meanwhile: polls say since when a host has been following, and one that has done so since before the control host's start ends what it doesn't know.

A damaged file counts as absent.

--- a/src/endivecart/control/data_folder.cc
+++ b/src/endivecart/control/data_folder.cc
@@ -165,6 +165,25 @@
   return true;
 }
 
+std::optional<std::string> DataFolder::LoadFile(const std::string& name) const {
+  const std::string file = path_ + "/" + name;
+  if (!fs::exists(file))
+    return std::nullopt;
+  const auto content = ReadFile(file);
+  const FrameScan scan = ScanFrames(content ? *content : "");
+  if (scan.payloads.size() != 1 || scan.end != FrameScanEnd::kClean) {
+    LogLine("control.file_damaged").Add("file", file).Warn();
+    return std::nullopt;
+  }
+  return scan.payloads.front();
+}
+
+Result<bool, StorageError> DataFolder::SaveFile(
+    const std::string& name,
+    const std::string& contents) const {
+  return WriteFileAtomically(name, EncodeFrame(contents));
+}
+
 std::string DataFolder::LogName(std::uint64_t number) const {
   return kLogPrefix + std::to_string(number);
 }
--- a/src/endivecart/control/data_folder.h
+++ b/src/endivecart/control/data_folder.h
@@ -2,6 +2,7 @@
 #define ENDIVECART_CONTROL_DATA_FOLDER_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "endivecart/control/storage.h"
@@ -13,7 +14,8 @@
 
 // A voter's data folder: the file `identity`, and a log file `log-NUMBER` that
 // starts with a snapshot. A new snapshot starts a new log file; the one with
-// the highest number is used, and older ones are removed.
+// the highest number is used, and older ones are removed. Other state that may
+// be lost is in files of its own.
 class DataFolder final : public Storage {
  public:
   // Opens the folder. If it is missing or empty, creates it, with the founder
@@ -27,6 +29,13 @@
   const MemberId& member() const { return member_; }
   bool is_founder() const { return is_founder_; }
 
+  // Returns the contents of a file that was saved by SaveFile(); nullopt if
+  // there is none or it is damaged.
+  std::optional<std::string> LoadFile(const std::string& name) const;
+  // Replaces the file atomically and syncs it and the folder.
+  Result<bool, StorageError> SaveFile(const std::string& name,
+                                      const std::string& contents) const;
+
   const RaftDurableState& loaded() const override { return loaded_; }
   Result<bool, StorageError> Append(
       const std::vector<wire::DurableRecord>& records) override;
--- a/src/endivecart/control/data_folder_unittest.cc
+++ b/src/endivecart/control/data_folder_unittest.cc
@@ -148,6 +148,17 @@
   BOOST_TEST(OpenFolder(folder)->loaded().entries.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_file_beside_the_log_is_replaced_as_a_whole) {
+  const TemporaryFolder folder;
+  BOOST_TEST(!OpenFolder(folder)->LoadFile("state").has_value());
+  BOOST_REQUIRE(OpenFolder(folder)->SaveFile("state", "one").has_value());
+  BOOST_REQUIRE(OpenFolder(folder)->SaveFile("state", "two").has_value());
+  BOOST_TEST(OpenFolder(folder)->LoadFile("state").value_or("") == "two");
+  // What is damaged counts as absent, and doesn't keep the voter from starting.
+  std::ofstream(folder.str() + "/state", std::ios::app) << "x";
+  BOOST_TEST(!OpenFolder(folder)->LoadFile("state").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -10,6 +10,13 @@
 
 namespace endivecart::fleet {
 
+namespace {
+
+// How precisely it is stored when a quarantine was asked for last.
+constexpr Millis kAskedResolution{60000};
+
+}  // namespace
+
 FleetFeed::FleetFeed(std::uint64_t incarnation,
                      const upstreams::UpstreamRegistry* roster,
                      Hooks hooks)
@@ -51,7 +58,10 @@
 void FleetFeed::RecordFindings(const HostId& from,
                                const wire::FleetPoll& poll) {
   const TimePoint now = hooks_.now();
-  part_judge_.OnReport(from, FromWire(poll.quarantine(), now), now);
+  quarantine::HostFindings findings = FromWire(poll.quarantine(), now);
+  if (poll.following_ms() > 0)
+    findings.following_since = now - Millis(poll.following_ms() - 1);
+  part_judge_.OnReport(from, findings, now);
   const quarantine::HostReach reach = FromWire(poll.reach(), now);
   relay_table_.OnReport(from, reach, now);
   if (poll.wants_loads()) {
@@ -69,8 +79,27 @@
     Send(host, follower, false);
 }
 
+void FleetFeed::ReportQuarantines() {
+  // Times of requests for them change all the time.
+  const auto is_same = [](const quarantine::Quarantine& told,
+                          const quarantine::Quarantine& current) {
+    return told.parts == current.parts &&
+           told.failed_trials == current.failed_trials &&
+           current.asked_at - told.asked_at < kAskedResolution;
+  };
+  const auto& current = part_judge_.quarantines();
+  if (!hooks_.on_quarantines ||
+      std::equal(told_quarantines_.begin(), told_quarantines_.end(),
+                 current.begin(), current.end(), is_same)) {
+    return;
+  }
+  told_quarantines_ = current;
+  hooks_.on_quarantines(current);
+}
+
 void FleetFeed::PushIfRequested() {
   push_requested_ |= part_judge_.Judge(hooks_.now());
+  ReportQuarantines();
   if (!std::exchange(push_requested_, false))
     return;
   for (auto& [host, follower] : followers_)
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -35,6 +35,10 @@
     // doesn't lead.
     std::function<std::optional<wire::CacheUpdate>(const CachePosition&)>
         cache_update;
+    // Called when the quarantines have changed, to make them outlast a restart
+    // of all processes. Optional.
+    std::function<void(const std::vector<quarantine::Quarantine>&)>
+        on_quarantines;
   };
 
   // A follower that hasn't polled for this long is removed.
@@ -63,6 +67,12 @@
             const upstreams::UpstreamRegistry* roster,
             Hooks hooks);
 
+  // Adds quarantines that were in force before this process started.
+  void RestoreQuarantines(
+      const std::vector<quarantine::Quarantine>& quarantines) {
+    part_judge_.Restore(quarantines, hooks_.now());
+    told_quarantines_ = quarantines;
+  }
   void OnPoll(const HostId& from, const wire::FleetPoll& poll);
   // Sends all followers the decisions that they haven't been sent yet.
   void PushDecisions(const Decisions& decisions);
@@ -107,6 +117,8 @@
   void AddAnnouncements(Follower& follower, wire::FleetUpdate& update) const;
   // Hands the judges and tables what a process that serves callers reported.
   void RecordFindings(const HostId& from, const wire::FleetPoll& poll);
+  // Calls on_quarantines if they have changed.
+  void ReportQuarantines();
   void UpdateMembership();
 
   const std::uint64_t incarnation_;
@@ -121,6 +133,7 @@
   std::vector<HostId> spares_;
   LoadTable loads_;
   quarantine::PartJudge part_judge_;
+  std::vector<quarantine::Quarantine> told_quarantines_;  // by on_quarantines
   limits::LimitTable limits_;  // of upstreams, as named to any follower
   quarantine::RelayTable relay_table_;
   quarantine::FailureJudge failure_judge_;
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -5,6 +5,7 @@
 
 #include "endivecart/fleet/failure_messages.h"
 #include "endivecart/fleet/limit_messages.h"
+#include "endivecart/fleet/message_times.h"
 #include "endivecart/fleet/quarantine_messages.h"
 #include "endivecart/fleet/reach_messages.h"
 
@@ -34,6 +35,8 @@
     poll.set_decisions_index(decisions_->index);
     poll.set_routing_version(decisions_->routing_version);
   }
+  if (following_since_)
+    poll.set_following_ms(AgeMillis(*following_since_, hooks_.now()) + 1);
   if (options_.serves_callers) {
     for (const LocalLoad& own : hooks_.local_loads()) {
       wire::UpstreamLoad& load = *poll.add_loads();
@@ -119,6 +122,8 @@
     return;  // no longer a control host
   ControlHost& control = it->second;
   const TimePoint now = hooks_.now();
+  if (!following_since_)
+    following_since_ = now;
   if (!std::exchange(control.in_contact, true))
     LogLine("fleet.contact").Add("control_host", from.str()).Info();
   control.last_update_at = now;
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -147,6 +148,7 @@
   std::map<HostId, ControlHost> control_hosts_;
   TimePoint poll_due_{};
   std::uint64_t polls_ = 0;
+  std::optional<TimePoint> following_since_;  // first update
   HostId leader_;
   RemoteLoads loads_;
   HostId loads_sender_;
--- a/src/endivecart/fleet/quarantine_messages.cc
+++ b/src/endivecart/fleet/quarantine_messages.cc
@@ -102,4 +102,37 @@
   return ruling;
 }
 
+std::string ToStored(const std::vector<Quarantine>& quarantines,
+                     TimePoint now,
+                     std::uint64_t unix_ms) {
+  wire::StoredQuarantines stored;
+  stored.set_saved_ms(unix_ms);
+  for (const Quarantine& quarantine : quarantines)
+    AddTo(*stored.add_quarantines(), quarantine, now);
+  return stored.SerializeAsString();
+}
+
+std::vector<Quarantine> FromStored(const std::string& contents,
+                                   TimePoint now,
+                                   std::uint64_t unix_ms) {
+  wire::StoredQuarantines stored;
+  if (!stored.ParseFromString(contents)) {
+    LogLine("quarantine.file_unreadable").Warn();
+    return {};
+  }
+  // The time of day may have been set back.
+  const Millis elapsed(unix_ms > stored.saved_ms()
+                           ? static_cast<Millis::rep>(unix_ms) -
+                                 static_cast<Millis::rep>(stored.saved_ms())
+                           : 0);
+  std::vector<Quarantine> quarantines;
+  for (const wire::QuarantineRecord& record : stored.quarantines())
+    quarantines.push_back(ToQuarantine(record, now - elapsed));
+  std::erase_if(quarantines, [now](const Quarantine& quarantine) {
+    return quarantine.parts.empty() ||
+           now - quarantine.asked_at > quarantine::QuarantineList::kForgetAfter;
+  });
+  return quarantines;
+}
+
 }  // namespace endivecart::fleet
--- a/src/endivecart/fleet/quarantine_messages.h
+++ b/src/endivecart/fleet/quarantine_messages.h
@@ -1,6 +1,9 @@
 #ifndef ENDIVECART_FLEET_QUARANTINE_MESSAGES_H_
 #define ENDIVECART_FLEET_QUARANTINE_MESSAGES_H_
 
+#include <string>
+#include <vector>
+
 #include "endivecart/quarantine/quarantine.h"
 #include "endivecart/transport/transport.h"
 
@@ -15,6 +18,16 @@
 quarantine::Ruling FromWire(const wire::QuarantineRuling& message,
                             TimePoint now);
 
+// Convert quarantines to and from the contents of a control host's file.
+// `unix_ms` is the time of day, by which their ages grow while the process
+// doesn't run. Returns none if the contents can't be parsed.
+std::string ToStored(const std::vector<quarantine::Quarantine>& quarantines,
+                     TimePoint now,
+                     std::uint64_t unix_ms);
+std::vector<quarantine::Quarantine> FromStored(const std::string& contents,
+                                               TimePoint now,
+                                               std::uint64_t unix_ms);
+
 }  // namespace endivecart::fleet
 
 #endif  // ENDIVECART_FLEET_QUARANTINE_MESSAGES_H_
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -25,9 +25,17 @@
 // The port for the log's messages follows that of all others.
 constexpr int kLogPortOffset = 1;
 constexpr std::size_t kMaxConnections = 2000;
+constexpr char kQuarantineFile[] = "quarantines";
 // Large enough for a routing configuration with thousands of routes.
 constexpr std::size_t kMaxCallBytes = 32UL << 20;
 
+std::uint64_t UnixMillis() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Millis>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
 }  // namespace
 
 struct VoterNode::Parts {
@@ -51,6 +59,7 @@
   Result<bool, NodeError> OpenServers();
   void OpenVoter();
   void OpenFeed();
+  void SaveQuarantines(const std::vector<quarantine::Quarantine>& quarantines);
   void OpenFollower();
   void StartTimers();
   void VoterTick(TimePoint now);
@@ -190,7 +199,30 @@
   feed_hooks.leader_host = [this] {
     return voter ? voter->LeaderHost() : HostId();
   };
+  feed_hooks.on_quarantines =
+      [this](const std::vector<quarantine::Quarantine>& quarantines) {
+        SaveQuarantines(quarantines);
+      };
   feed.emplace(incarnation, &roster, std::move(feed_hooks));
+  if (const auto stored = storage->LoadFile(kQuarantineFile)) {
+    feed->RestoreQuarantines(
+        fleet::FromStored(*stored, loop.Now(), UnixMillis()));
+  }
+}
+
+void VoterNode::Parts::SaveQuarantines(
+    const std::vector<quarantine::Quarantine>& quarantines) {
+  const std::string contents =
+      fleet::ToStored(quarantines, loop.Now(), UnixMillis());
+  disk->Run(
+      [this, contents] { return storage->SaveFile(kQuarantineFile, contents); },
+      [](const fleet::DiskResult& saved) {
+        if (!saved) {
+          LogLine("quarantine.not_saved")
+              .Add("detail", saved.error().detail)
+              .Warn();
+        }
+      });
 }
 
 void VoterNode::Parts::OpenFollower() {
--- a/src/endivecart/quarantine/findings.h
+++ b/src/endivecart/quarantine/findings.h
@@ -75,6 +75,9 @@
   std::vector<BrokenRun> runs;
   std::vector<SoundPart> sound;  // among those that control hosts ask about
   std::vector<Quarantine> quarantines;
+  // First contact with a control host; TimePoint{} if unknown. The host knows
+  // the quarantines that have been declared since.
+  TimePoint following_since{};
 
   bool operator==(const HostFindings&) const = default;
 };
--- a/src/endivecart/quarantine/part_judge.cc
+++ b/src/endivecart/quarantine/part_judge.cc
@@ -33,11 +33,38 @@
   }
 }
 
+void PartJudge::Restore(const std::vector<Quarantine>& quarantines,
+                        TimePoint now) {
+  restored_at_ = now;
+  for (const Quarantine& quarantine : quarantines) {
+    list_.Merge(quarantine, sound_);
+    restored_.insert(quarantine.parts);
+  }
+}
+
+void PartJudge::CheckRestored(const HostFindings& findings) {
+  if (findings.following_since == TimePoint{} ||
+      findings.following_since >= restored_at_) {
+    return;
+  }
+  std::erase_if(restored_, [&](const PartList& parts) {
+    const bool is_known = std::any_of(
+        findings.quarantines.begin(), findings.quarantines.end(),
+        [&](const Quarantine& known) { return known.parts == parts; });
+    if (!is_known) {
+      LogLine("quarantine.outdated").Add("parts", Joined(parts)).Warn();
+      list_.Remove(parts);
+    }
+    return true;
+  });
+}
+
 void PartJudge::OnReport(const HostId& host,
                          const HostFindings& findings,
                          TimePoint now) {
   for (const SoundPart& sound : findings.sound)
     sound_.Add(sound.part, sound.at);
+  CheckRestored(findings);
   for (const Quarantine& quarantine : findings.quarantines) {
     RememberReleased(quarantine, now);
     has_new_quarantine_ |= list_.Merge(quarantine, sound_);
--- a/src/endivecart/quarantine/part_judge.h
+++ b/src/endivecart/quarantine/part_judge.h
@@ -39,6 +39,9 @@
   static constexpr std::size_t kMaxRuns = 4096;
   static constexpr std::size_t kMaxQuestioned = 256;
 
+  // Adds quarantines that this host knew before it restarted. Those that hosts
+  // which have run on meanwhile don't know any more were released.
+  void Restore(const std::vector<Quarantine>& quarantines, TimePoint now);
   void OnReport(const HostId& host,
                 const HostFindings& findings,
                 TimePoint now);
@@ -47,6 +50,7 @@
   bool Judge(TimePoint now);
   // Returns what to tell the hosts.
   Ruling CurrentRuling() const;
+  const std::vector<Quarantine>& quarantines() const { return list_.all(); }
 
  private:
   struct Evidence {
@@ -71,6 +75,8 @@
                        TimePoint now);
   bool WereQuestioned(const PartList& parts, TimePoint now) const;
 
+  // Removes restored quarantines that were released meanwhile, by a report.
+  void CheckRestored(const HostFindings& findings);
   void Declare(const PartList& parts, const Evidence& evidence, TimePoint now);
   // Remembers parts that were answered since a quarantine began, since hosts
   // may still hold it.
@@ -81,6 +87,8 @@
   QuarantineList list_;
   std::map<std::string, TimePoint> questioned_since_;
   std::map<std::string, TimePoint> released_at_;
+  std::set<PartList> restored_;
+  TimePoint restored_at_{};
   std::optional<TimePoint> judged_at_;
   bool has_new_quarantine_ = false;  // from a host
 };
--- a/src/endivecart/quarantine/quarantine_list.cc
+++ b/src/endivecart/quarantine/quarantine_list.cc
@@ -49,6 +49,11 @@
   return changed;
 }
 
+void QuarantineList::Remove(const PartList& parts) {
+  std::erase_if(quarantines_,
+                [&](const Quarantine& q) { return q.parts == parts; });
+}
+
 Quarantine* QuarantineList::Find(const PartList& parts) {
   const auto found =
       std::find_if(quarantines_.begin(), quarantines_.end(),
--- a/src/endivecart/quarantine/quarantine_list.h
+++ b/src/endivecart/quarantine/quarantine_list.h
@@ -24,6 +24,7 @@
   // quarantines that have no parts left or were not asked for. Returns whether
   // any was removed.
   bool Release(const SoundParts& sound, TimePoint now);
+  void Remove(const PartList& parts);
   // Returns the quarantine that withholds a prompt with these sorted parts, or
   // null.
   Quarantine* Find(const PartList& parts);
--- a/src/endivecart/quarantine/quarantine_unittest.cc
+++ b/src/endivecart/quarantine/quarantine_unittest.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <random>
 
 #include "endivecart/quarantine/quarantine.h"
@@ -66,6 +67,18 @@
       }
     }
   }
+  // All processes lose power and start again, the control hosts with what they
+  // have stored.
+  void RestartAll() {
+    runs_.clear();
+    following_since_.clear();
+    hosts = std::vector<PartMonitor>(hosts.size());
+    for (PartJudge& judge : judges) {
+      const auto stored = judge.quarantines();
+      judge = PartJudge();
+      judge.Restore(stored, now);
+    }
+  }
   // Returns whether it was sent.
   bool SendBad(const std::string& bad = "bad") {
     ++requests_;
@@ -148,15 +161,21 @@
       const bool polls = (step + host) % (kPollInterval / kStep) == 0;
       if (!in_touch[host])
         continue;
-      if (polls)
-        judge.OnReport(HostId(std::to_string(host)), hosts[host].Findings(now),
-                       now);
-      if (polls || tell)
+      if (polls) {
+        HostFindings findings = hosts[host].Findings(now);
+        findings.following_since = following_since_[host];
+        judge.OnReport(HostId(std::to_string(host)), findings, now);
+      }
+      if (polls || tell) {
         hosts[host].Apply(judge.CurrentRuling(), now);
+        if (following_since_[host] == TimePoint{})
+          following_since_[host] = now;
+      }
     }
   }
 
   std::vector<Prompt> runs_;
+  std::map<std::size_t, TimePoint> following_since_;  // by host
   std::mt19937_64 random_{7};
   std::uint64_t requests_ = 0;
 };
@@ -338,6 +357,44 @@
   BOOST_TEST(fleet.judges[0].CurrentRuling().quarantines.size() == 1u);
 }
 
+// Guards against BUDGET: after a loss of power of all processes, what had
+// crashed upstreams was sent to three more.
+BOOST_DATA_TEST_CASE(a_quarantine_outlasts_a_restart_of_all_processes,
+                     boost::unit_test::data::make({1, 6, 300}),
+                     host_count) {
+  SimulatedFleet fleet(static_cast<std::size_t>(host_count), 2);
+  fleet.Run(Millis(500));
+  fleet.Run(Millis(4000), Millis(100));
+  const auto sent = fleet.bad_sent_at.size();
+  fleet.RestartAll();
+  fleet.Run(kPollInterval);  // until then, hosts aren't ready
+  fleet.Run(Millis(3000), Millis(100));
+  BOOST_TEST(fleet.bad_sent_at.size() == sent);
+  BOOST_TEST(fleet.HostsWithQuarantine({"bad"}) == fleet.hosts.size());
+  BOOST_TEST(fleet.refused_sound == 0);
+  fleet.hosts[0].OnAnswered({"bad", "common"}, fleet.now);
+  fleet.Run(kPollInterval * 3);
+  BOOST_TEST(fleet.HostsWithQuarantine({"bad"}) == 0u);
+}
+
+// Guards sound requests against a control host that was down meanwhile.
+BOOST_AUTO_TEST_CASE(a_released_quarantine_is_not_restored) {
+  SimulatedFleet fleet(6);
+  fleet.Run(Millis(500));
+  fleet.Run(Millis(4000), Millis(100));
+  const auto stored = fleet.judges[0].quarantines();
+  BOOST_REQUIRE_EQUAL(stored.size(), 1u);
+  fleet.hosts[3].OnAnswered({"bad", "common"}, fleet.now);
+  fleet.Run(kPollInterval * 3);
+  BOOST_REQUIRE_EQUAL(fleet.HostsWithQuarantine({"bad"}), 0u);
+  // Until nobody remembers the answer.
+  fleet.now += 2 * SoundParts::kMemory;
+  fleet.Run(kPollInterval);
+  fleet.judges.emplace_back().Restore(stored, fleet.now);
+  fleet.Run(kPollInterval * 3);
+  BOOST_TEST(fleet.HostsWithQuarantine({"bad"}) == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(hosts_that_return_from_a_cut_learn_the_quarantine) {
   SimulatedFleet fleet(6);
   fleet.Run(Millis(500));
