Quarantine: a host that was answered itself avoids no upstream

A host whose last answer from the upstream is at most 2 s old, and which hasn't seen it fail since, trusts that.

--- a/src/endivecart/quarantine/failure_monitor.cc
+++ b/src/endivecart/quarantine/failure_monitor.cc
@@ -99,8 +99,12 @@
   TimePoint failed_at = failing.failed_at;
   const auto own = records_.find(run);
   if (own != records_.end()) {
-    if (own->second.answered_at > failed_at)
+    const bool was_answered = own->second.answered_at != TimePoint{} &&
+                              now - own->second.answered_at <= kOwnMemory;
+    if (own->second.answered_at > failed_at ||
+        (was_answered && own->second.failures == 0)) {
       return false;
+    }
     failed_at = std::max(failed_at, own->second.failed_at);
   }
   if (now - failed_at > kMemory)
--- a/src/endivecart/quarantine/failure_monitor.h
+++ b/src/endivecart/quarantine/failure_monitor.h
@@ -23,6 +23,9 @@
   // Failures are forgotten this long after the last one, and so is the ruling.
   static constexpr Millis kMemory{5000};
   static constexpr Millis kReturnStep{500};
+  // A host that was answered within this time, and hasn't seen a failure since,
+  // trusts that: others may have another way to the upstream.
+  static constexpr Millis kOwnMemory{2000};
   // A ruling that isn't confirmed for this long is void: the host is on its own
   // again.
   static constexpr Millis kRulingMemory{2000};
--- a/src/endivecart/quarantine/failure_unittest.cc
+++ b/src/endivecart/quarantine/failure_unittest.cc
@@ -2,6 +2,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <map>
 #include <random>
 #include <set>
 #include <utility>
@@ -48,6 +49,7 @@
       hosts[host].OnFailed(RunName(upstream), now);
     } else {
       hosts[host].OnAnswered(RunName(upstream), now);
+      answered_at[{host, upstream}] = now;
     }
   }
   void Run(Millis time, int requests_per_step) {
@@ -77,6 +79,7 @@
   std::set<std::size_t> is_cut_off;  // from all upstreams, and says so
   std::function<bool(std::size_t host, int upstream)> fails_for =
       [](std::size_t, int) { return false; };
+  std::map<std::pair<std::size_t, int>, TimePoint> answered_at;
   int sent_to_first = 0;
   int avoided = 0;
 
@@ -193,6 +196,35 @@
     BOOST_TEST(fleet.IsFailing(host) == (host % 3 == 0));
 }
 
+// Each upstream is out of reach for half of the hosts, other ones each time, so
+// that the hosts that reach it are answered now and then only.
+BOOST_DATA_TEST_CASE(a_host_that_was_answered_itself_avoids_no_upstream,
+                     boost::unit_test::data::make({6, 70}),
+                     count) {
+  SimulatedHosts fleet(static_cast<std::size_t>(count));
+  const auto reaches = [](std::size_t host, int upstream) {
+    return StableHash(std::to_string(host),
+                      static_cast<std::uint64_t>(upstream)) %
+               2 ==
+           0;
+  };
+  fleet.fails_for = [&](std::size_t host, int upstream) {
+    return !reaches(host, upstream);
+  };
+  for (int i = 0; i < 200; ++i) {
+    fleet.Run(kStep, 1);
+    fleet.Run(Millis(40), 0);
+    for (std::size_t host = 0; host < fleet.hosts.size(); ++host) {
+      for (int upstream = 0; upstream < kUpstreams; ++upstream) {
+        const auto& answered = fleet.answered_at;
+        const auto at = answered.find({host, upstream});
+        if (at != answered.end() && fleet.now - at->second < Millis(1000))
+          BOOST_TEST(!fleet.IsFailing(host, upstream));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_new_control_host_knows_as_much_after_a_while) {
   SimulatedHosts fleet(70, 2);
   fleet.fails_for = [](std::size_t, int upstream) { return upstream == 0; };
