Gateway: the upstream that sent data last is among those probed

The first probe goes to the upstream that sent data last: if a new connection to that one can be opened the host isn't cut off, and if connections live on while new ones are refused, it can't.

--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -396,6 +396,24 @@
   BOOST_TEST(CountSuspect("b") == 0);
 }
 
+// Guards callers of a host that reaches some upstreams against being taken to
+// be cut off, because the others were probed.
+BOOST_FIXTURE_TEST_CASE(the_upstream_that_sent_data_last_is_probed,
+                        TwoDomainTracker) {
+  const routes::ServiceId service("s");
+  for (const char* id : {"b1", "a2"}) {
+    now += Millis(10);
+    tracker.RecordActivity(UpstreamId(id));
+    const settings::Endpoint address =
+        tracker.Find(UpstreamId(id))->last.address;
+    for (std::uint64_t random = 0; random < 20; ++random) {
+      const auto targets = tracker.ProbeTargets(service, 3, random);
+      BOOST_TEST(targets.size() == 3u);
+      BOOST_TEST(std::count(targets.begin(), targets.end(), address) == 1);
+    }
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(
     an_unreachable_upstream_alone_does_not_make_its_domain_suspect,
     TwoDomainTracker) {
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -327,25 +327,29 @@
     const routes::ServiceId& service,
     std::size_t count,
     std::uint64_t random) const {
-  using Target = std::pair<std::tuple<bool, std::size_t, bool, std::uint64_t>,
-                           settings::Endpoint>;
+  using Target =
+      std::pair<std::tuple<bool, bool, std::size_t, bool, std::uint64_t>,
+                settings::Endpoint>;
+  TimePoint last_active{};
   std::map<DomainId, std::vector<std::pair<std::uint64_t, UpstreamId>>> ready;
   for (const auto& [id, upstream] : registry_.all()) {
     if (upstream.last.service == service &&
         upstream.last.state == UpstreamState::kReady) {
       ready[upstream.last.domain].emplace_back(StableHash(id.str(), random),
                                                id);
+      last_active = std::max(last_active, RecordOf(id).active_at);
     }
   }
-  // First those that aren't known to be unreachable, then by position within
-  // the domain, then the own domain.
+  // First the one that sent data last, then those that aren't known to be
+  // unreachable, then by position within the domain, then the own domain.
   std::vector<Target> targets;
   for (auto& [domain, upstreams] : ready) {
     std::sort(upstreams.begin(), upstreams.end());
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
       const auto* upstream = registry_.Find(upstreams[i].second);
+      const Record& record = RecordOf(upstreams[i].second);
       targets.push_back(
-          {{IsDistrusted(*upstream, RecordOf(upstreams[i].second)), i,
+          {{record.active_at != last_active, IsDistrusted(*upstream, record), i,
             domain != own_domain_, upstreams[i].first},
            upstream->last.address});
     }
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -125,8 +125,9 @@
                std::int64_t held_tokens);
   std::vector<fleet::LocalLoad> LocalLoads() const;
 
-  // Returns up to `count` addresses of ready upstreams of the service, of as
-  // many domains as possible, the own one first. `random` selects among them.
+  // Returns up to `count` addresses of ready upstreams of the service: the one
+  // that sent this host data last, then others of as many domains as possible,
+  // the own one first. `random` selects among them.
   std::vector<settings::Endpoint> ProbeTargets(const routes::ServiceId& service,
                                                std::size_t count,
                                                std::uint64_t random) const;
