--- a/src/endivecart/quarantine/failure_monitor.h
+++ b/src/endivecart/quarantine/failure_monitor.h
@@ -14,8 +14,8 @@
 // One host's part in finding upstreams that fail: reports what it observed, and
 // says which upstreams are better avoided by what all hosts observed.
 //
-// That is a preference, not a ban: an upstream that is avoided is still used if
-// there is no other. After the last failure, first one host returns to it, then
+// That is a preference, not a ban: if all upstreams are avoided, all are used.
+// After the last failure, first one host returns to it, then
 // twice as many after each kReturnStep, so that few requests find out whether
 // it has recovered.
 class FailureMonitor {
