Cache: nothing is fetched before the servers' clock is known

Fetches from stores end by a deadline on the servers' clock, and parts are freed only after that. A new leader reads the stores' lists first and learns the clock from their events, up to 0.8 s later; meanwhile hosts planned fetches without a deadline, which last as long as their prompt waits and may meet a part that is freed, or is being written again.

Found by reading; the simulation had given such fetches the usual limit. Asserted in CacheView::Plan. Whether the incident's fetch was one of them can't be told: its logs don't say.

--- a/src/endivecart/gateway/cache_protocol_unittest.cc
+++ b/src/endivecart/gateway/cache_protocol_unittest.cc
@@ -18,6 +18,7 @@
 constexpr Millis kStep{10};
 constexpr Millis kPollInterval{250};
 constexpr std::int64_t kTokens = 100;
+constexpr Millis kLongWait{10000};
 
 // What may go wrong in a run.
 struct Troubles {
@@ -147,6 +148,7 @@
 
   int bad_fetches = 0;
   int fetches = 0;
+  int fetches_without_deadline = 0;
   int saves = 0;
 
  private:
@@ -330,9 +332,11 @@
              const CachePartName& name,
              std::optional<std::uint64_t> until_ms) {
     ++fetches;
+    // Without a deadline, it lasts as long as its prompt waits.
+    fetches_without_deadline += until_ms ? 0 : 1;
     const Millis left =
         until_ms ? Millis(*until_ms) - Millis(SimulatedStore::ClockOf(now_))
-                 : CacheCatalog::kFetchLimit;
+                 : kLongWait;
     if (left <= kStep)
       return;
     const auto most = static_cast<int>(left.count());
@@ -388,6 +392,25 @@
   BOOST_TEST(fleet.fetches > 100 * hosts);
 }
 
+// Guards against MIXED: a new leader published the stores' parts before it knew
+// the servers' clock, and fetches had no deadline until it did.
+BOOST_DATA_TEST_CASE(fetches_after_a_change_of_leader_have_deadlines,
+                     boost::unit_test::data::make({1, 2, 3}),
+                     seed) {
+  Troubles troubles;
+  troubles.leaders_change = true;
+  troubles.labels_retire = true;
+  troubles.fetches_are_slow = true;
+  CacheFleet fleet(30, 600, 600, troubles, seed);
+  fleet.Run(kRunTime);
+  BOOST_TEST_MESSAGE("fetches " << fleet.fetches << ", without deadline "
+                                << fleet.fetches_without_deadline << ", bad "
+                                << fleet.bad_fetches);
+  BOOST_TEST(fleet.fetches_without_deadline == 0);
+  BOOST_TEST(fleet.bad_fetches == 0);
+  BOOST_TEST(fleet.fetches > 1000);
+}
+
 // Guards against MIXED: a host that was still catching up with the removals of
 // a restarted store fetched parts that were just being written there again.
 BOOST_DATA_TEST_CASE(hosts_that_lag_behind_a_restart_fetch_no_incomplete_part,
--- a/src/endivecart/gateway/cache_view.cc
+++ b/src/endivecart/gateway/cache_view.cc
@@ -130,6 +130,9 @@
     const std::uint64_t key = fleet::CacheKey({label, part.id});
     const auto it = parts_.find(key);
     if (it != parts_.end()) {
+      // A fetch without a deadline might meet a part that was freed meanwhile.
+      if (servers_clock_ms_ == 0)
+        continue;
       const auto holder = std::find_if(
           it->second.begin(), it->second.end(), [&](std::uint32_t store) {
             return store < stores_.size() && stores_[store].readable &&
@@ -146,11 +149,14 @@
       has_save = true;
     }
   }
+  has_fetch &=
+      CheckInvariant(!has_fetch || servers_clock_ms_ != 0,
+                     Invariant::kCacheBlockSealed, "a fetch has no deadline");
   if (!has_fetch)
     plan.fetch.clear();
   if (!has_save)
     plan.save.clear();
-  if (has_fetch && servers_clock_ms_ != 0) {
+  if (has_fetch) {
     const auto age = std::chrono::duration_cast<Millis>(now - clock_at_);
     plan.fetch_until_ms =
         servers_clock_ms_ +
