Tests: loops of tests have a manual clock

EventLoop has a manual clock for tests: it stands still while sockets have anything to do, and then goes to the next timer. No check changes. The clock of programs is as before.

--- a/src/endivecart/net/event_loop.cc
+++ b/src/endivecart/net/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr int kConcurrencyHint = 1;
+// Distinguishable from a time that isn't set.
+constexpr TimePoint kManualStart{std::chrono::hours(1)};
 
 }  // namespace
 
@@ -50,14 +53,22 @@
 
  private:
   static void Arm(const std::shared_ptr<State>& state) {
+    EventLoop& loop = state->loop;
+    if (loop.clock_ == Clock::kManual) {
+      loop.manual_timers_.emplace(loop.manual_now_ + state->interval,
+                                  [state] { Run(state); });
+      return;
+    }
     state->timer.expires_after(state->interval);
-    state->timer.async_wait([state](const boost::system::error_code&) {
-      if (state->cancelled)
-        return;
-      state->callback(state->loop.Now());
-      if (!state->once && !state->cancelled)
-        Arm(state);
-    });
+    state->timer.async_wait(
+        [state](const boost::system::error_code&) { Run(state); });
+  }
+  static void Run(const std::shared_ptr<State>& state) {
+    if (state->cancelled)
+      return;
+    state->callback(state->loop.Now());
+    if (!state->once && !state->cancelled)
+      Arm(state);
   }
 
   std::shared_ptr<State> state_;
@@ -120,7 +131,8 @@
   std::function<void()> handler_;
 };
 
-EventLoop::EventLoop() : context_(kConcurrencyHint) {}
+EventLoop::EventLoop(Clock clock)
+    : clock_(clock), manual_now_(kManualStart), context_(kConcurrencyHint) {}
 
 EventLoop::~EventLoop() = default;
 
@@ -137,7 +149,20 @@
   asio::post(context_, std::move(task));
 }
 
+bool EventLoop::Advance(TimePoint end) {
+  if (manual_timers_.empty() || manual_timers_.begin()->first > end) {
+    manual_now_ = std::max(manual_now_, end);
+    return false;
+  }
+  const auto next = manual_timers_.extract(manual_timers_.begin());
+  manual_now_ = std::max(manual_now_, next.key());
+  next.mapped()();
+  return true;
+}
+
 TimePoint EventLoop::Now() const {
+  if (clock_ == Clock::kManual)
+    return manual_now_;
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(std::chrono::duration_cast<std::chrono::microseconds>(
--- a/src/endivecart/net/event_loop.h
+++ b/src/endivecart/net/event_loop.h
@@ -3,7 +3,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
+#include <vector>
 
 #include "endivecart/base/base.h"
 
@@ -13,7 +15,10 @@
 // functions but Post() and Stop() must be called on the loop's thread.
 class EventLoop final : public TimerService {
  public:
-  EventLoop();
+  // With a manual clock, time passes only in Advance(), for tests.
+  enum class Clock { kSystem, kManual };
+
+  explicit EventLoop(Clock clock = Clock::kSystem);
   ~EventLoop() override;
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
@@ -42,11 +47,18 @@
 
   boost::asio::io_context& context() { return context_; }
 
+  // Advances a manual clock to the next timer and runs it, or to `end` if none
+  // is due until then. Returns whether a timer was run.
+  bool Advance(TimePoint end);
+
  private:
   class Timer;
   class DescriptorWatch;
   class SignalHandler;
+  const Clock clock_;
+  TimePoint manual_now_;
   boost::asio::io_context context_;
+  std::multimap<TimePoint, std::function<void()>> manual_timers_;
   std::vector<std::unique_ptr<SignalHandler>> signal_handlers_;
 };
 
--- a/tests/support/loop_fixture.h
+++ b/tests/support/loop_fixture.h
@@ -12,25 +12,36 @@
 namespace tests {
 
 // An event loop that a test runs step by step, for use with loopback sockets.
+// Its clock stands still while sockets have anything to do, so that a busy
+// machine doesn't change what a test sees.
 class LoopFixture {
  public:
   // Runs the loop until `done` returns true, for at most kMaxIterations
   // milliseconds. Doesn't fail on the timeout: the test's next check does.
   void RunUntil(const std::function<bool()>& done) {
-    for (int i = 0; i < kMaxIterations && !done(); ++i) {
-      loop.context().restart();
-      loop.context().run_for(std::chrono::milliseconds(1));
-    }
+    for (int i = 0; i < kMaxIterations && !done(); ++i)
+      RunFor(endivecart::Millis(1));
   }
   void RunFor(endivecart::Millis time) {
-    loop.context().restart();
-    loop.context().run_for(time);
+    const endivecart::TimePoint end = loop.Now() + time;
+    do {
+      RunReady();
+    } while (loop.Advance(end));
+    RunReady();
   }
 
-  endivecart::net::EventLoop loop;
+  endivecart::net::EventLoop loop{endivecart::net::EventLoop::Clock::kManual};
 
  private:
   static constexpr int kMaxIterations = 5000;
+  // What was written to a loopback socket can be read there sooner than this.
+  static constexpr std::chrono::microseconds kSocketTime{200};
+
+  void RunReady() {
+    do {
+      loop.context().restart();
+    } while (loop.context().run_one_for(kSocketTime) > 0);
+  }
 };
 
 // Returns a loopback endpoint whose port is assigned by the system.
