--- a/src/endivecart/gateway/failing_upstream_unittest.cc
+++ b/src/endivecart/gateway/failing_upstream_unittest.cc
@@ -19,9 +19,9 @@
       if (upstream.id == upstreams.front()->id)
         requests.push_back(loop.Now());
       if (is_failing && upstream.id == upstreams.front()->id) {
-        Reply(connection, "HTTP/1.1 500 Error\r\nSigned: s\r\nId: " +
-                              Field(request, "Id") +
-                              "\r\nContent-Length: 0\r\n\r\n");
+        Reply(connection,
+              "HTTP/1.1 500 Error\r\nSigned: s\r\nId: " + Field(request, "Id") +
+                  "\r\nContent-Length: 0\r\n\r\n");
       } else {
         AnswerPlain(connection, request);
       }
