--- a/src/endivecart/gateway/cut_off_host_unittest.cc
+++ b/src/endivecart/gateway/cut_off_host_unittest.cc
@@ -16,8 +16,8 @@
   static constexpr Millis kContactWindow{3000};
 
   CutFleet() : GatewayFleet(kHosts, 6, true) {
-    on_request = [this](Upstream&, RawUpstream::Connection& connection,
-                        const std::string& request) {
+    on_request = [](Upstream&, RawUpstream::Connection& connection,
+                    const std::string& request) {
       if (request.starts_with("GET /plain/")) {
         AnswerPlain(connection, request);
       } else {
