--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -582,11 +582,29 @@
 }
 
 void Forwarding::OnCallerGone() {
+  LogCallerGone();
   StopWaiting();
   EndSend(SendResult::kAbandoned);
   Finish(0, "caller_gone");
 }
 
+void Forwarding::LogCallerGone() const {
+  const char* const state = started_  ? "answering"
+                            : call_   ? "sent"
+                            : ticket_ ? "waiting"
+                                      : "unsent";
+  gateway_.metrics_.Add("endivecart_callers_gone_total",
+                        "state=\"" + std::string(state) + "\"");
+  LogLine line("gateway.caller_gone");
+  line.Add("request", request_.id.str()).Add("state", state);
+  if (call_) {
+    line.Add(relay_ ? "host" : "upstream",
+             relay_ ? relay_->str() : upstream_.str())
+        .Add("since_send_ms", MillisBetween(sent_at_, gateway_.loop_.Now()));
+  }
+  line.Info();
+}
+
 void Forwarding::Finish(int status, const char* outcome) {
   if (std::exchange(finished_, true))
     return;
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -136,6 +136,9 @@
   // Ends the request in whatever state it is.
   void EndNow(const char* reason);
   void OnCallerGone();
+  // Logs what was going on for a caller that has left. A send just before means
+  // that the caller had left when its request was read.
+  void LogCallerGone() const;
 
   // Records a run that ended with its connection as evidence against its parts.
   void RecordBrokenRun();
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -4,6 +4,7 @@
 
 #include "endivecart/node/auxiliary_servers.h"
 #include "endivecart/node/incarnation.h"
+#include "endivecart/node/loop_delay_monitor.h"
 
 namespace endivecart::node {
 
@@ -60,6 +61,7 @@
         settings(std::move(node_settings)),
         hooks(std::move(node_hooks)),
         incarnation(MakeIncarnation(settings.host, loop.Now())),
+        delay_monitor(loop, metrics),
         client(loop),
         gateway(OptionsFor(settings, incarnation),
                 hooks.dialect,
@@ -79,6 +81,7 @@
   const EntryNodeHooks hooks;
   const std::uint64_t incarnation;
   MetricsRegistry metrics;
+  LoopDelayMonitor delay_monitor;
   net::HttpClient client;
   gateway::Gateway gateway;
   std::unique_ptr<fleet::FleetBus> bus;
