--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -1,152 +1,15 @@
 #include <boost/test/unit_test.hpp>
 
-#include "endivecart/gateway/gateway.h"
-#include "support/loop_fixture.h"
-#include "support/plain_dialect.h"
+#include "support/gateway_fixture.h"
 
 namespace endivecart::gateway {
 namespace {
 
-using tests::PlainDialect;
+using tests::GatewayFixture;
 using tests::RawCaller;
 using tests::RawUpstream;
 using tests::Reply;
 
-routes::Route MakeRoute(const char* prefix, routes::RequestKind kind) {
-  routes::Route route;
-  route.name = prefix;
-  route.host = "a";
-  route.path_prefix = prefix;
-  route.kind = kind;
-  route.time_limit = Millis(3000);
-  route.services = {{routes::ServiceId("s"), 1}};
-  route.max_attempts = 2;
-  route.resumable = std::string(prefix) == "/resumable/";
-  return route;
-}
-
-// A gateway on loopback with two upstreams whose bytes the test controls.
-struct GatewayFixture : tests::LoopFixture {
-  GatewayFixture()
-      : upstreams{RawUpstream(loop), RawUpstream(loop)},
-        client(loop),
-        gateway(Options(), PlainDialect(), loop, client, metrics) {
-    using routes::RequestKind;
-    routes::RoutingConfiguration configuration;
-    configuration.version = 1;
-    configuration.routes = {MakeRoute("/safe/", RequestKind::kIdempotent),
-                            MakeRoute("/once/", RequestKind::kNonIdempotent),
-                            MakeRoute("/stream/", RequestKind::kStream),
-                            MakeRoute("/resumable/", RequestKind::kStream),
-                            MakeRoute("/south/", RequestKind::kIdempotent)};
-    configuration.routes.back().regions = {"south"};
-    configuration.services.resize(1);
-    configuration.services[0].id = routes::ServiceId("s");
-    routes::Customer customer;
-    customer.id = CustomerId("c");
-    customer.keys = {"k"};
-    configuration.customers = {customer};
-    table = std::make_shared<const routes::RouteTable>(
-        std::make_shared<const routes::RoutingConfiguration>(configuration));
-    ApplyDecisions(fleet::Decisions());
-    for (int i = 0; i < 2; ++i)
-      Announce(i, upstreams::UpstreamState::kReady, 1);
-    server = std::move(*net::HttpServer::Listen(
-        loop, tests::AnyPort(), {}, [this](net::HttpExchangePtr exchange) {
-          gateway.Handle(std::move(exchange));
-        }));
-    for (RawUpstream& upstream : upstreams) {
-      upstream.on_bytes = [this](RawUpstream::Connection& connection) {
-        if (!connection.received.ends_with("\r\n\r\n"))
-          return;
-        requests.push_back(connection.received);
-        connection.received.clear();
-        answer(connection, requests.size());
-      };
-    }
-    // The retry limit is a fraction of the requests so far.
-    for (int i = 0; i < 100; ++i)
-      Prime();
-  }
-
-  static GatewayOptions Options() {
-    GatewayOptions options;
-    options.domain = DomainId("a");
-    options.regions = RegionMap({{DomainId("a"), "north"},
-                                 {DomainId("b"), "north"},
-                                 {DomainId("c"), "south"}});
-    options.retry_ratio = 0.5;
-    return options;
-  }
-  void ApplyDecisions(fleet::Decisions decisions) {
-    decisions.routing_version = 1;
-    gateway.SetDecisions(std::make_shared<const fleet::Decisions>(decisions),
-                         table);
-  }
-  void Announce(int i,
-                upstreams::UpstreamState state,
-                std::uint64_t sequence,
-                const char* domain = "a") {
-    upstreams::Announcement announcement;
-    announcement.id = UpstreamId("u" + std::to_string(i));
-    announcement.start_time_ms = 1;
-    announcement.sequence = sequence;
-    announcement.service = routes::ServiceId("s");
-    announcement.address = upstreams[static_cast<std::size_t>(i)].address();
-    announcement.domain = DomainId(domain);
-    announcement.slots = 4;
-    announcement.state = state;
-    gateway.upstreams().Apply(announcement, loop.Now());
-  }
-  void Prime() {
-    answer = [](RawUpstream::Connection& connection, std::size_t) {
-      Reply(connection, CompleteAnswer("0", "x"));
-    };
-    Send("/safe/", "0");
-    requests.clear();
-  }
-
-  static std::string CompleteAnswer(const std::string& id,
-                                    const std::string& body) {
-    return "HTTP/1.1 200 OK\r\nSigned: s\r\nId: " + id +
-           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
-  }
-  static std::string StreamHead(const std::string& id) {
-    return "HTTP/1.1 200 OK\r\nSigned: s\r\nId: " + id +
-           "\r\nTransfer-Encoding: chunked\r\n\r\n";
-  }
-  static std::string Chunk(const std::string& text) {
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    return size + text + "\r\n";
-  }
-
-  // Sends a request and returns all bytes that the caller receives.
-  std::string Send(const std::string& path,
-                   const std::string& id = "1",
-                   const std::string& extra = "Key: k\r\n") {
-    RawCaller caller(loop, server->port());
-    caller.Write("GET " + path + " HTTP/1.1\r\nHost: a\r\nId: " + id + "\r\n" +
-                 extra + "Connection: close\r\n\r\n");
-    RunUntil([&] { return caller.ended(); });
-    return caller.received();
-  }
-
-  static bool HasStatus(const std::string& received, int status) {
-    return received.starts_with("HTTP/1.1 " + std::to_string(status));
-  }
-
-  std::array<RawUpstream, 2> upstreams;
-  net::HttpClient client;
-  MetricsRegistry metrics;
-  Gateway gateway;
-  routes::RouteTablePtr table;
-  std::unique_ptr<net::HttpServer> server;
-  std::vector<std::string> requests;  // as received by upstreams
-  std::function<void(RawUpstream::Connection&, std::size_t number)> answer;
-};
-
 BOOST_FIXTURE_TEST_SUITE(gateway_requests,
                          GatewayFixture,
                          *boost::unit_test::label("gateway"))
