GONE: a request is sent only while its caller's connection is open

Callers saw nothing of it: they had left. Upstreams worked for nobody, and the dead work made a late host later.

Cause: a caller's close stands behind its request in the socket. A host that reads late took the request, sent it over an open connection in the same turn of its loop, and saw the close only with the next read. Callers give up an unread request after a second, so a host that is late by more gets many of those.

Why it works: the kernel reports the close behind unread bytes (POLLRDHUP); the gateway asks before each send - the first, repeats, resumed streams, out of the queue, by way of another host - at the cost of one system call a send. The send invariants refuse a send without that look, counted as caller_is_there. A caller whose pipelined input isn't read any more is looked at ten times a second.

--- a/src/endivecart/base/invariant.cc
+++ b/src/endivecart/base/invariant.cc
@@ -28,7 +28,8 @@
     "sound_part_not_withheld",
     "quarantined_part_gets_no_work",
     "relayed_once",
-    "stays_in_region"};
+    "stays_in_region",
+    "caller_is_there"};
 
 void LogViolation(Invariant invariant, std::string_view detail) {
   LogLine("invariant")
--- a/src/endivecart/base/invariant.h
+++ b/src/endivecart/base/invariant.h
@@ -27,6 +27,7 @@
   kQuarantinedPartGetsNoWork,  // no prompt with a quarantined part is sent
   kRelayedOnce,                // no request passes through two other hosts
   kStaysInRegion,  // no request leaves the regions to which it is restricted
+  kCallerIsThere,  // no request is sent for a caller known to have left
   kCount,
 };
 
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -103,7 +103,7 @@
 }
 
 void Forwarding::Send() {
-  if (!AdmitParts())
+  if (!KeepForCaller() || !AdmitParts())
     return;
   if (const auto relay = ChooseRelay()) {
     StartRelayedCall(*relay);
@@ -125,6 +125,15 @@
   }
 }
 
+bool Forwarding::KeepForCaller() {
+  caller_was_there_ = exchange_->IsCallerThere();
+  if (caller_was_there_)
+    return true;
+  exchange_->Abort();
+  OnCallerGone();
+  return false;
+}
+
 void Forwarding::Wait() {
   const TimePoint now = gateway_.loop_.Now();
   ticket_ = gateway_.request_queue_.Add(Rank(), service_.str(), now);
@@ -164,8 +173,10 @@
   const auto upstream = ChooseUpstream();
   if (!upstream)
     return false;
-  StopWaiting();
-  StartCall(*upstream);
+  if (KeepForCaller()) {
+    StopWaiting();
+    StartCall(*upstream);
+  }
   return true;
 }
 
@@ -389,6 +400,7 @@
   context.has_room = chosen.has_room;
   context.is_quarantined = gateway_.part_monitor_.IsQuarantined(parts_);
   context.is_trial = is_trial_;
+  context.caller_was_there = caller_was_there_;
   return CheckSendInvariants(context);
 }
 
@@ -472,6 +484,7 @@
 net::HttpCallPtr Forwarding::StartCallTo(const settings::Endpoint& address,
                                          const net::HttpRequest& request,
                                          const net::CallOptions& options) {
+  caller_was_there_ = false;  // the next send needs another look
   const auto weak = weak_from_this();
   return gateway_.client_.Start(address, request, options,
                                 {[weak](const net::HttpResponseHead& head) {
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -53,6 +53,10 @@
   enum class RunState { kNotRun, kMayHaveRun };
 
   void Send();
+  // Returns whether the caller's connection is still open; otherwise ends the
+  // request. To be called before each send: on a busy host the caller may have
+  // left long before the loop gets to know.
+  bool KeepForCaller();
   // Returns whether the request may be sent, as far as its parts tell;
   // otherwise ends it.
   bool AdmitParts();
@@ -190,6 +194,7 @@
   routes::ServiceId service_;
   double move_draw_ = 0;  // in [0, 1); selects the version during a move
   const TimePoint accepted_at_;
+  bool caller_was_there_ = false;  // when looked at for the next send
   TimePoint deadline_;
   std::unique_ptr<TimerSubscription> deadline_timer_;
   std::unique_ptr<TimerSubscription> wait_timer_;
--- a/src/endivecart/gateway/forwarding_relay.cc
+++ b/src/endivecart/gateway/forwarding_relay.cc
@@ -47,6 +47,7 @@
   context.may_have_run = run_state_ == RunState::kMayHaveRun;
   context.is_quarantined = gateway_.part_monitor_.IsQuarantined(parts_);
   context.is_trial = is_trial_;
+  context.caller_was_there = caller_was_there_;
   return CheckRelayInvariants(context);
 }
 
--- a/src/endivecart/gateway/send_invariants.cc
+++ b/src/endivecart/gateway/send_invariants.cc
@@ -61,6 +61,8 @@
                           Invariant::kUpstreamCapacity, id);
   holds &= CheckInvariant(!context.is_quarantined || context.is_trial,
                           Invariant::kQuarantinedPartGetsNoWork, id);
+  holds &=
+      CheckInvariant(context.caller_was_there, Invariant::kCallerIsThere, id);
   holds &= CheckInvariant(context.request->upstream == context.upstream->id &&
                               context.service == context.upstream->service,
                           Invariant::kAnswerComplete, id);
@@ -82,6 +84,8 @@
                           Invariant::kAtMostOnce, id);
   holds &= CheckInvariant(!context.is_quarantined || context.is_trial,
                           Invariant::kQuarantinedPartGetsNoWork, id);
+  holds &=
+      CheckInvariant(context.caller_was_there, Invariant::kCallerIsThere, id);
   return holds;
 }
 
--- a/src/endivecart/gateway/send_invariants.h
+++ b/src/endivecart/gateway/send_invariants.h
@@ -23,7 +23,8 @@
   bool is_brittle = false;             // the upstream says so
   bool has_room = false;               // by LimitMonitor
   bool is_quarantined = false;         // a part of the prompt crashes upstreams
-  bool is_trial = false;  // the one request that may be sent anyway
+  bool is_trial = false;          // the one request that may be sent anyway
+  bool caller_was_there = false;  // its connection was open just now
 };
 
 // Checks the system's invariants for one send, independently of how the
@@ -34,12 +35,13 @@
 // The state of a request just before another host gets it.
 struct RelayContext {
   const CallerRequest* request = nullptr;
-  bool was_relayed = false;     // it came through another host
-  bool may_be_there = true;     // the host is in an allowed region
-  bool may_repeat = false;      // the request may run more than once
-  bool may_have_run = false;    // an earlier send may have been run
-  bool is_quarantined = false;  // a part of the prompt crashes upstreams
-  bool is_trial = false;        // may be sent anyway
+  bool was_relayed = false;       // it came through another host
+  bool may_be_there = true;       // the host is in an allowed region
+  bool may_repeat = false;        // the request may run more than once
+  bool may_have_run = false;      // an earlier send may have been run
+  bool is_quarantined = false;    // a part of the prompt crashes upstreams
+  bool is_trial = false;          // may be sent anyway
+  bool caller_was_there = false;  // its connection was open just now
 };
 
 // The same for a request that another host is to send to an upstream.
--- a/src/endivecart/gateway/send_invariants_unittest.cc
+++ b/src/endivecart/gateway/send_invariants_unittest.cc
@@ -22,6 +22,7 @@
     context.upstream = &upstream;
     context.decisions = &decisions;
     context.service = upstream.service;
+    context.caller_was_there = true;
   }
 
   // Returns whether exactly this invariant is violated and counted.
@@ -137,9 +138,19 @@
   BOOST_TEST(CheckSendInvariants(context));
 }
 
+BOOST_AUTO_TEST_CASE(no_request_is_sent_without_a_look_for_its_caller) {
+  context.caller_was_there = false;
+  BOOST_TEST(Violates(Invariant::kCallerIsThere));
+  RelayContext relay;
+  relay.request = &caller;
+  BOOST_TEST(IsOnlyOneViolated(Invariant::kCallerIsThere,
+                               [&] { return CheckRelayInvariants(relay); }));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_relayed_once_within_its_regions) {
   RelayContext relay;
   relay.request = &caller;
+  relay.caller_was_there = true;
   const auto check = [&relay] { return CheckRelayInvariants(relay); };
   BOOST_TEST(check());
   relay.was_relayed = true;
--- a/src/endivecart/net/http_server.cc
+++ b/src/endivecart/net/http_server.cc
@@ -28,6 +28,9 @@
 // Lingering close: input is read and discarded for this long, as closing with
 // unread input resets the connection and may lose the response.
 constexpr Millis kLingerTime{1000};
+// Interval of looking for a close while input isn't read. Well below the time
+// in which work for a client that has left must end.
+constexpr Millis kCloseCheckInterval{100};
 constexpr Millis kAcceptRetryDelay{50};
 constexpr int kBacklog = 1024;
 
@@ -85,6 +88,7 @@
   enum class State { kIdle, kHeader, kBody, kBusy, kLingering, kClosed };
 
   void Read();
+  void WatchForClose();
   void OnRead(const ErrorCode& error, std::size_t bytes);
   void Parse();
   void StartRequest();
@@ -106,6 +110,7 @@
   bool reading_ = false;
   std::unique_ptr<RequestParser> parser_;
   std::unique_ptr<TimerSubscription> timer_;
+  std::unique_ptr<TimerSubscription> close_check_;
   std::deque<std::string> out_;
   std::deque<std::string> writing_;
   std::size_t unsent_ = 0;
@@ -178,6 +183,9 @@
     session->Close();
   }
 
+  bool IsCallerThere() override {
+    return session_ && !HasPeerClosed(session_->socket_);
+  }
   void OnCallerGone(std::function<void()> handler) override {
     on_caller_gone_ = std::move(handler);
   }
@@ -235,8 +243,11 @@
 void HttpServer::Session::Read() {
   if (reading_ || state_ == State::kClosed)
     return;
-  if (state_ == State::kBusy && buffer_.size() >= kMaxPipelinedBytes)
+  if (state_ == State::kBusy && buffer_.size() >= kMaxPipelinedBytes) {
+    WatchForClose();
     return;
+  }
+  close_check_.reset();
   reading_ = true;
   socket_.async_read_some(
       buffer_.prepare(kReadBytes),
@@ -246,6 +257,16 @@
       });
 }
 
+// Nothing is read, so that no read can end.
+void HttpServer::Session::WatchForClose() {
+  close_check_ = data_->loop.Every(kCloseCheckInterval,
+                                   [weak = weak_from_this()](TimePoint) {
+                                     const auto self = weak.lock();
+                                     if (self && HasPeerClosed(self->socket_))
+                                       self->Close();
+                                   });
+}
+
 void HttpServer::Session::OnRead(const ErrorCode& error, std::size_t bytes) {
   if (state_ == State::kClosed)
     return;
@@ -356,6 +377,7 @@
   const auto self = shared_from_this();
   state_ = State::kClosed;
   timer_.reset();
+  close_check_.reset();
   ErrorCode ignored;  // a failed close can't be handled
   socket_.close(ignored);
   if (const auto exchange = exchange_.lock())
--- a/src/endivecart/net/http_server.h
+++ b/src/endivecart/net/http_server.h
@@ -46,6 +46,10 @@
   virtual void Abort() = 0;
   // Returns the number of response bytes not yet written to the socket.
   virtual std::size_t unsent_bytes() const = 0;
+  // Returns whether the client's connection is still open. Costs a system call.
+  // The client may have closed it before its request was read: the close lies
+  // behind the request, and OnCallerGone() reports it only later.
+  virtual bool IsCallerThere() = 0;
   // `handler` is called once if the client's connection ends before the
   // response is complete.
   virtual void OnCallerGone(std::function<void()> handler) = 0;
--- a/src/endivecart/net/net_unittest.cc
+++ b/src/endivecart/net/net_unittest.cc
@@ -1,4 +1,5 @@
 #include <netinet/tcp.h>
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -148,6 +149,41 @@
   BOOST_TEST(server->active() == 0u);
 }
 
+// Guards against GONE: the close of a caller lies behind bytes that the server
+// hasn't read.
+BOOST_FIXTURE_TEST_CASE(a_close_behind_unread_bytes_is_seen, EchoServer) {
+  hold = true;
+  std::vector<bool> was_there;
+  server = std::move(*HttpServer::Listen(
+      loop, tests::AnyPort(), {}, [&](HttpExchangePtr exchange) {
+        was_there.push_back(exchange->IsCallerThere());
+        held.push_back(std::move(exchange));
+      }));
+  RawCaller left(loop, server->port());
+  left.Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  left.Close();
+  RawCaller stays(loop, server->port());
+  stays.Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([&] { return was_there.size() == 2; });
+  BOOST_TEST(std::count(was_there.begin(), was_there.end(), true) == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_disconnect_is_reported_though_reading_is_suspended,
+                        EchoServer) {
+  constexpr std::size_t kMoreThanIsRead = 100UL << 10;
+  hold = true;
+  RawCaller caller(loop, server->port());
+  caller.Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" +
+               std::string(kMoreThanIsRead, 'x'));
+  RunUntil([&] { return held.size() == 1; });
+  RunFor(Millis(100));
+  bool disconnected = false;
+  held.front()->OnCallerGone([&] { disconnected = true; });
+  caller.Close();
+  RunFor(Millis(500));
+  BOOST_TEST(disconnected);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_aborted_stream_does_not_look_complete, EchoServer) {
   hold = true;
   RawCaller caller(loop, server->port());
--- a/src/endivecart/net/socket_options.cc
+++ b/src/endivecart/net/socket_options.cc
@@ -1,6 +1,7 @@
 #include "endivecart/net/socket_options.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 
 namespace endivecart::net {
 
@@ -35,4 +36,12 @@
   SetTcpOption(descriptor, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
+bool HasPeerClosed(boost::asio::ip::tcp::socket& socket) {
+  // Unlike a read or a peek, this reports a close that lies behind unread
+  // bytes.
+  pollfd state{socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&state, 1, 0) > 0 &&
+         (state.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
 }  // namespace endivecart::net
