Entries with numbers that are too large name no upstream

A report of another operator: another writer left an odd entry among those of the upstreams (deeply nested, a number too large, a port out of range), and processes that read it ended. Here deep nesting and ports were rejected already.

The entry is rejected with 400 and a log line, the others hold. Settings and configurations are read by the same code and gain the same.

--- a/src/endivecart/settings/json_reader.cc
+++ b/src/endivecart/settings/json_reader.cc
@@ -1,5 +1,6 @@
 #include "endivecart/settings/json_reader.h"
 
+#include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 
 #include <algorithm>
@@ -85,13 +86,16 @@
     AddError(key, "must be a whole number");
     return min;
   }
-  const auto number = value->convert<std::int64_t>();
-  if (number < min || number > max) {
-    AddError(key, "must be from " + std::to_string(min) + " to " +
-                      std::to_string(max));
-    return min;
+  try {
+    const auto number = value->convert<std::int64_t>();
+    if (number >= min && number <= max)
+      return number;
+  } catch (const Poco::Exception&) {
+    // Too large even for the conversion: out of range as well.
   }
-  return number;
+  AddError(key, "must be from " + std::to_string(min) + " to " +
+                    std::to_string(max));
+  return min;
 }
 
 std::int64_t JsonReader::IntOr(const std::string& key,
