A request goes to the same upstream again on a new connection only

An id tells answers to other requests apart, but not two sends of the same request: with all upstreams full, a request comes to the first one again, and the repeated refusal was taken for the answer to that send.

Test a_refusal_written_twice_is_not_taken_for_the_next_answer on: a request that may run once ran three times (REFUSED, TWICE). Now it runs once and is answered; the second send opens a connection, on which no earlier refusal can come. Refusals of other requests were told apart by their id before (second test).

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -460,7 +460,7 @@
   const auto* upstream = gateway_.upstreams_.Find(id);
   ResetSend();
   upstream_ = id;
-  tried_.insert(id);
+  const bool was_sent_there = !tried_.insert(id).second;
   requests_there_ = chosen.requests_there;
   weights_version_ = request_.prompt ? gateway_.upstreams_.WeightsOf(
                                            *upstream, request_.prompt->model)
@@ -476,6 +476,9 @@
   net::CallOptions options;
   options.connect_timeout =
       std::min(kConnectTimeout, std::max(TimeLeft(), Millis(1)));
+  // A faulty upstream may write its earlier refusal once more. On the
+  // connection of that send it couldn't be told from the answer to this one.
+  options.reuse_connection = !was_sent_there;
   options.max_idle = MayRepeat() ? kMaxIdle : kMaxIdleNonIdempotent;
   call_ = StartCallTo(upstream->last.address, gateway_.dialect_.encode(request),
                       options);
