A broken stream is continued only by a stream of the same kind

A report of another operator: a stream broke off, the next upstream answered with an error, and callers found its text or head in their stream, or the stream ended as if complete.

What continues a stream must have the status and content type of its first part, and between numbered events only comments may lack an id; otherwise it counts as a broken answer: tried elsewhere if the route allows, else the stream is cut.

--- a/src/endivecart/gateway/event_splitter.cc
+++ b/src/endivecart/gateway/event_splitter.cc
@@ -49,6 +49,18 @@
 
 }  // namespace
 
+bool IsComment(const StreamEvent& event) {
+  std::string_view rest = event.text;
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find('\n'), rest.size() - 1);
+    const std::string_view line = rest.substr(0, end);
+    if (!line.empty() && line != "\r" && line.front() != ':')
+      return false;
+    rest.remove_prefix(end + 1);
+  }
+  return true;
+}
+
 std::optional<StreamEvent> EventSplitter::Next() {
   const std::string_view rest = std::string_view(pending_).substr(consumed_);
   const std::size_t end = EndOfEvent(rest);
--- a/src/endivecart/gateway/event_splitter.h
+++ b/src/endivecart/gateway/event_splitter.h
@@ -15,6 +15,9 @@
   bool operator==(const StreamEvent&) const = default;
 };
 
+// Returns whether the event has nothing but comments, which carry no data.
+bool IsComment(const StreamEvent& event);
+
 // Splits a byte stream into complete events.
 class EventSplitter {
  public:
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -120,6 +120,9 @@
   // Records that the upstream has sent data.
   void RecordData();
   void OnHead(const net::HttpResponseHead& head);
+  // Returns whether an answer with this head can go on with the one that the
+  // caller has begun to receive.
+  bool ContinuesAnswer(const net::HttpResponseHead& head) const;
   // Returns the head of the current answer as the caller gets it.
   net::HttpResponseHead HeadForCaller() const;
   // Records what an upstream's answer says besides the answer itself.
@@ -237,6 +240,7 @@
 
   // State of the answer to the caller:
   bool started_ = false;
+  net::HttpResponseHead answer_head_;  // of the upstream that began it
   std::optional<std::uint64_t> last_event_id_;
   std::size_t events_ = 0;
   std::size_t numbered_events_ = 0;  // expected number, by their ids
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -19,6 +19,7 @@
 constexpr std::size_t kMaxUnsentBytes = 256UL << 10;
 // Status of an upstream that has no room.
 constexpr int kNoRoom = 503;
+constexpr char kContentType[] = "Content-Type";
 
 }  // namespace
 
@@ -38,9 +39,19 @@
     OnBadAnswer("unsigned_or_coded");
     return;
   }
+  if (success && started_ && !ContinuesAnswer(head)) {
+    OnBadAnswer("continues_no_stream");
+    return;
+  }
   forwards_events_ = success && IsStream();
 }
 
+bool Forwarding::ContinuesAnswer(const net::HttpResponseHead& head) const {
+  return head.status == answer_head_.status &&
+         head.fields.Find(kContentType) ==
+             answer_head_.fields.Find(kContentType);
+}
+
 net::HttpResponseHead Forwarding::HeadForCaller() const {
   net::HttpFields fields = gateway_.dialect_.fields_for_caller(head_.fields);
   // Only hosts may say so to each other.
@@ -89,6 +100,10 @@
       OnBadAnswer("event_out_of_order");
       return;
     }
+    if (!event->id && last_event_id_ && !IsComment(*event)) {
+      OnBadAnswer("event_without_id");
+      return;
+    }
     ForwardEvent(*event);
   }
   if (call_ && splitter_.pending_bytes() > kMaxEventBytes) {
@@ -118,6 +133,7 @@
   if (!started_) {
     started_ = true;
     first_event_at_ = gateway_.loop_.Now();
+    answer_head_ = head_;
     exchange_->StartResponse(HeadForCaller());
   }
   if (event.id) {
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -378,6 +378,18 @@
   BOOST_TEST(received.find("data: b") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(comments_between_numbered_events_are_forwarded) {
+  answer = [](auto& connection, auto) {
+    Reply(connection, StreamHead("1") + Chunk("id: 1\ndata: a\n\n") +
+                          Chunk(": still here\n\n") +
+                          Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  };
+  const std::string received = Send("/stream/");
+  BOOST_TEST(received.find(": still here") != std::string::npos);
+  BOOST_TEST(received.find("data: b") != std::string::npos);
+  BOOST_TEST(received.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_cut_inside_an_event_is_not_complete) {
   answer = [](auto& connection, auto) {
     Reply(connection,
