--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -222,6 +222,13 @@
   SendRequest(host, path, "", path);
 }
 
+void GatewayFleet::LeaveAll() {
+  CollectAnswers();
+  for (const PendingCall& call : calls_)
+    call.caller->Close();
+  calls_.clear();
+}
+
 void GatewayFleet::CollectAnswers() {
   std::erase_if(calls_, [this](const PendingCall& call) {
     if (!call.caller->ended())
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -57,6 +57,8 @@
   // Sends a request that may be repeated and isn't a prompt. Its path, which
   // must begin with "/plain/", is the key of its answer.
   void SendPlain(int host, const std::string& path);
+  // Closes the connections of all callers that have no complete answer yet.
+  void LeaveAll();
   // Answers the request with a short body.
   static void AnswerPlain(RawUpstream::Connection& connection,
                           const std::string& request);
--- a/tests/support/loop_fixture.h
+++ b/tests/support/loop_fixture.h
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "endivecart/net/net.h"
@@ -53,37 +54,47 @@
 class RawCaller {
  public:
   RawCaller(endivecart::net::EventLoop& loop, int port)
-      : socket_(loop.context()) {
-    socket_.connect({boost::asio::ip::make_address("127.0.0.1"),
-                     static_cast<unsigned short>(port)});
-    Read();
+      : state_(std::make_shared<State>(loop)) {
+    state_->socket.connect({boost::asio::ip::make_address("127.0.0.1"),
+                            static_cast<unsigned short>(port)});
+    Read(state_);
   }
+  ~RawCaller() { Close(); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
 
   void Write(const std::string& bytes) {
-    boost::asio::write(socket_, boost::asio::buffer(bytes));
+    boost::asio::write(state_->socket, boost::asio::buffer(bytes));
   }
-  void Close() { socket_.close(); }
-  const std::string& received() const { return received_; }
-  bool ended() const { return ended_; }
+  void Close() { state_->socket.close(); }
+  const std::string& received() const { return state_->received; }
+  bool ended() const { return state_->ended; }
 
  private:
-  void Read() {
-    socket_.async_read_some(
-        boost::asio::buffer(buffer_),
-        [this](const boost::system::error_code& error, std::size_t bytes) {
-          received_.append(buffer_, bytes);
+  // Outlives the caller until a pending read has ended.
+  struct State {
+    explicit State(endivecart::net::EventLoop& loop) : socket(loop.context()) {}
+
+    boost::asio::ip::tcp::socket socket;
+    char buffer[4096];
+    std::string received;
+    bool ended = false;
+  };
+
+  static void Read(const std::shared_ptr<State>& state) {
+    state->socket.async_read_some(
+        boost::asio::buffer(state->buffer),
+        [state](const boost::system::error_code& error, std::size_t bytes) {
+          state->received.append(state->buffer, bytes);
           if (error) {
-            ended_ = true;
+            state->ended = true;
           } else {
-            Read();
+            Read(state);
           }
         });
   }
 
-  boost::asio::ip::tcp::socket socket_;
-  char buffer_[4096];
-  std::string received_;
-  bool ended_ = false;
+  std::shared_ptr<State> state_;
 };
 
 // A TCP server that accepts all connections and passes received bytes to
