--- a/review/standin.cc
+++ b/review/standin.cc
@@ -66,10 +66,16 @@
 // A run that takes longer could not run.
 constexpr int kMaxRunS = 115;
 constexpr double kRestS = 6;
+// From the manifest's limits.
+constexpr size_t kMaxBodyBytes = 4194304;
+constexpr size_t kUsualBodyBytes = 12000;
+constexpr int kSmallEntryMemoryMb = 110;  // the sheet of the permit office
+constexpr int kPhotoClientsPerFrontend = 3;
 
 const Clock::time_point g_start = Clock::now();
 std::atomic<bool> g_stop{false};
 std::atomic<bool> g_trouble{false};
+std::atomic<size_t> g_photo_bytes{0};
 std::mutex g_record_mutex;
 FILE* g_record = nullptr;
 
@@ -702,7 +708,11 @@
 }
 
 // One client with a channel that it keeps.
-void RunClient(int number, double until, int pause_ms) {
+// With `frontend_index`, always the same machine, and bodies of `g_photo_bytes`.
+void RunClient(int number,
+               double until,
+               int pause_ms,
+               int frontend_index = -1) {
   std::mt19937 random(static_cast<unsigned>(number));
   std::unique_ptr<Channel> channel;
   string frontend;
@@ -712,7 +722,9 @@
     if (channel && channel->WasClosed())
       channel.reset();
     if (!channel) {
-      frontend = PickFrontend(random);
+      frontend = frontend_index < 0
+                     ? PickFrontend(random)
+                     : g_net + std::to_string(20 + frontend_index);
       if (frontend.empty())
         continue;
       channel = Channel::Connect(frontend, kCallerPort, 1000);
@@ -720,7 +732,7 @@
       if (!channel)
         continue;
     }
-    const bool is_order = number % 3 == 0;
+    const bool is_order = frontend_index < 0 && number % 3 == 0;
     const int limit_ms = is_order ? 1500 : 10000;
     char id[40];
     std::snprintf(id, sizeof id, "%04x%08x%04x", number,
@@ -735,12 +747,12 @@
               << "X-Prompt-Prefix: " << std::hex << 0x5c1e0000 + random() % 40
               << std::dec << ":650," << id << ":177\r\n";
     }
-    const string body(600, 'b');
+    const string body(frontend_index < 0 ? 600 : g_photo_bytes.load(), 'b');
     request << "Content-Length: " << body.size() << "\r\n\r\n" << body;
     channel->SetTimeout(limit_ms);
     ++g_sent;
-    Record("sent %s to %s on a channel with %d answers", id, frontend.c_str(),
-           answered_here);
+    Record("sent %s to %s, %zu bytes, on a channel with %d answers", id,
+           frontend.c_str(), body.size(), answered_here);
     Message answer;
     const bool head = channel->Write(request.str()) &&
                       ReadHead(*channel, answer);
@@ -841,11 +853,17 @@
 int Run(const string& which) {
   const bool with_trouble =
       getenv("TROUBLE") == nullptr || strcmp(getenv("TROUBLE"), "0") != 0;
-  const bool is_entry_case = which == "entry-endless-body";
+  const bool is_large = which == "entry-large-bodies";
+  const bool is_entry_case = is_large || which == "entry-endless-body";
   if (!is_entry_case && which != "control-endless-body")
     return 2;
   Lay(9);
-  if (is_entry_case) {
+  if (is_large) {
+    for (Machine& machine : g_machines) {
+      if (machine.role == "entry")
+        machine.memory_mb = kSmallEntryMemoryMb;
+    }
+  } else if (is_entry_case) {
     g_servers[4]->in_trouble = true;
   } else {
     g_stores[0]->in_trouble = true;
@@ -861,20 +879,28 @@
   SleepMs(3000);  // servers are known everywhere
   const double begin = Now();
   const double trouble_for =
-      is_entry_case ? kEntryTroubleForS : kControlTroubleForS;
+      is_large ? 20 : is_entry_case ? kEntryTroubleForS : kControlTroubleForS;
   const double end = begin + kTroubleFromS + trouble_for + kRestS;
   Record("traffic starts");
   std::vector<std::thread> clients;
   for (int i = 0; i < 36; ++i)
     clients.emplace_back([i, end] { RunClient(i, end, 600); });
+  g_photo_bytes = kUsualBodyBytes;
+  for (int i = 0; is_large && i < 6 * kPhotoClientsPerFrontend; ++i) {
+    clients.emplace_back(
+        [i, end] { RunClient(1000 + i, end, 50, i % 6); });
+  }
   std::thread([&] {
     SleepMs(static_cast<int>(kTroubleFromS * 1000));
     if (with_trouble) {
       Record("trouble begins");
       g_trouble = true;
+      if (is_large)
+        g_photo_bytes = kMaxBodyBytes;
     }
     SleepMs(static_cast<int>(trouble_for * 1000));
     g_trouble = false;
+    g_photo_bytes = kUsualBodyBytes;
     Record("trouble ends");
   }).detach();
   int unacknowledged = 0;
