--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review
-g++ -std=c++20 -O1 -Wall -Wextra -pthread -o build/review/standin review/standin.cc
+g++ -std=c++20 -O1 -Wall -Wextra -pthread -o build/review/standin review/standin.cpp
