--- a/src/endivecart/fleet/cache_catalog.cc
+++ b/src/endivecart/fleet/cache_catalog.cc
@@ -12,6 +12,8 @@
 constexpr Millis kReadRetry{300};
 // A full list recovers from lost events, but stalls the store while it is made.
 constexpr Millis kListInterval{15000};
+// Lists are not made more often than this to learn what became of a save.
+constexpr Millis kMinListInterval{4000};
 // After a store restarts empty, no parts are saved there until every follower
 // knows of the restart and all fetches that were planned before have ended.
 // Otherwise a fetch could take an incomplete part for the complete one that the
@@ -38,6 +40,10 @@
   return StableHash(name.id, StableHash(name.label));
 }
 
+std::uint64_t CacheStoreKey(const settings::Endpoint& address) {
+  return StableHash(address.ToString());
+}
+
 std::string CacheLabel(const ModelId& model,
                        std::uint64_t weights_version,
                        const CustomerId& isolated_customer) {
@@ -47,8 +53,11 @@
   return label;
 }
 
-void CacheCatalog::OnLeadershipGained(std::uint64_t term, TimePoint now) {
+void CacheCatalog::OnLeadershipGained(std::uint64_t term,
+                                      TimePoint now,
+                                      bool may_have_predecessor) {
   term_ = term;
+  save_ledger_.OnLeadershipGained(may_have_predecessor, now);
   // An order of the previous leader may still free parts until then, so none
   // may be published.
   reads_allowed_at_ = now + kOldOrdersExpired;
@@ -63,6 +72,7 @@
     store.reading = false;
     store.next_read = now;
     store.parts.clear();
+    store.keys.clear();
     store.partial.clear();
     store.used = 0;
   }
@@ -130,9 +140,12 @@
                        const CachePartName& name,
                        std::int64_t tokens) {
   store.partial.erase(name);
+  save_ledger_.OnComplete(
+      {CacheKey(name), CacheStoreKey(store.settings.address)});
   const auto [it, is_new] = store.parts.try_emplace(name);
   if (!is_new && it->second.withdrawn)
     return;  // will be freed
+  store.keys.insert(CacheKey(name));
   store.used += tokens - it->second.tokens;
   it->second.tokens = tokens;
   if (is_new)
@@ -164,6 +177,7 @@
     return true;
   });
   store.parts.clear();
+  store.keys.clear();
   store.partial.clear();
   store.used = 0;
   store.listed = false;
@@ -189,6 +203,7 @@
     if (!store.present || store.reading || now < store.next_read)
       continue;
     store.reading = true;
+    store.read_asked_at = now;
     CacheRead read;
     read.store = store.settings.address;
     read.is_list = !store.listed || now >= store.next_list;
@@ -230,6 +245,7 @@
     store->used -= it->second.tokens;
     if (!it->second.withdrawn)
       RecordChange(false, *store, event.part, it->second.tokens);
+    store->keys.erase(CacheKey(event.part));
     store->parts.erase(it);
   }
   store->next = events.next;
@@ -246,6 +262,7 @@
   store->reading = false;
   store->next_read = now;
   store->next_list = now + kListInterval;
+  store->may_list_at = now + kMinListInterval;
   if (!store->listed || store->epoch != list.epoch) {
     DropAll(*store);
     store->readable_since = now;
@@ -270,6 +287,7 @@
     }
     if (!it->second.withdrawn)
       RecordChange(false, *store, it->first, it->second.tokens);
+    store->keys.erase(CacheKey(it->first));
     it = store->parts.erase(it);
   }
   for (const auto& [name, tokens] : complete) {
@@ -278,6 +296,12 @@
   }
   store->partial = std::move(partial);
   store->used = used;
+  std::set<std::uint64_t> incomplete;
+  for (const auto& [name, since] : store->partial)
+    incomplete.insert(CacheKey(name));
+  save_ledger_.OnListed(
+      CacheStoreKey(address), store->read_asked_at,
+      [&](std::uint64_t key) { return incomplete.contains(key); });
 }
 
 void CacheCatalog::OnReadFailed(const settings::Endpoint& address,
@@ -319,6 +343,7 @@
         since = now;
         // It may become complete before the order is carried out.
         store.parts[name] = {0, true, now, now + kFreeDelay};
+        store.keys.insert(CacheKey(name));
       }
     }
     if (!order.parts.empty())
@@ -327,6 +352,73 @@
   return frees;
 }
 
+bool CacheCatalog::TakesMore(const Store& store, TimePoint now) {
+  return store.listed && store.present &&
+         now - store.readable_since >= kSettlingTime &&
+         static_cast<double>(store.used) <
+             kMaxFillRatio * static_cast<double>(store.settings.cache_tokens);
+}
+
+bool CacheCatalog::IsStored(std::uint64_t key) const {
+  return std::any_of(stores_.begin(), stores_.end(), [key](const Store& store) {
+    return store.keys.contains(key);
+  });
+}
+
+wire::CacheSaveGrant CacheCatalog::OnSaveClaim(
+    const HostId& host,
+    const wire::CacheSaveClaim& claim,
+    TimePoint now) {
+  wire::CacheSaveGrant grant;
+  grant.set_term(claim.term());
+  grant.set_number(claim.number());
+  if (!term_ || claim.term() != *term_)
+    return grant;
+  for (const wire::CachedPart& part : claim.parts()) {
+    if (part.store() >= stores_.size() || IsStored(part.key()))
+      continue;
+    Store& store = stores_[part.store()];
+    if (!TakesMore(store, now))
+      continue;
+    const auto ruling = save_ledger_.Grant(
+        {part.key(), CacheStoreKey(store.settings.address)},
+        {host, claim.number()}, Millis(claim.lifetime_ms()), now);
+    if (ruling == CacheSaveLedger::Ruling::kGranted)
+      *grant.add_parts() = part;
+    if (ruling == CacheSaveLedger::Ruling::kNeedsList)
+      store.next_list = std::min(store.next_list, store.may_list_at);
+  }
+  return grant;
+}
+
+void CacheCatalog::OnSaveRelease(const HostId& host,
+                                 const wire::CacheSaveRelease& release,
+                                 TimePoint now) {
+  if (!term_)
+    return;
+  for (const wire::CacheSaveRecord& save : release.saves()) {
+    save_ledger_.Release({save.key(), save.store()}, {host, save.claim()},
+                         release.was_sent(), now);
+  }
+}
+
+void CacheCatalog::OnPoll(const HostId& host,
+                          const wire::FleetPoll& poll,
+                          TimePoint now) {
+  std::vector<CacheSaveLedger::Outstanding> saves;
+  for (const wire::CacheSaveRecord& save : poll.saves()) {
+    saves.push_back({{save.key(), save.store()},
+                     {host, save.claim()},
+                     Millis(save.ends_in_ms())});
+  }
+  // Before the host has received an update of this term, it may still use
+  // grants of earlier ones. Only the primary control host gets its saves.
+  const bool is_report =
+      term_ && poll.cache_term() == *term_ && poll.wants_loads();
+  save_ledger_.OnPoll({host, poll.incarnation()}, is_report ? &saves : nullptr,
+                      now);
+}
+
 void CacheCatalog::UpdateStoreStates(TimePoint now) {
   if (now < store_states_due_)
     return;
@@ -338,11 +430,7 @@
     state.set_domain(store.settings.domain.str());
     state.set_generation(store.generation);
     state.set_readable(store.listed && store.present);
-    state.set_takes_more(
-        store.listed && store.present &&
-        now - store.readable_since >= kSettlingTime &&
-        static_cast<double>(store.used) <
-            kMaxFillRatio * static_cast<double>(store.settings.cache_tokens));
+    state.set_takes_more(TakesMore(store, now));
   }
   const bool is_same = std::equal(
       states.begin(), states.end(), store_states_.begin(), store_states_.end(),
--- a/src/endivecart/fleet/cache_catalog.h
+++ b/src/endivecart/fleet/cache_catalog.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "endivecart/base/base.h"
+#include "endivecart/fleet/cache_save_ledger.h"
 #include "endivecart/routes/routes.h"
 #include "endivecart/transport/transport.h"
 
@@ -26,6 +27,9 @@
 // Returns the 64-bit key that identifies a part in messages between processes.
 std::uint64_t CacheKey(const CachePartName& name);
 
+// Returns the 64-bit key that identifies a store among all leaders.
+std::uint64_t CacheStoreKey(const settings::Endpoint& address);
+
 // Returns the label for the cache of a model under one version of its weights.
 // `isolated_customer` is empty unless the customer doesn't share its cache.
 std::string CacheLabel(const ModelId& model,
@@ -116,7 +120,10 @@
   static constexpr Millis kOldOrdersExpired{kOrderLifetime + Millis(100)};
 
   // Discards all state: this process has just become the leader of `term`.
-  void OnLeadershipGained(std::uint64_t term, TimePoint now);
+  // `may_have_predecessor`: another leader may have granted saves.
+  void OnLeadershipGained(std::uint64_t term,
+                          TimePoint now,
+                          bool may_have_predecessor = true);
   void OnLeadershipLost();
   // Sets the stores of the routing configuration in force.
   void SetStores(const std::vector<routes::CacheStore>& stores);
@@ -135,6 +142,22 @@
   void OnReadFailed(const settings::Endpoint& store, TimePoint now);
   std::vector<CacheFree> NextFrees(TimePoint now);
 
+  // Returns those of the parts that the host may save; see CacheSaveLedger.
+  wire::CacheSaveGrant OnSaveClaim(const HostId& host,
+                                   const wire::CacheSaveClaim& claim,
+                                   TimePoint now);
+  void OnSaveRelease(const HostId& host,
+                     const wire::CacheSaveRelease& release,
+                     TimePoint now);
+  // To be called for every poll from a process that serves callers, from the
+  // start of this process on.
+  void OnPoll(const HostId& host, const wire::FleetPoll& poll, TimePoint now);
+  // The longest time that a request may take.
+  void SetRequestLimit(Millis limit) { save_ledger_.SetRequestLimit(limit); }
+  void StartWatchingPolls(bool is_first_start, TimePoint now) {
+    save_ledger_.StartWatching(is_first_start, now);
+  }
+
   // Returns changes that a follower at `position` is missing, at most
   // kMaxPartsPerUpdate: a new leader has to bring hundreds of followers up to
   // date at once. Returns nullopt if this process isn't the leader.
@@ -156,13 +179,16 @@
     bool present = true;  // in the configuration in force
     bool listed = false;
     bool reading = false;
+    TimePoint read_asked_at{};
     TimePoint next_read{};
     TimePoint next_list{};
+    TimePoint may_list_at{};  // earlier than next_list, if necessary
     TimePoint readable_since{};
     std::uint64_t epoch = 0;
     std::uint64_t generation = 0;  // increases when all parts are dropped
     std::uint64_t next = 0;
     std::map<CachePartName, Part> parts;
+    std::set<std::uint64_t> keys;  // of `parts`
     // Parts that were incomplete in the last list, and when first seen so.
     std::map<CachePartName, TimePoint> partial;
     std::int64_t used = 0;
@@ -176,6 +202,11 @@
 
   Store* Find(const settings::Endpoint& address);
   std::uint32_t IndexOf(const Store& store) const;
+  // Returns whether new parts may be saved to the store.
+  static bool TakesMore(const Store& store, TimePoint now);
+  // Returns whether any store is known to hold the part. One that was
+  // withdrawn may still be fetched.
+  bool IsStored(std::uint64_t key) const;
   void Add(Store& store, const CachePartName& name, std::int64_t tokens);
   void Withdraw(Store& store,
                 const CachePartName& name,
@@ -193,6 +224,7 @@
   std::optional<std::uint64_t> term_;
   TimePoint reads_allowed_at_{};
   std::vector<Store> stores_;
+  CacheSaveLedger save_ledger_;
   // By number, so that the same list serves followers that lack everything and
   // those that lack the newest changes. Holds all parts that are published, and
   // the newest removals.
--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -5,6 +5,7 @@
 // decisions; all other processes follow them.
 
 #include "endivecart/fleet/cache_catalog.h"        // IWYU pragma: export
+#include "endivecart/fleet/cache_save_ledger.h"    // IWYU pragma: export
 #include "endivecart/fleet/decision_log.h"         // IWYU pragma: export
 #include "endivecart/fleet/decisions.h"            // IWYU pragma: export
 #include "endivecart/fleet/fleet_bus.h"            // IWYU pragma: export
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -48,6 +48,8 @@
   }
   if (poll.serves_callers())
     RecordFindings(from, poll);
+  if (poll.serves_callers() && hooks_.on_caller_poll)
+    hooks_.on_caller_poll(from, poll);
   for (const auto& limit : FromWire(poll.limits(), hooks_.now()))
     push_requested_ |= limits_.Merge(limit);
   for (const wire::ServiceMoveReport& report : poll.move_reports())
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -35,6 +35,8 @@
     // doesn't lead.
     std::function<std::optional<wire::CacheUpdate>(const CachePosition&)>
         cache_update;
+    // Called for each poll of a process that serves callers. Optional.
+    std::function<void(const HostId&, const wire::FleetPoll&)> on_caller_poll;
     // Called when the quarantines have changed, to make them outlast a restart
     // of all processes. Optional.
     std::function<void(const std::vector<quarantine::Quarantine>&)>
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -52,6 +52,10 @@
       poll.set_cache_floor(position.floor);
       poll.set_cache_stores_version(position.stores_version);
     }
+    if (hooks_.outstanding_saves) {
+      for (wire::CacheSaveRecord& save : hooks_.outstanding_saves())
+        *poll.add_saves() = std::move(save);
+    }
     if (hooks_.quarantine_findings) {
       const auto findings = hooks_.quarantine_findings();
       if (findings != quarantine::HostFindings())
@@ -85,6 +89,7 @@
     if (host != primary) {
       out.clear_loads();
       out.clear_failures();
+      out.clear_saves();
     } else if (host == loads_sender_) {
       out.set_names_epoch(loads_.known_names().epoch);
       out.set_names(static_cast<std::uint32_t>(loads_.known_names().count));
@@ -104,6 +109,14 @@
          hooks_.now() - control.polled_at < kPollTimeout;
 }
 
+bool FleetFollower::SendToLeader(wire::Envelope envelope) {
+  const auto leader = control_hosts_.find(leader_);
+  if (leader == control_hosts_.end() || !leader->second.in_contact)
+    return false;
+  hooks_.send(leader_, std::move(envelope));
+  return true;
+}
+
 HostId FleetFollower::PrimaryControlHost() const {
   const auto leader = control_hosts_.find(leader_);
   if (leader != control_hosts_.end() && leader->second.in_contact)
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -65,6 +65,8 @@
     // all that happened before; TimePoint{} if unknown.
     std::function<void(const wire::CacheUpdate&, TimePoint asked_at)> on_cache;
     std::function<CachePosition()> cache_position;
+    // Saves that leaders have granted to this process. Optional.
+    std::function<std::vector<wire::CacheSaveRecord>()> outstanding_saves;
     // Optional, for processes that send prompts.
     std::function<quarantine::HostFindings()> quarantine_findings;
     std::function<void(const quarantine::Ruling&)> on_quarantine;
@@ -100,6 +102,9 @@
   // Replaces the contacts, which are polled even if no control host lists them.
   void AddContacts(const std::vector<HostId>& contacts);
 
+  // Returns false, and drops the message, if the leader is out of contact.
+  bool SendToLeader(wire::Envelope envelope);
+
   // Null until the first update with decisions.
   const DecisionsPtr& decisions() const { return decisions_; }
   // Returns whether any control host answered within kContactTimeout.
--- a/src/endivecart/fleet/fleet_voter.cc
+++ b/src/endivecart/fleet/fleet_voter.cc
@@ -384,6 +384,10 @@
          now - *contact < kLeaderLease;
 }
 
+bool FleetVoter::HasEmptyLog() const {
+  return core_->log().last_index() == 0;
+}
+
 HostId FleetVoter::LeaderHost() const {
   return core_->leader().empty() ? HostId() : control::HostOf(core_->leader());
 }
--- a/src/endivecart/fleet/fleet_voter.h
+++ b/src/endivecart/fleet/fleet_voter.h
@@ -83,6 +83,7 @@
   // enough that no other leader can have been elected, and decisions() includes
   // everything that earlier leaders committed.
   bool IsConfirmedLeader() const;
+  bool HasEmptyLog() const;
   // Returns an empty id if the leader is unknown.
   HostId LeaderHost() const;
   std::uint64_t term() const { return core_->term(); }
--- a/src/endivecart/gateway/cache_protocol_unittest.cc
+++ b/src/endivecart/gateway/cache_protocol_unittest.cc
@@ -14,17 +14,20 @@
 using fleet::CacheEvent;
 using fleet::CacheList;
 using fleet::CachePartName;
+using fleet::CacheSaveLedger;
 
 constexpr Millis kStep{10};
 constexpr Millis kPollInterval{250};
 constexpr std::int64_t kTokens = 100;
 constexpr Millis kLongWait{10000};
+constexpr Millis kLongTime{60000};
 
 // What may go wrong in a run.
 struct Troubles {
   bool stores_restart = false;
   // Saves may reach a restarted store though they were planned before, or by a
-  // host that doesn't know of the restart yet.
+  // host that doesn't know of the restart yet. Some begin seconds later, and of
+  // some their host never gets to know.
   bool saves_cross_restarts = false;
   bool hosts_are_cut_off = false;  // for seconds; updates come afterwards
   bool updates_are_lost = false;
@@ -129,6 +132,12 @@
       stores_[static_cast<std::size_t>(i % 3)].Save(NameOf(part, live_label_),
                                                     now_ - kStep);
     }
+    for (auto* catalog : {&catalog_, &successor_}) {
+      *catalog = std::make_shared<CacheCatalog>();
+      (*catalog)->SetStores(settings_);
+      (*catalog)->SetRequestLimit(kLongWait);
+      (*catalog)->StartWatchingPolls(false, now_ - kLongTime);
+    }
     NewLeader();
   }
 
@@ -159,6 +168,7 @@
     std::uint64_t poll_number = 0;
     TimePoint cut_until{};
     std::array<std::uint64_t, 3> known_epochs{};  // of the stores
+    std::vector<wire::CacheSaveRecord> outstanding;
   };
   using Action = std::function<void()>;
 
@@ -188,10 +198,13 @@
         settings_.begin());
   }
 
+  // Two control hosts lead in turn.
   void NewLeader() {
-    catalog_ = std::make_shared<CacheCatalog>();
-    catalog_->SetStores(settings_);
-    catalog_->OnLeadershipGained(++term_, now_);
+    if (catalog_)
+      catalog_->OnLeadershipLost();
+    std::swap(catalog_, successor_);
+    ++term_;
+    catalog_->OnLeadershipGained(term_, now_, term_ > 1);
   }
   void Disturb() {
     if (troubles_.stores_restart)
@@ -207,17 +220,21 @@
   }
   void LeadStep() {
     for (const fleet::CacheRead& read : catalog_->NextReads(now_)) {
-      After(Between(10, 50), [this, read, catalog = catalog_] {
+      After(Between(10, 50), [this, read, catalog = catalog_, term = term_] {
         SimulatedStore& store = stores_[StoreAt(read.store)];
         const TimePoint read_at = now_;
         if (read.is_list) {
           After(Between(10, 200), [=, this, list = store.List(read_at)] {
+            if (term != term_)
+              return;
             catalog->OnList(read.store, list, now_);
             listed_epochs_[StoreAt(read.store)] = list.epoch;
           });
         } else {
           After(Between(10, 800),
                 [=, this, events = store.EventsSince(read.since, read_at)] {
+                  if (term != term_)
+                    return;
                   catalog->OnEvents(read.store, events, now_);
                 });
         }
@@ -259,17 +276,33 @@
     const TimePoint asked_at = now_;
     if (now_ < host.cut_until)
       return;
-    After(Between(2, 10), [this, number, poll, asked_at] {
-      const auto update =
-          catalog_->UpdateSince(hosts_[number].view.position(), now_);
-      if (!update || (troubles_.updates_are_lost && Chance(0.2)))
-        return;
-      After(Between(2, 20),
-            [=, this, update = *update, epochs = listed_epochs_] {
-              Deliver(number, update, asked_at, poll);
-              hosts_[number].known_epochs = epochs;
-            });
-    });
+    After(Between(2, 10),
+          [this, number, poll, asked_at, message = PollOf(number)] {
+            catalog_->OnPoll(HostOf(number), message, now_);
+            successor_->OnPoll(HostOf(number), message, now_);
+            const auto update =
+                catalog_->UpdateSince(hosts_[number].view.position(), now_);
+            if (!update || (troubles_.updates_are_lost && Chance(0.2)))
+              return;
+            After(Between(2, 20),
+                  [=, this, update = *update, epochs = listed_epochs_] {
+                    Deliver(number, update, asked_at, poll);
+                    hosts_[number].known_epochs = epochs;
+                  });
+          });
+  }
+  wire::FleetPoll PollOf(std::size_t number) {
+    Host& host = hosts_[number];
+    wire::FleetPoll poll;
+    poll.set_incarnation(1);
+    poll.set_cache_term(host.view.position().term);
+    poll.set_wants_loads(true);
+    for (wire::CacheSaveRecord save : host.outstanding) {
+      save.set_ends_in_ms(static_cast<std::uint32_t>(
+          (kLongWait + CacheSaveLedger::kMargin).count()));
+      *poll.add_saves() = save;
+    }
+    return poll;
   }
   // What is under way when a host is cut off arrives some time later.
   void Deliver(std::size_t number,
@@ -310,16 +343,66 @@
         CacheCatalog::kFetchLimit, now_);
     if (!plan.fetch.empty() && plan.fetch[0])
       Fetch(StoreAt(*plan.fetch[0]), name, plan.fetch_until_ms);
-    if (!plan.save.empty() && plan.save[0])
-      Save(number, StoreAt(*plan.save[0]), name);
+    for (const SavePart& saved : plan.saved_parts)
+      Claim(number, saved, name);
+  }
+  void Claim(std::size_t number,
+             const SavePart& part,
+             const CachePartName& name) {
+    if (now_ < hosts_[number].cut_until)
+      return;
+    wire::CacheSaveClaim claim;
+    claim.set_term(hosts_[number].view.position().term);
+    claim.set_number(++claims_);
+    claim.set_lifetime_ms(static_cast<std::uint32_t>(kLongWait.count()));
+    claim.add_parts()->set_key(part.key);
+    claim.mutable_parts(0)->set_store(part.store);
+    After(Between(1, 20), [=, this] {
+      const auto grant = catalog_->OnSaveClaim(HostOf(number), claim, now_);
+      if (grant.parts_size() == 0)
+        return;
+      After(Between(1, 20), [=, this] {
+        if (hosts_[number].view.position().term == claim.term())
+          Save(number, part, name, claim.number());
+      });
+    });
+  }
+  static HostId HostOf(std::size_t number) {
+    return HostId("host-" + std::to_string(number));
+  }
+  void Release(std::size_t number, const wire::CacheSaveRecord& save) {
+    wire::CacheSaveRelease release;
+    *release.add_saves() = save;
+    release.set_was_sent(true);
+    catalog_->OnSaveRelease(HostOf(number), release, now_);
+    After(CacheSaveLedger::kTransferWait, [=, this] {
+      std::erase_if(hosts_[number].outstanding, [&](const auto& known) {
+        return known.claim() == save.claim();
+      });
+    });
   }
-  void Save(std::size_t host, std::size_t store, const CachePartName& name) {
+  void Save(std::size_t host,
+            const SavePart& part,
+            const CachePartName& name,
+            std::uint64_t claim) {
+    const std::size_t store = StoreAt(part.address);
+    wire::CacheSaveRecord record;
+    record.set_key(part.key);
+    record.set_store(fleet::CacheStoreKey(part.address));
+    record.set_claim(claim);
+    hosts_[host].outstanding.push_back(record);
     ++saves;
     const Millis write_time = troubles_.writers_are_slow && Chance(0.3)
                                   ? Between(8000, 14000)
                                   : Between(100, 1200);
     const std::uint64_t known_epoch = hosts_[host].known_epochs[store];
-    After(Between(20, 400), [=, this] {
+    const bool is_late = troubles_.saves_cross_restarts && Chance(0.2);
+    const Millis wait = is_late
+                            ? Between(400, static_cast<int>(kLongWait.count()))
+                            : Between(20, 400);
+    if (!troubles_.saves_cross_restarts || Chance(0.8))
+      After(wait + Between(10, 1000), [=, this] { Release(host, record); });
+    After(wait, [=, this] {
       if (troubles_.saves_cross_restarts ||
           stores_[store].epoch() == known_epoch) {
         stores_[store].Save(name, now_ + write_time);
@@ -367,8 +450,10 @@
   TimePoint now_ = TimePoint(Millis(1'000'000));
   std::vector<routes::CacheStore> settings_;
   std::array<SimulatedStore, 3> stores_;
-  std::shared_ptr<CacheCatalog> catalog_;
+  std::shared_ptr<CacheCatalog> catalog_;  // the leader's
+  std::shared_ptr<CacheCatalog> successor_;
   std::uint64_t term_ = 0;
+  std::uint64_t claims_ = 0;
   std::array<std::uint64_t, 3> listed_epochs_{};
   std::vector<Host> hosts_;
   int live_label_ = 1;
--- a/src/endivecart/gateway/cache_view.cc
+++ b/src/endivecart/gateway/cache_view.cc
@@ -122,7 +122,6 @@
   plan.fetch.resize(prompt.parts.size());
   plan.save.resize(prompt.parts.size());
   bool has_fetch = false;
-  bool has_save = false;
   for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
     const PromptPart& part = prompt.parts[i];
     if (part.tokens < kMinTokens)
@@ -146,7 +145,9 @@
     } else if (const Store* store =
                    is_complete_ ? StoreFor(key, may_hold) : nullptr) {
       plan.save[i] = store->address;
-      has_save = true;
+      plan.saved_parts.push_back(
+          {i, key, static_cast<std::uint32_t>(store - stores_.data()),
+           store->address});
     }
   }
   has_fetch &=
@@ -154,7 +155,7 @@
                      Invariant::kCacheBlockSealed, "a fetch has no deadline");
   if (!has_fetch)
     plan.fetch.clear();
-  if (!has_save)
+  if (plan.saved_parts.empty())
     plan.save.clear();
   if (has_fetch) {
     const auto age = std::chrono::duration_cast<Millis>(now - clock_at_);
--- a/src/endivecart/gateway/cache_view.h
+++ b/src/endivecart/gateway/cache_view.h
@@ -13,12 +13,24 @@
 
 namespace endivecart::gateway {
 
+// A part of a prompt, and a store to which it is to be saved.
+struct SavePart {
+  std::size_t index = 0;    // of the part in its prompt
+  std::uint64_t key = 0;    // see fleet::CacheKey()
+  std::uint32_t store = 0;  // index in the leader's catalogue
+  settings::Endpoint address;
+
+  bool operator==(const SavePart&) const = default;
+};
+
 // For each part of a prompt, the store from which its cache is fetched and the
 // store to which it is saved after prefill. An empty list means that no part is
 // fetched or saved.
 struct CachePlan {
   std::vector<std::optional<settings::Endpoint>> fetch;
   std::vector<std::optional<settings::Endpoint>> save;
+  // The entries of `save`. They need the leader's permission.
+  std::vector<SavePart> saved_parts;
   // Deadline of all fetches, by the control servers' clock.
   std::optional<std::uint64_t> fetch_until_ms;
   std::int64_t fetchable_tokens = 0;
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -44,6 +44,9 @@
                               TimePoint asked_at) {
     gateway.cache().Apply(update, asked_at, gateway.Now());
   };
+  hooks.outstanding_saves = [&gateway] {
+    return gateway.save_claims().Outstanding();
+  };
   hooks.cache_position = [&gateway] { return gateway.cache().position(); };
 }
 
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -103,7 +103,11 @@
 }
 
 void Forwarding::Send() {
-  if (!KeepForCaller() || !AdmitParts())
+  if (!KeepForCaller())
+    return;
+  if (!ChooseRelay() && ClaimSaves())
+    return;
+  if (!AdmitParts())
     return;
   if (const auto relay = ChooseRelay()) {
     StartRelayedCall(*relay);
@@ -349,13 +353,8 @@
   out.weights_version = weights_version_;
   out.cache_label = fleet::CacheLabel(request_.prompt->model, weights_version_,
                                       IsolatedCustomer());
-  const TimePoint now = gateway_.loop_.Now();
-  CachePlan plan = gateway_.cache_.Plan(
-      *request_.prompt, out.cache_label,
-      [this](const DomainId& domain) { return IsAllowedIn(domain); },
-      FetchTimeout(std::chrono::duration_cast<Millis>(now - accepted_at_),
-                   route_.latency_target, PrefillTime()),
-      now);
+  CachePlan plan = PlanForLabel(out.cache_label);
+  KeepPermittedSaves(plan);
   out.save_cache_to = std::move(plan.save);
   out.fetch_cache_from = std::move(plan.fetch);
   out.fetch_until_ms = plan.fetch_until_ms;
@@ -368,6 +367,16 @@
     out.fetch_cache_from[i] = home->last.address;
 }
 
+CachePlan Forwarding::PlanForLabel(const std::string& label) const {
+  const TimePoint now = gateway_.loop_.Now();
+  return gateway_.cache_.Plan(
+      *request_.prompt, label,
+      [this](const DomainId& domain) { return IsAllowedIn(domain); },
+      FetchTimeout(std::chrono::duration_cast<Millis>(now - accepted_at_),
+                   route_.latency_target, PrefillTime()),
+      now);
+}
+
 std::string Forwarding::LastEventIdToSend() const {
   return last_event_id_ ? std::to_string(*last_event_id_)
                         : request_.last_event_id;
@@ -401,6 +410,7 @@
   context.is_quarantined = gateway_.part_monitor_.IsQuarantined(parts_);
   context.is_trial = is_trial_;
   context.caller_was_there = caller_was_there_;
+  context.permitted_saves = save_permits_.parts.size();
   return CheckSendInvariants(context);
 }
 
@@ -465,8 +475,11 @@
   weights_version_ = request_.prompt ? gateway_.upstreams_.WeightsOf(
                                            *upstream, request_.prompt->model)
                                      : 0;
+  if (weights_version_ != 0)
+    gateway_.last_weights_[request_.prompt->model] = weights_version_;
   gateway_.upstreams_.StartWork(id, pending_prefill_tokens_, HeldTokens());
   const UpstreamRequest request = MakeUpstreamRequest(id);
+  MarkSavesSent(request);
   if (!SatisfiesInvariants(chosen, request)) {
     EndSend(SendResult::kAbandoned);
     GiveUp("promise");
@@ -535,6 +548,7 @@
   if (upstream_.empty())
     return;
   RecordMoveOutcome(result);
+  EndSaves(result);
   if (pending_prefill_tokens_ > 0)
     gateway_.upstreams_.FinishPrefill(upstream_, pending_prefill_tokens_);
   pending_prefill_tokens_ = 0;
@@ -625,6 +639,7 @@
   if (std::exchange(finished_, true))
     return;
   deadline_timer_.reset();
+  ReleaseSaves();
   const double elapsed = MillisBetween(accepted_at_, gateway_.loop_.Now());
   LogLine line("gateway.done");
   line.Add("request", request_.id.str())
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -60,6 +60,18 @@
   // Returns whether the request may be sent, as far as its parts tell;
   // otherwise ends it.
   bool AdmitParts();
+  // Claims the right to save those of the prompt's parts that no store holds.
+  // Returns whether it was claimed; the request is then sent once the leader
+  // has answered, or has not in time.
+  bool ClaimSaves();
+  // Removes the saves that were not permitted.
+  void KeepPermittedSaves(CachePlan& plan) const;
+  // Records whether the request carries saves; otherwise gives the permits
+  // back.
+  void MarkSavesSent(const UpstreamRequest& request);
+  // Records the end of a send that may have carried saves.
+  void EndSaves(SendResult result);
+  void ReleaseSaves();
   // Queues the request until an upstream has capacity or the maximum wait is
   // over.
   void Wait();
@@ -116,6 +128,7 @@
   void LogSend(const Chosen& chosen, const UpstreamRequest& request) const;
   UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
   void PlanCache(UpstreamRequest& out) const;
+  CachePlan PlanForLabel(const std::string& label) const;
 
   // Records that the upstream has sent data.
   void RecordData();
@@ -212,8 +225,11 @@
   std::set<UpstreamId> tried_;
   std::set<HostId> tried_relays_;
   bool is_trial_ = false;  // of a quarantined part
-  int sends_ = 0;          // including those that did not reach an upstream
-  int runs_ = 0;           // sends that an upstream may have run
+  bool has_claimed_saves_ = false;
+  SavePermits save_permits_;
+  bool saves_were_sent_ = false;  // a send that is not known to have failed
+  int sends_ = 0;  // including those that did not reach an upstream
+  int runs_ = 0;   // sends that an upstream may have run
   RunState run_state_ = RunState::kNotRun;
   bool finished_ = false;
 
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "endivecart/fleet/fleet.h"
+#include "endivecart/gateway/cache_save_claims.h"
 #include "endivecart/gateway/cache_view.h"
 #include "endivecart/gateway/caller_request.h"
 #include "endivecart/gateway/capacity_estimator.h"
@@ -77,6 +78,7 @@
   TimePoint Now() const { return loop_.Now(); }
   UpstreamTracker& upstreams() { return upstreams_; }
   CacheView& cache() { return cache_; }
+  CacheSaveClaims& save_claims() { return save_claims_; }
   quarantine::PartMonitor& part_monitor() { return part_monitor_; }
   limits::LimitMonitor& limits() { return limits_; }
   const quarantine::ReachMonitor& reach() const { return reach_; }
@@ -137,6 +139,9 @@
   MetricsRegistry& metrics_;
   UpstreamTracker upstreams_;
   CacheView cache_;
+  CacheSaveClaims save_claims_;
+  // The weights on which a prompt was last sent, by model.
+  std::map<ModelId, std::uint64_t> last_weights_;
   MoveTracker moves_;
   quarantine::PartMonitor part_monitor_;
   limits::LimitMonitor limits_;
--- a/src/endivecart/gateway/send_invariants.cc
+++ b/src/endivecart/gateway/send_invariants.cc
@@ -22,6 +22,16 @@
                      is_set);
 }
 
+bool CheckSaves(const SendContext& context) {
+  const auto& saves = context.request->save_cache_to;
+  const auto count = std::count_if(
+      saves.begin(), saves.end(),
+      [](const auto& address) { return address.has_value(); });
+  return CheckInvariant(
+      static_cast<std::size_t>(count) <= context.permitted_saves,
+      Invariant::kCacheBlockSealed, context.request->caller->id.str());
+}
+
 bool CheckCache(const SendContext& context) {
   const UpstreamRequest& request = *context.request;
   if (!request.caller->prompt)
@@ -41,7 +51,7 @@
       context.isolated_customer.empty() || is_alone ||
           request.cache_label.ends_with("." + context.isolated_customer.str()),
       Invariant::kCustomerIsolation, id);
-  return versions && customers;
+  return CheckSaves(context) && versions && customers;
 }
 
 }  // namespace
--- a/src/endivecart/gateway/send_invariants.h
+++ b/src/endivecart/gateway/send_invariants.h
@@ -25,6 +25,7 @@
   bool is_quarantined = false;         // a part of the prompt crashes upstreams
   bool is_trial = false;          // the one request that may be sent anyway
   bool caller_was_there = false;  // its connection was open just now
+  std::size_t permitted_saves = 0;  // parts that the leader lets it save
 };
 
 // Checks the system's invariants for one send, independently of how the
--- a/src/endivecart/node/cache_store_controller.cc
+++ b/src/endivecart/node/cache_store_controller.cc
@@ -33,6 +33,10 @@
                                            const VoterNodeHooks& hooks)
     : loop_(loop), client_(client), hooks_(hooks) {}
 
+void CacheStoreController::Start(bool is_first_start) {
+  catalog_.StartWatchingPolls(is_first_start, loop_.Now());
+}
+
 void CacheStoreController::Tick(const fleet::Decisions& decisions,
                                 const upstreams::UpstreamRegistry& roster,
                                 bool is_confirmed_leader,
@@ -47,7 +51,8 @@
   }
   if (term_ != term) {
     term_ = term;
-    catalog_.OnLeadershipGained(term, now);
+    // Without a configuration, no process knew of any store.
+    catalog_.OnLeadershipGained(term, now, decisions.routing_version != 0);
     retire_due_ = now + kRetireInterval;
   }
   if (routing_version_ != decisions.routing_version)
@@ -78,6 +83,10 @@
       stores.push_back(*service.store);
   }
   catalog_.SetStores(stores);
+  Millis request_limit{0};
+  for (const routes::Route& route : configuration->routes)
+    request_limit = std::max(request_limit, route.time_limit);
+  catalog_.SetRequestLimit(request_limit);
 }
 
 void CacheStoreController::Retire(const fleet::Decisions& decisions,
@@ -136,4 +145,21 @@
   return catalog_.UpdateSince(position, loop_.Now());
 }
 
+wire::CacheSaveGrant CacheStoreController::OnSaveClaim(
+    const HostId& host,
+    const wire::CacheSaveClaim& claim) {
+  return catalog_.OnSaveClaim(host, claim, loop_.Now());
+}
+
+void CacheStoreController::OnSaveRelease(
+    const HostId& host,
+    const wire::CacheSaveRelease& release) {
+  catalog_.OnSaveRelease(host, release, loop_.Now());
+}
+
+void CacheStoreController::OnCallerPoll(const HostId& host,
+                                        const wire::FleetPoll& poll) {
+  catalog_.OnPoll(host, poll, loop_.Now());
+}
+
 }  // namespace endivecart::node
--- a/src/endivecart/node/cache_store_controller.h
+++ b/src/endivecart/node/cache_store_controller.h
@@ -20,6 +20,9 @@
                        UpstreamClient& client,
                        const VoterNodeHooks& hooks);
 
+  // To be called once, before OnCallerPoll(). `is_first_start`: of the whole
+  // fleet.
+  void Start(bool is_first_start);
   void Tick(const fleet::Decisions& decisions,
             const upstreams::UpstreamRegistry& roster,
             bool is_confirmed_leader,
@@ -28,6 +31,11 @@
   // process wasn't the confirmed leader in its current term.
   std::optional<wire::CacheUpdate> UpdateSince(
       const fleet::CachePosition& position);
+  // To be called only while this process is the confirmed leader.
+  wire::CacheSaveGrant OnSaveClaim(const HostId& host,
+                                   const wire::CacheSaveClaim& claim);
+  void OnSaveRelease(const HostId& host, const wire::CacheSaveRelease& release);
+  void OnCallerPoll(const HostId& host, const wire::FleetPoll& poll);
 
  private:
   void UpdateStores(const fleet::Decisions& decisions);
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -115,6 +115,9 @@
   gateway::SetGatewayHooks(gateway, follower_hooks);
   follower.emplace(options, std::move(follower_hooks));
   gateway.SetFollower(&*follower);
+  gateway.save_claims().SetSender([this](wire::Envelope envelope) {
+    return follower->SendToLeader(std::move(envelope));
+  });
 }
 
 Result<bool, NodeError> EntryNode::Parts::Open() {
@@ -125,8 +128,12 @@
   auto opened = fleet::FleetBus::Open(
       loop, settings.host, settings.peer_port, false,
       [this](const wire::Envelope& envelope) {
-        if (envelope.has_fleet_news())
+        if (envelope.has_fleet_news()) {
           follower->OnUpdate(HostId(envelope.from()), envelope.fleet_news());
+        } else if (envelope.has_cache_save_grant()) {
+          gateway.save_claims().OnGrant(envelope.cache_save_grant(),
+                                        gateway.cache().position().term);
+        }
       });
   if (!opened)
     return Fail(NodeError{NodeErrorCode::kTransport, opened.error().detail});
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -65,6 +65,7 @@
   void VoterTick(TimePoint now);
   void SetBusMetrics();
   void OnEnvelope(const wire::Envelope& envelope);
+  void OnSaveClaim(const HostId& from, const wire::CacheSaveClaim& claim);
   void OnCall(const net::HttpExchangePtr& exchange);
   void RunLeaderTasks();
   void EndMoves();
@@ -123,6 +124,7 @@
   OpenFeed();
   OpenVoter();
   OpenFollower();
+  caches.Start(storage->is_founder() && voter->HasEmptyLog());
   operator_service.emplace(*voter, roster, *feed,
                            [this] { return loop.Now(); });
   feed->PushDecisions(voter->decisions());
@@ -188,6 +190,10 @@
     return voter->IsConfirmedLeader() ? caches.UpdateSince(position)
                                       : std::nullopt;
   };
+  feed_hooks.on_caller_poll = [this](const HostId& host,
+                                     const wire::FleetPoll& poll) {
+    caches.OnCallerPoll(host, poll);
+  };
   feed_hooks.on_move_report = [this](const HostId& host,
                                      const wire::ServiceMoveReport& report) {
     moves.OnReport(host, report);
@@ -348,9 +354,22 @@
       follower->UpdateControlHosts({from});
   } else if (envelope.has_fleet_news()) {
     follower->OnUpdate(from, envelope.fleet_news());
+  } else if (envelope.has_cache_save_claim()) {
+    OnSaveClaim(from, envelope.cache_save_claim());
+  } else if (envelope.has_cache_save_release()) {
+    caches.OnSaveRelease(from, envelope.cache_save_release());
   }
 }
 
+void VoterNode::Parts::OnSaveClaim(const HostId& from,
+                                   const wire::CacheSaveClaim& claim) {
+  if (!voter->IsConfirmedLeader())
+    return;
+  wire::Envelope envelope;
+  *envelope.mutable_cache_save_grant() = caches.OnSaveClaim(from, claim);
+  bus->Send(from, std::move(envelope));
+}
+
 void VoterNode::Parts::OnCall(const net::HttpExchangePtr& exchange) {
   const auto call = hooks.decode_call(exchange->request());
   if (!call) {
