--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -641,6 +641,10 @@
   deadline_timer_.reset();
   ReleaseSaves();
   const double elapsed = MillisBetween(accepted_at_, gateway_.loop_.Now());
+  if (status >= 200 && status < 300) {
+    gateway_.durations_.Add(route_.name,
+                            Millis(static_cast<Millis::rep>(elapsed)));
+  }
   LogLine line("gateway.done");
   line.Add("request", request_.id.str())
       .Add("route", route_.name)
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Millis kRetryAfterStart{500};
+// Another host can serve the request at once.
+constexpr Millis kRetryAfterStop{100};
 // Capacity may also become free through updates on other hosts' load.
 constexpr Millis kAdmitInterval{40};
 constexpr Millis kReachInterval{100};
@@ -51,8 +53,25 @@
   moves_.SetDecisions(*decisions, now);
   decisions_ = decisions;
   upstreams_.SetDecisions(std::move(decisions));
-  if (routes)
-    routes_ = std::move(routes);
+  if (!routes)
+    return;
+  routes_ = std::move(routes);
+  std::set<std::string> names;
+  for (const routes::Route& route : routes_->configuration().routes)
+    names.insert(route.name);
+  durations_.KeepOnly(
+      [&names](const std::string& name) { return names.contains(name); });
+}
+
+bool Gateway::CanFinish(const routes::Route& route,
+                        const CallerRequest& request) const {
+  if (!stop_at_)
+    return true;
+  const Millis limit = std::min(
+      request.caller_timeout.value_or(route.time_limit), route.time_limit);
+  const Millis expected =
+      std::min(durations_.Longest(route.name).value_or(limit), limit);
+  return loop_.Now() + expected <= *stop_at_;
 }
 
 std::uint64_t Gateway::MinWeights(const ModelId& model) const {
@@ -146,6 +165,11 @@
       return;
     }
   }
+  if (!CanFinish(*route, *request)) {
+    Refuse(*exchange, {503, "stopping", kRetryAfterStop, request->id},
+           is_relayed);
+    return;
+  }
   const auto forwarding = std::make_shared<Forwarding>(
       *this, std::move(exchange), std::move(*request), routes_, *route,
       customer, ticket);
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "endivecart/gateway/caller_request.h"
 #include "endivecart/gateway/capacity_estimator.h"
 #include "endivecart/gateway/cold_start_limiter.h"
+#include "endivecart/gateway/duration_estimator.h"
 #include "endivecart/gateway/follower_wiring.h"
 #include "endivecart/gateway/move_tracker.h"
 #include "endivecart/gateway/prefill_rate_estimator.h"
@@ -89,6 +90,9 @@
   // Schedules another attempt to send queued requests; to be called when
   // capacity may have become free.
   void AdmitSoon();
+  // This process ends at `end`: from now on, requests that can't be expected to
+  // be answered until then are rejected.
+  void StopBy(TimePoint end) { stop_at_ = end; }
   // Sends a final answer to each request that has none yet, because the process
   // is about to exit. Streams that have begun get none.
   void AnswerAll();
@@ -113,6 +117,9 @@
   void Refuse(net::HttpExchange& exchange,
               const Refusal& refusal,
               bool is_relayed);
+  // Returns whether this process lives long enough to answer the request.
+  bool CanFinish(const routes::Route& route,
+                 const CallerRequest& request) const;
   // `tells_not_run`: whether to guarantee to a host that relayed the request
   // that it was not run.
   void RespondWithRefusal(net::HttpExchange& exchange,
@@ -152,6 +159,8 @@
   RetryLimiter retry_limiter_;
   ColdStartLimiter cold_start_limiter_;
   PrefillRateEstimator prefill_rates_;
+  DurationEstimator durations_;
+  std::optional<TimePoint> stop_at_;
   CapacityEstimator capacity_estimator_;
   std::mt19937_64 random_;
   const fleet::FleetFollower* follower_ = nullptr;
--- a/src/endivecart/gateway/send_invariants.cc
+++ b/src/endivecart/gateway/send_invariants.cc
@@ -24,9 +24,9 @@
 
 bool CheckSaves(const SendContext& context) {
   const auto& saves = context.request->save_cache_to;
-  const auto count = std::count_if(
-      saves.begin(), saves.end(),
-      [](const auto& address) { return address.has_value(); });
+  const auto count =
+      std::count_if(saves.begin(), saves.end(),
+                    [](const auto& address) { return address.has_value(); });
   return CheckInvariant(
       static_cast<std::size_t>(count) <= context.permitted_saves,
       Invariant::kCacheBlockSealed, context.request->caller->id.str());
--- a/src/endivecart/gateway/send_invariants.h
+++ b/src/endivecart/gateway/send_invariants.h
@@ -23,8 +23,8 @@
   bool is_brittle = false;             // the upstream says so
   bool has_room = false;               // by LimitMonitor
   bool is_quarantined = false;         // a part of the prompt crashes upstreams
-  bool is_trial = false;          // the one request that may be sent anyway
-  bool caller_was_there = false;  // its connection was open just now
+  bool is_trial = false;            // the one request that may be sent anyway
+  bool caller_was_there = false;    // its connection was open just now
   std::size_t permitted_saves = 0;  // parts that the leader lets it save
 };
 
--- a/src/endivecart/net/http_server.cc
+++ b/src/endivecart/net/http_server.cc
@@ -73,6 +73,7 @@
   ~Session() { data_->sessions.erase(this); }
 
   void Start() {
+    idle_since_ = data_->loop.Now();
     SetTimer(limits_.idle_timeout);
     Read();
   }
@@ -80,6 +81,7 @@
     return state_ == State::kIdle && buffer_.size() == 0 && out_.empty() &&
            writing_.empty();
   }
+  TimePoint idle_since() const { return idle_since_; }
   // Closes at once and reports the disconnect to the exchange.
   void Close();
 
@@ -106,6 +108,7 @@
   tcp::socket socket_;
   const HttpServerLimits limits_;
   State state_ = State::kIdle;
+  TimePoint idle_since_{};
   boost::beast::flat_buffer buffer_;
   bool reading_ = false;
   std::unique_ptr<RequestParser> parser_;
@@ -350,6 +353,7 @@
     return;
   }
   state_ = State::kIdle;
+  idle_since_ = data_->loop.Now();
   SetTimer(limits_.idle_timeout);
   // Posted, as the handler may respond synchronously.
   data_->loop.Post([self = shared_from_this()] {
@@ -494,10 +498,11 @@
   data_->close_after_response = true;
 }
 
-void HttpServer::CloseIdle() {
+void HttpServer::CloseIdle(Millis min_idle) {
+  const TimePoint since = data_->loop.Now() - min_idle;
   std::vector<std::shared_ptr<Session>> idle;
   for (Session* session : data_->sessions) {
-    if (session->idle())
+    if (session->idle() && session->idle_since() <= since)
       idle.push_back(session->shared_from_this());
   }
   for (const auto& session : idle)
--- a/src/endivecart/net/http_server.h
+++ b/src/endivecart/net/http_server.h
@@ -78,8 +78,10 @@
   void SetLimits(const HttpServerLimits& limits);
   // Sends "Connection: close" with every further response.
   void DisableKeepAlive();
-  // Closes the connections on which no request is in progress.
-  void CloseIdle();
+  // Closes the connections on which no request has been in progress for this
+  // long: a caller that has just got its answer may be sending its next
+  // request.
+  void CloseIdle(Millis min_idle = Millis(0));
   // Stops accepting new connections.
   void StopAccepting();
 
--- a/src/endivecart/net/net_unittest.cc
+++ b/src/endivecart/net/net_unittest.cc
@@ -229,6 +229,21 @@
   BOOST_TEST(caller.ended());
 }
 
+BOOST_FIXTURE_TEST_CASE(a_connection_that_was_just_used_is_not_closed_as_idle,
+                        EchoServer) {
+  RawCaller caller(loop, server->port());
+  caller.Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([&] { return !caller.received().empty(); });
+  RunFor(Millis(150));
+  server->CloseIdle(Millis(200));
+  RunFor(Millis(10));
+  BOOST_TEST(!caller.ended());
+  RunFor(Millis(50));
+  server->CloseIdle(Millis(200));
+  RunUntil([&] { return caller.ended(); });
+  BOOST_TEST(caller.ended());
+}
+
 BOOST_FIXTURE_TEST_CASE(responses_close_connections_once_keep_alive_is_disabled,
                         EchoServer) {
   server->DisableKeepAlive();
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -22,6 +22,8 @@
 // answered this long before the process stops. Much longer than sending the
 // answers takes.
 constexpr Millis kFinalAnswerTime{300};
+// A caller sends its next request sooner after an answer, or much later.
+constexpr Millis kMinIdleTime{200};
 constexpr std::size_t kMaxCallerConnections = 2500;
 constexpr std::size_t kMaxRelayConnections = 800;
 
@@ -75,6 +77,11 @@
   void ApplyDecisions(const fleet::DecisionsPtr& decisions);
   bool IsReady() const { return gateway.HasRoutes() && !stopping; }
   void StopTick(TimePoint now);
+  // Returns when requests that are not answered yet get a final answer.
+  TimePoint FinalAnswersAt() const {
+    return stop_started_at + settings.bounds.stop_time - kStopMargin -
+           kFinalAnswerTime;
+  }
 
   net::EventLoop& loop;
   settings::NodeSettings settings;
@@ -214,6 +221,8 @@
 void EntryNode::Parts::StopTick(TimePoint now) {
   const Millis elapsed =
       std::chrono::duration_cast<Millis>(now - stop_started_at);
+  // The settings may have changed since.
+  gateway.StopBy(FinalAnswersAt());
   if (elapsed < kBalancerDelay)
     return;
   bool done = gateway.active() == 0;
@@ -221,13 +230,12 @@
     if (server == nullptr)
       continue;
     server->StopAccepting();
-    server->CloseIdle();
+    server->CloseIdle(kMinIdleTime);
     done = done && server->connections() == 0;
   }
-  const Millis limit = settings.bounds.stop_time - kStopMargin;
-  if (!done && elapsed >= limit - kFinalAnswerTime)
+  if (!done && now >= FinalAnswersAt())
     gateway.AnswerAll();
-  if (!done && elapsed < limit)
+  if (!done && now < FinalAnswersAt() + kFinalAnswerTime)
     return;
   CheckInvariant(gateway.active() == 0, Invariant::kGracefulStop,
                  "requests were cut by a planned stop");
@@ -267,6 +275,7 @@
   parts_->stopping = true;
   parts_->stop_started_at = parts_->loop.Now();
   parts_->gateway.StopRelaying();
+  parts_->gateway.StopBy(parts_->FinalAnswersAt());
   parts_->callers->DisableKeepAlive();
   if (parts_->relay)
     parts_->relay->DisableKeepAlive();
