--- a/src/endivecart/net/http_connection.cc
+++ b/src/endivecart/net/http_connection.cc
@@ -206,7 +206,9 @@
 }
 
 void HttpConnection::Read() {
-  if (reading_ || closed_ || paused_)
+  // What follows a complete response belongs to no request.
+  const bool has_response = call_ != nullptr && response_complete_;
+  if (reading_ || closed_ || paused_ || has_response)
     return;
   reading_ = true;
   socket_.async_read_some(
@@ -258,7 +260,14 @@
       break;
     }
     if (used == 0)
-      return;
+      break;
+  }
+  if (call_ != nullptr && !response_complete_ &&
+      buffer_.size() > pool_->limits.max_response_header_bytes) {
+    // The parser waits for the end of a line, which it limits in heads only.
+    LogLine("http.unparsed_response").Add("address", address_).Warn();
+    End(CallResult::kMalformedResponse);
+    return;
   }
   FinishIfComplete();
 }
--- a/src/endivecart/net/http_server.cc
+++ b/src/endivecart/net/http_server.cc
@@ -313,9 +313,12 @@
     if (parser_->is_done()) {
       Dispatch();
     } else if (used == 0) {
-      return;  // needs more bytes
+      break;  // needs more bytes
     }
   }
+  // The parser waits for the end of a line, which it limits in heads only.
+  if (state_ == State::kBody && buffer_.size() > limits_.max_header_bytes)
+    RefuseAndClose(400);
 }
 
 void HttpServer::Session::StartRequest() {
