--- a/src/endivecart/entry/upstream_attempt.cc
+++ b/src/endivecart/entry/upstream_attempt.cc
@@ -22,6 +22,7 @@
 constexpr Millis kTokenGapTimeout{2000};
 constexpr double kFirstTokenTimeoutFactor = 4.0;  // of the predicted time
 constexpr Millis kFirstTokenMargin{2000};
+constexpr std::size_t kMaxLineBytes = 1UL << 20;
 
 std::string ImportJson(const Placement& placement) {
   std::string pieces;
@@ -85,6 +86,20 @@
   }
 }
 
+// Reads a line without its end. Returns false at the end of the stream, or if
+// the line is too long.
+bool ReadLine(std::istream& in, std::string& line) {
+  line.clear();
+  for (int c = in.get(); c != std::char_traits<char>::eof(); c = in.get()) {
+    if (c == '\n')
+      return true;
+    if (line.size() == kMaxLineBytes)
+      return false;
+    line.push_back(static_cast<char>(c));
+  }
+  return !line.empty();
+}
+
 // Reads the event stream of one attempt and checks that the events belong to
 // it.
 class StreamReader {
@@ -132,7 +147,7 @@
 AttemptResult StreamReader::Read(std::istream& in) {
   constexpr std::string_view kDataPrefix = "data: ";
   std::string line;
-  while (std::getline(in, line)) {
+  while (ReadLine(in, line)) {
     if (!line.empty() && line.back() == '\r')
       line.pop_back();
     if (!line.starts_with(kDataPrefix))
--- a/src/endivecart/http/client.cc
+++ b/src/endivecart/http/client.cc
@@ -2,21 +2,85 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
 
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <optional>
+#include <sstream>
+#include <string_view>
 #include <utility>
 
 namespace endivecart::http {
 
 namespace {
 
+namespace beast = boost::beast;
+
 constexpr std::size_t kMaxIdlePerServer = 256;
+constexpr std::size_t kReadBytes = 16UL << 10;
+constexpr std::size_t kMaxHeaderBytes = 64UL << 10;
+constexpr std::size_t kMaxReplyBytes = 16UL << 20;
 
 // Effectively unlimited: TakeIdle() checks whether a connection is stale.
 constexpr Millis kIdleLimit{3600000};
 
+// Reads one response from its bytes; holds no more of it than these limits.
+class ResponseReader {
+ public:
+  explicit ResponseReader(bool is_head) {
+    parser_.skip(is_head);
+    parser_.eager(true);
+    parser_.header_limit(kMaxHeaderBytes);
+    parser_.body_limit(kMaxReplyBytes);
+  }
+
+  // Adds received bytes; none means that the server has closed. Returns what is
+  // wrong with the response, if anything is.
+  std::optional<std::string> Add(std::string_view bytes) {
+    beast::error_code error;
+    if (bytes.empty()) {
+      if (parser_.got_some())
+        parser_.put_eof(error);
+      if (!error && parser_.is_done())
+        return std::nullopt;
+      return "response truncated";
+    }
+    unparsed_ += bytes;
+    while (!unparsed_.empty() && !parser_.is_done()) {
+      const std::size_t used =
+          parser_.put(boost::asio::buffer(unparsed_), error);
+      unparsed_.erase(0, used);
+      if (error && error != beast::http::error::need_more)
+        return "malformed response: " + error.message();
+      if (used == 0)
+        break;
+    }
+    if (!parser_.is_done() && unparsed_.size() > kMaxHeaderBytes)
+      return "malformed response: line too long";
+    return std::nullopt;
+  }
+  bool is_done() const { return parser_.is_done(); }
+  CallReply TakeReply() {
+    CallReply reply;
+    auto message = parser_.release();
+    reply.status = message.result_int();
+    reply.content_type = std::string(message[beast::http::field::content_type]);
+    for (const auto& field : message)
+      reply.headers[std::string(field.name_string())] =
+          std::string(field.value());
+    reply.body = std::move(message.body());
+    return reply;
+  }
+
+ private:
+  beast::http::response_parser<beast::http::string_body> parser_;
+  std::string unparsed_;
+};
+
 Result<std::unique_ptr<ClientSession>, HttpError> Connect(
     const Url& url,
     Millis connect_timeout) {
@@ -35,31 +99,43 @@
   }
 }
 
-Result<CallReply, HttpError> SendAndReceive(ClientSession& session,
+// Sends the request and reads the response with a parser that tells a complete
+// response from a cut one, which Poco's doesn't.
+Result<CallReply, HttpError> SendAndReceive(Poco::Net::StreamSocket& socket,
                                             const CallRequest& request,
                                             const std::string& path) {
   Poco::Net::HTTPRequest message(request.method, path,
                                  Poco::Net::HTTPMessage::HTTP_1_1);
   for (const auto& [name, value] : request.headers)
     message.set(name, value);
+  message.setHost(socket.peerAddress().toString());
   message.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+  std::ostringstream text;
+  message.write(text);
+  text << request.body;
+  ResponseReader reader(request.method == "HEAD");
+  const auto deadline = std::chrono::steady_clock::now() + request.timeout;
   try {
-    session.sendRequest(message) << request.body << std::flush;
-    Poco::Net::HTTPResponse response;
-    std::istream& in = session.receiveResponse(response);
-    CallReply reply;
-    reply.status = response.getStatus();
-    reply.content_type = response.getContentType();
-    for (const auto& [name, value] : response)
-      reply.headers[name] = value;
-    Poco::StreamCopier::copyToString(in, reply.body);
-    const auto length = response.getContentLength64();
-    if (length >= 0 && static_cast<std::int64_t>(reply.body.size()) != length)
-      return Fail(HttpError{HttpErrorCode::kMaybeSent, "response truncated"});
-    return reply;
+    const std::string bytes = text.str();
+    for (std::size_t sent = 0; sent < bytes.size();) {
+      sent += static_cast<std::size_t>(socket.sendBytes(
+          bytes.data() + sent, static_cast<int>(bytes.size() - sent)));
+    }
+    std::array<char, kReadBytes> buffer;
+    while (!reader.is_done()) {
+      if (std::chrono::steady_clock::now() > deadline)
+        return Fail(HttpError{HttpErrorCode::kMaybeSent, "response too slow"});
+      const int received =
+          socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+      if (const auto error =
+              reader.Add({buffer.data(), static_cast<std::size_t>(received)})) {
+        return Fail(HttpError{HttpErrorCode::kMaybeSent, *error});
+      }
+    }
   } catch (const Poco::Exception& e) {
     return Fail(HttpError{HttpErrorCode::kMaybeSent, e.displayText()});
   }
+  return reader.TakeReply();
 }
 
 }  // namespace
@@ -123,7 +199,7 @@
     return Fail(session.error());
   (*session)->socket().setReceiveTimeout(ToTimespan(request.timeout));
   (*session)->socket().setSendTimeout(ToTimespan(request.timeout));
-  return SendAndReceive(**session, request, url->path);
+  return SendAndReceive((*session)->socket(), request, url->path);
 }
 
 }  // namespace endivecart::http
--- a/src/endivecart/http/client.h
+++ b/src/endivecart/http/client.h
@@ -56,7 +56,7 @@
   std::string body;
   Headers headers;
   Millis connect_timeout{1000};
-  Millis timeout{5000};  // between bytes of the response
+  Millis timeout{5000};  // between bytes of the response, and for all of it
 
   bool operator==(const CallRequest&) const = default;
 };
