A SIGHUP while a process starts doesn't end it (FAULT)

Cause: until the handler was installed, SIGHUP had its default effect. A reload that meets a restart ends the process that is just starting.

Change: the signal is ignored from the start, and the settings are read again when the handler is there.

Before: command_line_test, a starting entry and control ended with status 129 (2 failed). After: 29 passed.

Conclusion: one way to such an end is closed; whether it is the users' is not known.

--- a/daemons/fleet_programs.cc
+++ b/daemons/fleet_programs.cc
@@ -25,10 +25,13 @@
 // Starts a node, installs its signal handlers and runs it until it stops.
 template <class Node, class Hooks>
 int RunNode(const std::string& settings_file, Hooks hooks) {
+  // Until its handler is installed: by default the signal ends the process.
+  // The settings are read after this, so that no change is missed.
+  std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);
   auto settings = settings::LoadNodeSettings(settings_file);
   if (!settings)
     return Fail(settings::JoinErrors(settings.error()), kUsageError);
-  std::signal(SIGPIPE, SIG_IGN);
   SetUpLogging(settings->log);
   net::EventLoop loop;
   auto node = Node::Start(loop, *settings, std::move(hooks));
@@ -53,6 +56,7 @@
     LogLine("node.reload_asked").Info();
     reload();
   });
+  reload();  // a signal may have been ignored until now
   // The file may change without a signal, so it is polled too.
   const auto watch =
       loop.Every(kSettingsInterval, [&reload](TimePoint) { reload(); });
