Answers to control hosts are limited (Fault)

Cause: UpstreamClient kept all bytes until its time limit of 1.5 s.

Change: an answer of more than 8 MB ends the call, with a log line.

--- a/src/endivecart/http/client.cc
+++ b/src/endivecart/http/client.cc
@@ -67,7 +67,7 @@
   CallReply TakeReply() {
     CallReply reply;
     auto message = parser_.release();
-    reply.status = message.result_int();
+    reply.status = static_cast<int>(message.result_int());
     reply.content_type = std::string(message[beast::http::field::content_type]);
     for (const auto& field : message)
       reply.headers[std::string(field.name_string())] =
--- a/src/endivecart/net/unbounded_input_unittest.cc
+++ b/src/endivecart/net/unbounded_input_unittest.cc
@@ -146,7 +146,7 @@
   bool was_handled = false;
   const auto server = std::move(
       *HttpServer::Listen(loop, tests::AnyPort(), HttpServerLimits(),
-                          [&](HttpExchangePtr) { was_handled = true; }));
+                          [&](const HttpExchangePtr&) { was_handled = true; }));
   RawCaller caller(loop, server->port());
   caller.Write(start);
   std::size_t sent = 0;
--- a/src/endivecart/node/upstream_client.cc
+++ b/src/endivecart/node/upstream_client.cc
@@ -1,5 +1,6 @@
 #include "endivecart/node/upstream_client.h"
 
+#include <string_view>
 #include <utility>
 
 namespace endivecart::node {
@@ -8,6 +9,8 @@
 
 // Longer than a store may delay an answer.
 constexpr Millis kCallTimeout{1500};
+// Far more than the list of a full store.
+constexpr std::size_t kMaxAnswerBytes = 8UL << 20;
 
 }  // namespace
 
@@ -25,15 +28,25 @@
     done(complete ? ended.status : 0, ended.body);
   };
   pending.timeout = loop_.After(kCallTimeout, [end](TimePoint) { end(false); });
-  pending.call = client_.Start(
-      address, request, net::CallOptions(),
-      {[this, id](const net::HttpResponseHead& head) {
-         pending_.at(id).status = head.status;
-       },
-       [this, id](std::string_view bytes) { pending_.at(id).body += bytes; },
-       [end](net::CallResult result) {
-         end(result == net::CallResult::kComplete);
-       }});
+  pending.call =
+      client_.Start(address, request, net::CallOptions(),
+                    {[this, id](const net::HttpResponseHead& head) {
+                       pending_.at(id).status = head.status;
+                     },
+                     [this, id, end, address](std::string_view bytes) {
+                       std::string& body = pending_.at(id).body;
+                       if (body.size() + bytes.size() <= kMaxAnswerBytes) {
+                         body += bytes;
+                         return;
+                       }
+                       LogLine("node.answer_too_large")
+                           .Add("address", address.ToString())
+                           .Warn();
+                       end(false);
+                     },
+                     [end](net::CallResult result) {
+                       end(result == net::CallResult::kComplete);
+                     }});
 }
 
 }  // namespace endivecart::node
