--- a/src/endivecart/fleet/cache_save_ledger.cc
+++ b/src/endivecart/fleet/cache_save_ledger.cc
@@ -14,7 +14,7 @@
     return;
   // A process that has just started may not know all hosts.
   may_end_wait_early_ =
-      watching_since_ &&
+      watching_since_ && request_limit_ > Millis(0) &&
       (is_first_start_ || now - *watching_since_ >= HostRetention());
   for (const auto& [host, polled_at] : hosts_)
     unreported_.insert(host);
@@ -37,7 +37,7 @@
 
 void CacheSaveLedger::UpdateWait(TimePoint now) {
   std::erase_if(hosts_, [&](const auto& entry) {
-    if (now - entry.second <= HostRetention())
+    if (request_limit_ == Millis(0) || now - entry.second <= HostRetention())
       return false;
     unreported_.erase(entry.first);
     return true;
--- a/src/endivecart/fleet/cache_save_ledger_unittest.cc
+++ b/src/endivecart/fleet/cache_save_ledger_unittest.cc
@@ -154,6 +154,24 @@
   BOOST_TEST(!Grant(Millis(1100), first));
 }
 
+// Guards against MIXED: a process that didn't know the request limit forgot a
+// host that had been killed seconds before.
+BOOST_AUTO_TEST_CASE(no_host_is_forgotten_before_the_request_limit_is_known) {
+  const CacheSaveLedger::HostRun killed{HostId("a"), 1};
+  const CacheSaveLedger::HostRun alive{HostId("b"), 1};
+  CacheSaveLedger ledger;
+  ledger.StartWatching(true, At(Millis(-60000)));
+  ledger.OnPoll(killed, nullptr, At(Millis(-9000)));
+  ledger.OnPoll(alive, nullptr, At(Millis(-100)));
+  ledger.SetRequestLimit(kLifetime);
+  ledger.OnLeadershipGained(true, At(Millis(0)));
+  const std::vector<CacheSaveLedger::Outstanding> none;
+  ledger.OnPoll(alive, &none, At(Millis(100)));
+  ledger.OnListed(1, At(Millis(200)), NeverIncomplete);
+  BOOST_CHECK(ledger.Grant({7, 1}, {HostId("b"), 1}, kLifetime,
+                           At(Millis(300))) == Ruling::kDenied);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_leader_that_has_just_started_knows_too_few_hosts,
                         Successor) {
   const auto is_granted_after_start = [this](bool is_first_start) {
--- a/src/endivecart/node/cache_store_controller.cc
+++ b/src/endivecart/node/cache_store_controller.cc
@@ -42,6 +42,10 @@
                                 bool is_confirmed_leader,
                                 std::uint64_t term) {
   const TimePoint now = loop_.Now();
+  // Also while another process leads: the request limit decides for how long
+  // hosts are remembered.
+  if (routing_version_ != decisions.routing_version)
+    UpdateStores(decisions);
   if (!is_confirmed_leader) {
     // If confirmation is regained within the same term, no other process was
     // leader in between.
@@ -55,8 +59,6 @@
     catalog_.OnLeadershipGained(term, now, decisions.routing_version != 0);
     retire_due_ = now + kRetireInterval;
   }
-  if (routing_version_ != decisions.routing_version)
-    UpdateStores(decisions);
   for (const fleet::CacheRead& read : catalog_.NextReads(now))
     ReadStore(read);
   if (now >= retire_due_) {
