Data folder: the system calls that a disk may refuse are hooks

Tests couldn't refuse space at sync, rename, truncation or the folder's sync: the fake disk refuses a write as a whole. The tests' temporary folder moves to tests/support.

--- a/src/endivecart/control/data_folder.cc
+++ b/src/endivecart/control/data_folder.cc
@@ -76,18 +76,6 @@
   return true;
 }
 
-bool WriteAll(int file, std::string_view data) {
-  while (!data.empty()) {
-    const ssize_t written = ::write(file, data.data(), data.size());
-    if (written < 0 && errno == EINTR)
-      continue;
-    if (written <= 0)
-      return false;
-    data.remove_prefix(static_cast<std::size_t>(written));
-  }
-  return true;
-}
-
 }  // namespace
 
 void ApplyRecord(const wire::DurableRecord& record, RaftDurableState& state) {
@@ -111,15 +99,18 @@
     ::close(log_fd_);
 }
 
-Result<std::unique_ptr<DataFolder>, StorageError>
-DataFolder::Open(const std::string& path, const HostId& host, bool as_founder) {
+Result<std::unique_ptr<DataFolder>, StorageError> DataFolder::Open(
+    const std::string& path,
+    const HostId& host,
+    bool as_founder,
+    FileCalls calls) {
   std::error_code error;
   fs::create_directories(path, error);
   if (error) {
     return Fail(
         StorageError{StorageErrorCode::kIo, path + ": " + error.message()});
   }
-  std::unique_ptr<DataFolder> folder(new DataFolder(path));
+  std::unique_ptr<DataFolder> folder(new DataFolder(path, std::move(calls)));
   if (auto ok = folder->LoadIdentity(host, as_founder); !ok)
     return Fail(ok.error());
   if (auto ok = folder->LoadLog(); !ok)
@@ -264,8 +255,8 @@
   if (log_fd_ < 0)
     return SystemError("cannot open " + file);
   // Truncates a torn tail, so that new records follow the valid ones.
-  if (::ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
-      ::lseek(log_fd_, 0, SEEK_END) < 0 || ::fdatasync(log_fd_) != 0) {
+  if (calls_.truncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
+      ::lseek(log_fd_, 0, SEEK_END) < 0 || calls_.sync_data(log_fd_) != 0) {
     return SystemError("cannot prepare " + file);
   }
   return true;
@@ -275,7 +266,7 @@
   const int folder = ::open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (folder < 0)
     return SystemError("cannot open " + path_);
-  const bool synced = ::fsync(folder) == 0;
+  const bool synced = calls_.sync_folder(folder) == 0;
   const int error = errno;
   ::close(folder);
   errno = error;
@@ -284,6 +275,18 @@
   return true;
 }
 
+bool DataFolder::WriteAll(int file, std::string_view data) const {
+  while (!data.empty()) {
+    const ssize_t written = calls_.write(file, data.data(), data.size());
+    if (written < 0 && errno == EINTR)
+      continue;
+    if (written <= 0)
+      return false;
+    data.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
 Result<bool, StorageError> DataFolder::WriteFileAtomically(
     const std::string& name,
     const std::string& content) const {
@@ -293,7 +296,7 @@
                          O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
   if (out < 0)
     return SystemError("cannot create " + temporary);
-  const bool written = WriteAll(out, content) && ::fsync(out) == 0;
+  const bool written = WriteAll(out, content) && calls_.sync_file(out) == 0;
   const int error = errno;
   ::close(out);
   errno = error;
@@ -302,30 +305,36 @@
     ::unlink(temporary.c_str());
     return failure;
   }
-  if (::rename(temporary.c_str(), file.c_str()) != 0)
+  if (calls_.rename(temporary.c_str(), file.c_str()) != 0)
     return SystemError("cannot rename " + temporary);
   return SyncFolder();
 }
 
-Result<bool, StorageError> DataFolder::Append(
-    const std::vector<wire::DurableRecord>& records) {
-  if (failed_) {
+Result<bool, StorageError> DataFolder::PrepareLog() {
+  if (log_state_ == LogState::kUnknown) {
     return Fail(StorageError{StorageErrorCode::kIo,
                              "an earlier sync of the log failed"});
   }
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::Append(
+    const std::vector<wire::DurableRecord>& records) {
+  if (auto ok = PrepareLog(); !ok)
+    return ok;
   const std::string frame = EncodeFrame(EncodeRecords(records));
   if (!WriteAll(log_fd_, frame)) {
     auto failure = SystemError("cannot write the log");
     // No part of a record that did not fit may remain.
-    if (::ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
+    if (calls_.truncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
         ::lseek(log_fd_, 0, SEEK_END) < 0) {
-      failed_ = true;
+      log_state_ = LogState::kUnknown;
     }
     return failure;
   }
-  if (::fdatasync(log_fd_) != 0) {
+  if (calls_.sync_data(log_fd_) != 0) {
     // After a failed sync, the content of the disk is unknown.
-    failed_ = true;
+    log_state_ = LogState::kUnknown;
     return SystemError("cannot sync the log");
   }
   log_bytes_ += frame.size();
@@ -349,10 +358,10 @@
     return ok;
   log_bytes_ = content.size();
   if (auto ok = OpenLog(number); !ok) {
-    failed_ = true;
+    log_state_ = LogState::kUnknown;
     return ok;
   }
-  failed_ = false;
+  log_state_ = LogState::kReady;
   RemoveOlderLogs();
   return true;
 }
--- a/src/endivecart/control/data_folder.h
+++ b/src/endivecart/control/data_folder.h
@@ -4,7 +4,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
+#include "endivecart/control/file_calls.h"
 #include "endivecart/control/storage.h"
 
 namespace endivecart::control {
@@ -20,8 +22,11 @@
  public:
   // Opens the folder. If it is missing or empty, creates it, with the founder
   // identity if `as_founder` and a random one otherwise.
-  static Result<std::unique_ptr<DataFolder>, StorageError>
-  Open(const std::string& path, const HostId& host, bool as_founder);
+  static Result<std::unique_ptr<DataFolder>, StorageError> Open(
+      const std::string& path,
+      const HostId& host,
+      bool as_founder,
+      FileCalls calls = {});
   ~DataFolder() override;
   DataFolder(const DataFolder&) = delete;
   DataFolder& operator=(const DataFolder&) = delete;
@@ -45,7 +50,15 @@
       const std::vector<wire::LogEntry>& entries) override;
 
  private:
-  explicit DataFolder(std::string path) : path_(std::move(path)) {}
+  enum class LogState {
+    kReady,
+    kNotOpened,  // the newest log file has its name, but may lose it yet
+    kTornTail,   // a refused record may follow the valid ones
+    kUnknown,    // after a failed sync, nothing is written
+  };
+
+  DataFolder(std::string path, FileCalls calls)
+      : path_(std::move(path)), calls_(std::move(calls)) {}
 
   Result<bool, StorageError> LoadIdentity(const HostId& host, bool as_founder);
   Result<bool, StorageError> LoadLog();
@@ -55,17 +68,21 @@
       const std::string& name,
       const std::string& content) const;
   Result<bool, StorageError> OpenLog(std::uint64_t number);
+  // Makes the log ready for the next record.
+  Result<bool, StorageError> PrepareLog();
+  bool WriteAll(int file, std::string_view data) const;
   std::string LogName(std::uint64_t number) const;
   void RemoveOlderLogs() const;
 
-  std::string path_;
+  const std::string path_;
+  const FileCalls calls_;
   MemberId member_;
   bool is_founder_ = false;
   RaftDurableState loaded_;
   std::uint64_t log_number_ = 0;
   int log_fd_ = -1;  // -1 if not open
   std::uint64_t log_bytes_ = 0;
-  bool failed_ = false;  // after a failed sync, nothing is written
+  LogState log_state_ = LogState::kReady;
 };
 
 }  // namespace endivecart::control
--- a/src/endivecart/control/data_folder_unittest.cc
+++ b/src/endivecart/control/data_folder_unittest.cc
@@ -5,6 +5,7 @@
 
 #include "endivecart/control/control.h"
 #include "endivecart/control/frame.h"
+#include "support/temporary_folder.h"
 
 namespace endivecart::control {
 namespace {
@@ -13,23 +14,6 @@
 
 const HostId kHost("a1");
 
-// A folder that is removed at the end of the test.
-class TemporaryFolder {
- public:
-  TemporaryFolder()
-      : path_(fs::temp_directory_path() /
-              ("endivecart-test-" + std::to_string(counter_++) + "-" +
-               std::to_string(std::chrono::steady_clock::now()
-                                  .time_since_epoch()
-                                  .count()))) {}
-  ~TemporaryFolder() { fs::remove_all(path_); }
-  std::string str() const { return path_; }
-
- private:
-  static inline int counter_ = 0;
-  fs::path path_;
-};
-
 wire::DurableRecord EntryRecord(std::uint64_t index) {
   wire::DurableRecord record;
   record.mutable_entry()->set_index(index);
