Data folder: no record is appended to a log that a restart doesn't read

Callers: an acknowledged change could be lost by a voter that restarted after its disk had been full, and that voter could not follow the same leader any more. Cause: the new log file had its final name when the sync of the folder was refused. Change: once renamed, the new file is the only one in use. The folder's sync and the opening of the file are repeated by the next record, which waits for both. The folder is also synced at start, before older files are removed.

--- a/src/endivecart/control/data_folder.cc
+++ b/src/endivecart/control/data_folder.cc
@@ -200,10 +200,9 @@
   }
   if (auto ok = ReadLogFile(newest); !ok)
     return ok;
-  if (auto ok = OpenLog(newest); !ok)
-    return ok;
-  RemoveOlderLogs();
-  return true;
+  log_number_ = newest;
+  log_state_ = LogState::kNotOpened;
+  return PrepareLog();
 }
 
 Result<bool, StorageError> DataFolder::ReadLogFile(std::uint64_t number) {
@@ -249,7 +248,6 @@
 Result<bool, StorageError> DataFolder::OpenLog(std::uint64_t number) {
   if (log_fd_ >= 0)
     ::close(log_fd_);
-  log_number_ = number;
   const std::string file = path_ + "/" + LogName(number);
   log_fd_ = ::open(file.c_str(), O_WRONLY | O_CLOEXEC);
   if (log_fd_ < 0)
@@ -287,7 +285,7 @@
   return true;
 }
 
-Result<bool, StorageError> DataFolder::WriteFileAtomically(
+Result<bool, StorageError> DataFolder::ReplaceFile(
     const std::string& name,
     const std::string& content) const {
   const std::string file = path_ + "/" + name;
@@ -307,6 +305,14 @@
   }
   if (calls_.rename(temporary.c_str(), file.c_str()) != 0)
     return SystemError("cannot rename " + temporary);
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::WriteFileAtomically(
+    const std::string& name,
+    const std::string& content) const {
+  if (auto ok = ReplaceFile(name, content); !ok)
+    return ok;
   return SyncFolder();
 }
 
@@ -315,6 +321,14 @@
     return Fail(StorageError{StorageErrorCode::kIo,
                              "an earlier sync of the log failed"});
   }
+  if (log_state_ == LogState::kNotOpened) {
+    if (auto ok = SyncFolder(); !ok)
+      return ok;
+    if (auto ok = OpenLog(log_number_); !ok)
+      return ok;
+    log_state_ = LogState::kReady;
+    RemoveOlderLogs();
+  }
   return true;
 }
 
@@ -354,16 +368,14 @@
   if (!records.empty())
     content += EncodeFrame(EncodeRecords(records));
   const std::uint64_t number = log_number_ + 1;
-  if (auto ok = WriteFileAtomically(LogName(number), content); !ok)
+  if (auto ok = ReplaceFile(LogName(number), content); !ok)
     return ok;
+  // A restart may read the new file from now on, so no record may be appended
+  // to the older one, even if the next steps fail.
+  log_number_ = number;
   log_bytes_ = content.size();
-  if (auto ok = OpenLog(number); !ok) {
-    log_state_ = LogState::kUnknown;
-    return ok;
-  }
-  log_state_ = LogState::kReady;
-  RemoveOlderLogs();
-  return true;
+  log_state_ = LogState::kNotOpened;
+  return PrepareLog();
 }
 
 void DataFolder::RemoveOlderLogs() const {
--- a/src/endivecart/control/data_folder.h
+++ b/src/endivecart/control/data_folder.h
@@ -64,6 +64,9 @@
   Result<bool, StorageError> LoadLog();
   Result<bool, StorageError> ReadLogFile(std::uint64_t number);
   Result<bool, StorageError> SyncFolder() const;
+  // Writes and syncs a new file and renames it to `name`.
+  Result<bool, StorageError> ReplaceFile(const std::string& name,
+                                         const std::string& content) const;
   Result<bool, StorageError> WriteFileAtomically(
       const std::string& name,
       const std::string& content) const;
--- a/src/endivecart/control/data_folder_unittest.cc
+++ b/src/endivecart/control/data_folder_unittest.cc
@@ -1,5 +1,6 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
-
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
 
@@ -42,6 +43,47 @@
     BOOST_REQUIRE(data->Append({EntryRecord(i)}).has_value());
 }
 
+// A disk that can be full at single steps of a write.
+struct FullDisk {
+  FileCalls Calls() {
+    FileCalls calls;
+    calls.write = [this](int file, const void* data, std::size_t size) {
+      if (!write)
+        return ::write(file, data, size);
+      // What fits is written.
+      if (size > 1)
+        return ::write(file, data, size / 2);
+      errno = ENOSPC;
+      return ssize_t{-1};
+    };
+    const auto refuse_if = [](const bool& full, auto call) {
+      return [&full, call](auto... args) {
+        errno = ENOSPC;
+        return full ? -1 : call(args...);
+      };
+    };
+    calls.sync_data = refuse_if(sync, ::fdatasync);
+    calls.sync_file = refuse_if(sync, ::fsync);
+    calls.sync_folder = refuse_if(sync_folder, ::fsync);
+    calls.truncate = refuse_if(truncate, ::ftruncate);
+    calls.rename = refuse_if(rename, std::rename);
+    return calls;
+  }
+
+  bool write = false;
+  bool sync = false;
+  bool sync_folder = false;
+  bool truncate = false;
+  bool rename = false;
+};
+
+std::unique_ptr<DataFolder> OpenFolder(const TemporaryFolder& folder,
+                                       FullDisk& disk) {
+  auto opened = DataFolder::Open(folder.str(), kHost, true, disk.Calls());
+  BOOST_REQUIRE(opened.has_value());
+  return std::move(*opened);
+}
+
 BOOST_AUTO_TEST_SUITE(data_folder, *boost::unit_test::label("control"))
 
 BOOST_AUTO_TEST_CASE(appended_entries_survive_a_restart) {
@@ -143,6 +185,26 @@
   BOOST_TEST(!OpenFolder(folder)->LoadFile("state").has_value());
 }
 
+// Guards against appending to a log file that a restart doesn't read.
+BOOST_AUTO_TEST_CASE(
+    entries_appended_after_a_refused_sync_of_the_folder_survive_a_restart) {
+  const TemporaryFolder folder;
+  FullDisk disk;
+  {
+    const auto data = OpenFolder(folder, disk);
+    BOOST_REQUIRE(data->Append({EntryRecord(1)}).has_value());
+    wire::DurableSnapshot snapshot;
+    disk.sync_folder = true;
+    const auto saved =
+        data->SaveSnapshot(snapshot, {}, {EntryRecord(1).entry()});
+    BOOST_REQUIRE(!saved.has_value());
+    BOOST_TEST((saved.error().code == StorageErrorCode::kFull));
+    disk.sync_folder = false;
+    BOOST_REQUIRE(data->Append({EntryRecord(2)}).has_value());
+  }
+  BOOST_TEST(OpenFolder(folder)->loaded().entries.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
