Data folder: a log is used again once its disk has room

Callers: changes waited for a new leader longer than needed, as voters ended. Cause: when space was refused at sync, or a partial record could not be truncated, the log stayed unusable. The next attempt, 200 ms later, reported an I/O error, and the process ended. Change: with ENOSPC or EDQUOT the file is truncated to its synced records before the next record. After any other failed sync the content remains unknown, and the process ends. Ruled out: voters that stay stuck with a disk that refuses writes.

--- a/src/endivecart/control/data_folder.cc
+++ b/src/endivecart/control/data_folder.cc
@@ -329,6 +329,13 @@
     log_state_ = LogState::kReady;
     RemoveOlderLogs();
   }
+  if (log_state_ == LogState::kTornTail) {
+    if (calls_.truncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
+        ::lseek(log_fd_, 0, SEEK_END) < 0) {
+      return SystemError("cannot truncate the log");
+    }
+    log_state_ = LogState::kReady;
+  }
   return true;
 }
 
@@ -338,18 +345,23 @@
     return ok;
   const std::string frame = EncodeFrame(EncodeRecords(records));
   if (!WriteAll(log_fd_, frame)) {
-    auto failure = SystemError("cannot write the log");
-    // No part of a record that did not fit may remain.
-    if (calls_.truncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
-        ::lseek(log_fd_, 0, SEEK_END) < 0) {
-      log_state_ = LogState::kUnknown;
+    Result<bool, StorageError> failure = SystemError("cannot write the log");
+    log_state_ = LogState::kTornTail;
+    if (auto ok = PrepareLog(); !ok) {
+      LogLine("control.log_not_truncated")
+          .Add("detail", ok.error().detail)
+          .Warn();
     }
     return failure;
   }
   if (calls_.sync_data(log_fd_) != 0) {
-    // After a failed sync, the content of the disk is unknown.
-    log_state_ = LogState::kUnknown;
-    return SystemError("cannot sync the log");
+    Result<bool, StorageError> failure = SystemError("cannot sync the log");
+    // Without space for the new records, the synced ones are intact. After any
+    // other error, the content of the disk is unknown.
+    log_state_ = failure.error().code == StorageErrorCode::kFull
+                     ? LogState::kTornTail
+                     : LogState::kUnknown;
+    return failure;
   }
   log_bytes_ += frame.size();
   return true;
--- a/src/endivecart/control/data_folder_unittest.cc
+++ b/src/endivecart/control/data_folder_unittest.cc
@@ -205,6 +205,45 @@
   BOOST_TEST(OpenFolder(folder)->loaded().entries.size() == 2U);
 }
 
+// Guards against a log that stays unusable after its disk was full.
+BOOST_AUTO_TEST_CASE(a_log_that_was_refused_at_sync_is_used_again) {
+  const TemporaryFolder folder;
+  FullDisk disk;
+  {
+    const auto data = OpenFolder(folder, disk);
+    BOOST_REQUIRE(data->Append({EntryRecord(1)}).has_value());
+    disk.sync = true;
+    for (int i = 0; i < 3; ++i) {
+      const auto refused = data->Append({EntryRecord(2)});
+      BOOST_REQUIRE(!refused.has_value());
+      BOOST_TEST((refused.error().code == StorageErrorCode::kFull));
+    }
+    disk.sync = false;
+    BOOST_REQUIRE(data->Append({EntryRecord(2)}).has_value());
+  }
+  BOOST_TEST(OpenFolder(folder)->loaded().entries.size() == 2U);
+}
+
+// Guards against a log that stays unusable after its disk was full.
+BOOST_AUTO_TEST_CASE(a_record_written_in_part_is_removed_once_there_is_room) {
+  const TemporaryFolder folder;
+  FullDisk disk;
+  {
+    const auto data = OpenFolder(folder, disk);
+    BOOST_REQUIRE(data->Append({EntryRecord(1)}).has_value());
+    disk.write = true;
+    disk.truncate = true;
+    for (int i = 0; i < 3; ++i) {
+      const auto refused = data->Append({EntryRecord(2)});
+      BOOST_REQUIRE(!refused.has_value());
+      BOOST_TEST((refused.error().code == StorageErrorCode::kFull));
+    }
+    disk = {};
+    BOOST_REQUIRE(data->Append({EntryRecord(2)}).has_value());
+  }
+  BOOST_TEST(OpenFolder(folder)->loaded().entries.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
