Data folder: a voter starts while its disk is full

Callers: none seen; a voter restarted on a full disk stayed away until there was room. Cause: opening the folder truncates and syncs the log, and a refusal ended the process. Change: for ENOSPC and EDQUOT the first record repeats these steps; until then nothing is written, so nothing is promised. Before: data_folder/a_folder_opens_while_its_disk_is_full fails, as the folder doesn't open. After: it passes.

--- a/src/endivecart/control/data_folder.cc
+++ b/src/endivecart/control/data_folder.cc
@@ -202,7 +202,13 @@
     return ok;
   log_number_ = newest;
   log_state_ = LogState::kNotOpened;
-  return PrepareLog();
+  if (auto ok = PrepareLog(); !ok) {
+    if (ok.error().code != StorageErrorCode::kFull)
+      return ok;
+    // The next record tries again.
+    LogLine("control.log_not_ready").Add("detail", ok.error().detail).Warn();
+  }
+  return true;
 }
 
 Result<bool, StorageError> DataFolder::ReadLogFile(std::uint64_t number) {
--- a/src/endivecart/control/data_folder_unittest.cc
+++ b/src/endivecart/control/data_folder_unittest.cc
@@ -244,6 +244,22 @@
   BOOST_TEST(OpenFolder(folder)->loaded().entries.size() == 2U);
 }
 
+// Guards against a voter that can't start until its disk has room.
+BOOST_AUTO_TEST_CASE(a_folder_opens_while_its_disk_is_full) {
+  const TemporaryFolder folder;
+  WriteEntries(folder, 2);
+  fs::resize_file(LogFile(folder), fs::file_size(LogFile(folder)) - 5);
+  FullDisk disk{true, true, true, true, true};
+  {
+    const auto data = OpenFolder(folder, disk);
+    BOOST_TEST(data->loaded().entries.size() == 1U);
+    BOOST_TEST(!data->Append({EntryRecord(2)}).has_value());
+    disk = {};
+    BOOST_REQUIRE(data->Append({EntryRecord(2)}).has_value());
+  }
+  BOOST_TEST(OpenFolder(folder)->loaded().entries.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
