Data folder: temporary files don't keep a disk full

Cause: a file was left behind when its rename was refused, and those of a crash (other than of the log) stayed until the same file was written again. Before: data_folder/no_temporary_file_outlives_a_refusal_or_a_restart counts 2 files after the refusals, and 1 after a restart.

--- a/src/endivecart/control/data_folder.cc
+++ b/src/endivecart/control/data_folder.cc
@@ -45,6 +45,15 @@
   return out.str();
 }
 
+// Removes what a crash left of files that were not complete.
+void RemoveTemporaryFiles(const std::string& folder) {
+  std::error_code ignored;
+  for (const auto& entry : fs::directory_iterator(folder)) {
+    if (entry.path().extension() == kTemporarySuffix)
+      fs::remove(entry.path(), ignored);
+  }
+}
+
 // Returns the records as the payload of one frame.
 std::string EncodeRecords(const std::vector<wire::DurableRecord>& records) {
   std::string payload;
@@ -113,6 +122,7 @@
   std::unique_ptr<DataFolder> folder(new DataFolder(path, std::move(calls)));
   if (auto ok = folder->LoadIdentity(host, as_founder); !ok)
     return Fail(ok.error());
+  RemoveTemporaryFiles(path);
   if (auto ok = folder->LoadLog(); !ok)
     return Fail(ok.error());
   return folder;
@@ -309,8 +319,11 @@
     ::unlink(temporary.c_str());
     return failure;
   }
-  if (calls_.rename(temporary.c_str(), file.c_str()) != 0)
-    return SystemError("cannot rename " + temporary);
+  if (calls_.rename(temporary.c_str(), file.c_str()) != 0) {
+    auto failure = SystemError("cannot rename " + temporary);
+    ::unlink(temporary.c_str());
+    return failure;
+  }
   return true;
 }
 
--- a/src/endivecart/control/data_folder_unittest.cc
+++ b/src/endivecart/control/data_folder_unittest.cc
@@ -84,6 +84,13 @@
   return std::move(*opened);
 }
 
+int TemporaryFiles(const TemporaryFolder& folder) {
+  const fs::directory_iterator files(folder.str());
+  return static_cast<int>(std::count_if(
+      begin(files), end(files),
+      [](const auto& entry) { return entry.path().extension() == ".new"; }));
+}
+
 BOOST_AUTO_TEST_SUITE(data_folder, *boost::unit_test::label("control"))
 
 BOOST_AUTO_TEST_CASE(appended_entries_survive_a_restart) {
@@ -260,6 +267,20 @@
   BOOST_TEST(OpenFolder(folder)->loaded().entries.size() == 2U);
 }
 
+// Guards against temporary files that keep a disk full.
+BOOST_AUTO_TEST_CASE(no_temporary_file_outlives_a_refusal_or_a_restart) {
+  const TemporaryFolder folder;
+  FullDisk disk;
+  const auto data = OpenFolder(folder, disk);
+  disk.rename = true;
+  BOOST_TEST(!data->SaveFile("state", "one").has_value());
+  BOOST_TEST(!data->SaveSnapshot({}, {}, {}).has_value());
+  BOOST_TEST(TemporaryFiles(folder) == 0);
+  std::ofstream(folder.str() + "/state.new") << "left by a crash";
+  OpenFolder(folder);
+  BOOST_TEST(TemporaryFiles(folder) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
