--- a/src/endivecart/control/data_folder.cc
+++ b/src/endivecart/control/data_folder.cc
@@ -45,6 +45,15 @@
   return out.str();
 }
 
+// Removes what a crash left of files that were not complete.
+void RemoveTemporaryFiles(const std::string& folder) {
+  std::error_code ignored;
+  for (const auto& entry : fs::directory_iterator(folder)) {
+    if (entry.path().extension() == kTemporarySuffix)
+      fs::remove(entry.path(), ignored);
+  }
+}
+
 // Returns the records as the payload of one frame.
 std::string EncodeRecords(const std::vector<wire::DurableRecord>& records) {
   std::string payload;
@@ -76,18 +85,6 @@
   return true;
 }
 
-bool WriteAll(int file, std::string_view data) {
-  while (!data.empty()) {
-    const ssize_t written = ::write(file, data.data(), data.size());
-    if (written < 0 && errno == EINTR)
-      continue;
-    if (written <= 0)
-      return false;
-    data.remove_prefix(static_cast<std::size_t>(written));
-  }
-  return true;
-}
-
 }  // namespace
 
 void ApplyRecord(const wire::DurableRecord& record, RaftDurableState& state) {
@@ -111,17 +108,21 @@
     ::close(log_fd_);
 }
 
-Result<std::unique_ptr<DataFolder>, StorageError>
-DataFolder::Open(const std::string& path, const HostId& host, bool as_founder) {
+Result<std::unique_ptr<DataFolder>, StorageError> DataFolder::Open(
+    const std::string& path,
+    const HostId& host,
+    bool as_founder,
+    FileCalls calls) {
   std::error_code error;
   fs::create_directories(path, error);
   if (error) {
     return Fail(
         StorageError{StorageErrorCode::kIo, path + ": " + error.message()});
   }
-  std::unique_ptr<DataFolder> folder(new DataFolder(path));
+  std::unique_ptr<DataFolder> folder(new DataFolder(path, std::move(calls)));
   if (auto ok = folder->LoadIdentity(host, as_founder); !ok)
     return Fail(ok.error());
+  RemoveTemporaryFiles(path);
   if (auto ok = folder->LoadLog(); !ok)
     return Fail(ok.error());
   return folder;
@@ -209,9 +210,14 @@
   }
   if (auto ok = ReadLogFile(newest); !ok)
     return ok;
-  if (auto ok = OpenLog(newest); !ok)
-    return ok;
-  RemoveOlderLogs();
+  log_number_ = newest;
+  log_state_ = LogState::kNotOpened;
+  if (auto ok = PrepareLog(); !ok) {
+    if (ok.error().code != StorageErrorCode::kFull)
+      return ok;
+    // The next record tries again.
+    LogLine("control.log_not_ready").Add("detail", ok.error().detail).Warn();
+  }
   return true;
 }
 
@@ -258,14 +264,13 @@
 Result<bool, StorageError> DataFolder::OpenLog(std::uint64_t number) {
   if (log_fd_ >= 0)
     ::close(log_fd_);
-  log_number_ = number;
   const std::string file = path_ + "/" + LogName(number);
   log_fd_ = ::open(file.c_str(), O_WRONLY | O_CLOEXEC);
   if (log_fd_ < 0)
     return SystemError("cannot open " + file);
   // Truncates a torn tail, so that new records follow the valid ones.
-  if (::ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
-      ::lseek(log_fd_, 0, SEEK_END) < 0 || ::fdatasync(log_fd_) != 0) {
+  if (calls_.truncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
+      ::lseek(log_fd_, 0, SEEK_END) < 0 || calls_.sync_data(log_fd_) != 0) {
     return SystemError("cannot prepare " + file);
   }
   return true;
@@ -275,7 +280,7 @@
   const int folder = ::open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (folder < 0)
     return SystemError("cannot open " + path_);
-  const bool synced = ::fsync(folder) == 0;
+  const bool synced = calls_.sync_folder(folder) == 0;
   const int error = errno;
   ::close(folder);
   errno = error;
@@ -284,7 +289,19 @@
   return true;
 }
 
-Result<bool, StorageError> DataFolder::WriteFileAtomically(
+bool DataFolder::WriteAll(int file, std::string_view data) const {
+  while (!data.empty()) {
+    const ssize_t written = calls_.write(file, data.data(), data.size());
+    if (written < 0 && errno == EINTR)
+      continue;
+    if (written <= 0)
+      return false;
+    data.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::ReplaceFile(
     const std::string& name,
     const std::string& content) const {
   const std::string file = path_ + "/" + name;
@@ -293,7 +310,7 @@
                          O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
   if (out < 0)
     return SystemError("cannot create " + temporary);
-  const bool written = WriteAll(out, content) && ::fsync(out) == 0;
+  const bool written = WriteAll(out, content) && calls_.sync_file(out) == 0;
   const int error = errno;
   ::close(out);
   errno = error;
@@ -302,31 +319,68 @@
     ::unlink(temporary.c_str());
     return failure;
   }
-  if (::rename(temporary.c_str(), file.c_str()) != 0)
-    return SystemError("cannot rename " + temporary);
+  if (calls_.rename(temporary.c_str(), file.c_str()) != 0) {
+    auto failure = SystemError("cannot rename " + temporary);
+    ::unlink(temporary.c_str());
+    return failure;
+  }
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::WriteFileAtomically(
+    const std::string& name,
+    const std::string& content) const {
+  if (auto ok = ReplaceFile(name, content); !ok)
+    return ok;
   return SyncFolder();
 }
 
-Result<bool, StorageError> DataFolder::Append(
-    const std::vector<wire::DurableRecord>& records) {
-  if (failed_) {
+Result<bool, StorageError> DataFolder::PrepareLog() {
+  if (log_state_ == LogState::kUnknown) {
     return Fail(StorageError{StorageErrorCode::kIo,
                              "an earlier sync of the log failed"});
   }
+  if (log_state_ == LogState::kNotOpened) {
+    if (auto ok = SyncFolder(); !ok)
+      return ok;
+    if (auto ok = OpenLog(log_number_); !ok)
+      return ok;
+    log_state_ = LogState::kReady;
+    RemoveOlderLogs();
+  }
+  if (log_state_ == LogState::kTornTail) {
+    if (calls_.truncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
+        ::lseek(log_fd_, 0, SEEK_END) < 0) {
+      return SystemError("cannot truncate the log");
+    }
+    log_state_ = LogState::kReady;
+  }
+  return true;
+}
+
+Result<bool, StorageError> DataFolder::Append(
+    const std::vector<wire::DurableRecord>& records) {
+  if (auto ok = PrepareLog(); !ok)
+    return ok;
   const std::string frame = EncodeFrame(EncodeRecords(records));
   if (!WriteAll(log_fd_, frame)) {
-    auto failure = SystemError("cannot write the log");
-    // No part of a record that did not fit may remain.
-    if (::ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0 ||
-        ::lseek(log_fd_, 0, SEEK_END) < 0) {
-      failed_ = true;
+    Result<bool, StorageError> failure = SystemError("cannot write the log");
+    log_state_ = LogState::kTornTail;
+    if (auto ok = PrepareLog(); !ok) {
+      LogLine("control.log_not_truncated")
+          .Add("detail", ok.error().detail)
+          .Warn();
     }
     return failure;
   }
-  if (::fdatasync(log_fd_) != 0) {
-    // After a failed sync, the content of the disk is unknown.
-    failed_ = true;
-    return SystemError("cannot sync the log");
+  if (calls_.sync_data(log_fd_) != 0) {
+    Result<bool, StorageError> failure = SystemError("cannot sync the log");
+    // Without space for the new records, the synced ones are intact. After any
+    // other error, the content of the disk is unknown.
+    log_state_ = failure.error().code == StorageErrorCode::kFull
+                     ? LogState::kTornTail
+                     : LogState::kUnknown;
+    return failure;
   }
   log_bytes_ += frame.size();
   return true;
@@ -345,16 +399,14 @@
   if (!records.empty())
     content += EncodeFrame(EncodeRecords(records));
   const std::uint64_t number = log_number_ + 1;
-  if (auto ok = WriteFileAtomically(LogName(number), content); !ok)
+  if (auto ok = ReplaceFile(LogName(number), content); !ok)
     return ok;
+  // A restart may read the new file from now on, so no record may be appended
+  // to the older one, even if the next steps fail.
+  log_number_ = number;
   log_bytes_ = content.size();
-  if (auto ok = OpenLog(number); !ok) {
-    failed_ = true;
-    return ok;
-  }
-  failed_ = false;
-  RemoveOlderLogs();
-  return true;
+  log_state_ = LogState::kNotOpened;
+  return PrepareLog();
 }
 
 void DataFolder::RemoveOlderLogs() const {
