A decision on weights keeps its age through restarts (VERSION)

Cause: a host counted the grace for older weights from when its own process learned of a version, and was told the newest version only. Class: the age of a fact taken from when it was learned.

Ruled out: nothing else yet. A request that waits at an upstream past the deadline, and upstreams believed too new, are open; see the postmortem. That the users' case is this one is inferred.

Change: the log holds when a version was named, control hosts keep and exchange the ages, hosts are told them and keep the oldest.

--- a/src/endivecart/fleet/decision_log.cc
+++ b/src/endivecart/fleet/decision_log.cc
@@ -49,6 +49,10 @@
   if (command.version() <= version)
     return false;
   version = command.version();
+  auto& named_ms = decisions_.weights_named_ms[ModelId(command.model())];
+  named_ms[version] = command.named_ms();
+  if (named_ms.size() > Decisions::kNamedVersions)
+    named_ms.erase(named_ms.begin());
   return true;
 }
 
--- a/src/endivecart/fleet/decisions.cc
+++ b/src/endivecart/fleet/decisions.cc
@@ -47,6 +47,14 @@
     out.set_model(model.str());
     out.set_version(version);
   }
+  for (const auto& [model, versions] : decisions.weights_named_ms) {
+    for (const auto& [version, named_ms] : versions) {
+      wire::NamedWeights& out = *message.add_weights_named();
+      out.set_model(model.str());
+      out.set_version(version);
+      out.set_named_ms(named_ms);
+    }
+  }
   return message;
 }
 
@@ -70,6 +78,10 @@
   }
   for (const wire::NamedWeights& weights : message.weights())
     decisions.weights[ModelId(weights.model())] = weights.version();
+  for (const wire::NamedWeights& named : message.weights_named()) {
+    decisions.weights_named_ms[ModelId(named.model())][named.version()] =
+        named.named_ms();
+  }
   return decisions;
 }
 
--- a/src/endivecart/fleet/decisions.h
+++ b/src/endivecart/fleet/decisions.h
@@ -1,6 +1,7 @@
 #ifndef ENDIVECART_FLEET_DECISIONS_H_
 #define ENDIVECART_FLEET_DECISIONS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -42,6 +43,11 @@
   std::map<DomainId, DomainDecision> domains;
   std::map<routes::ServiceId, Move> moves;   // the latest of each service
   std::map<ModelId, std::uint64_t> weights;  // newest version to load
+  // The last kNamedVersions versions of each model and when they were named, in
+  // Unix time of the proposer; 0 if unknown.
+  std::map<ModelId, std::map<std::uint64_t, std::uint64_t>> weights_named_ms;
+
+  static constexpr std::size_t kNamedVersions = 16;
 
   bool IsOut(const DomainId& domain) const;
   bool operator==(const Decisions&) const = default;
--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -18,6 +18,7 @@
 #include "endivecart/fleet/operator_service.h"     // IWYU pragma: export
 #include "endivecart/fleet/quarantine_messages.h"  // IWYU pragma: export
 #include "endivecart/fleet/voter_set_manager.h"    // IWYU pragma: export
+#include "endivecart/fleet/weights_ages.h"         // IWYU pragma: export
 #include "endivecart/fleet/weights_coordinator.h"  // IWYU pragma: export
 
 #endif  // ENDIVECART_FLEET_FLEET_H_
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -14,6 +14,8 @@
 
 // How precisely it is stored when a quarantine was asked for last.
 constexpr Millis kAskedResolution{60000};
+// An age beyond this is of no consequence.
+constexpr std::uint64_t kMaxReplayedAgeMs = 24 * 3600 * 1000;
 
 }  // namespace
 
@@ -75,7 +77,40 @@
   }
 }
 
+void FleetFeed::RecordWeightsAges(const Decisions& decisions) {
+  const TimePoint now = hooks_.now();
+  const bool may_replay = hooks_.unix_ms && now - started_at_ < kReplayTime;
+  const std::uint64_t unix_ms = may_replay ? hooks_.unix_ms() : 0;
+  for (const auto& [model, version] : decisions.weights) {
+    const auto known = decisions_.weights.find(model);
+    // A snapshot of an earlier release doesn't have the times.
+    if (known == decisions_.weights.end() || known->second < version)
+      weights_ages_.Record(model, version, now);
+  }
+  for (const auto& [model, versions] : decisions.weights_named_ms) {
+    const auto known = decisions_.weights_named_ms.find(model);
+    for (const auto& [version, named_ms] : versions) {
+      if (known != decisions_.weights_named_ms.end() &&
+          known->second.contains(version)) {
+        continue;
+      }
+      Millis age{0};
+      if (named_ms != 0 && unix_ms > named_ms) {
+        age = Millis(static_cast<Millis::rep>(
+            std::min<std::uint64_t>(unix_ms - named_ms, kMaxReplayedAgeMs)));
+      }
+      LogLine("fleet.weights_named")
+          .Add("model", model.str())
+          .Add("version", version)
+          .Add("age_ms", age.count())
+          .Info();
+      weights_ages_.Record(model, version, now - age);
+    }
+  }
+}
+
 void FleetFeed::PushDecisions(const Decisions& decisions) {
+  RecordWeightsAges(decisions);
   decisions_ = decisions;
   for (auto& [host, follower] : followers_)
     Send(host, follower, false);
@@ -147,6 +182,10 @@
         ToWire(decisions_, IncludeDocument(follower, now));
     follower.sent_decisions = decisions_.index;
   }
+  if (update.has_decisions() ||
+      (is_answer && weights_ages_.HasYoungerThan(kAgesRepeatTime, now))) {
+    weights_ages_.AppendTo(update, now);
+  }
   for (const HostId& host : ControlHosts())
     update.add_control_hosts(host.str());
   update.set_leader_host(hooks_.leader_host().str());
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -10,6 +10,7 @@
 #include "endivecart/fleet/cache_catalog.h"
 #include "endivecart/fleet/decisions.h"
 #include "endivecart/fleet/load_table.h"
+#include "endivecart/fleet/weights_ages.h"
 #include "endivecart/limits/limits.h"
 #include "endivecart/quarantine/quarantine.h"
 #include "endivecart/upstreams/upstreams.h"
@@ -41,6 +42,8 @@
     // of all processes. Optional.
     std::function<void(const std::vector<quarantine::Quarantine>&)>
         on_quarantines;
+    // Unix time in ms. Optional.
+    std::function<std::uint64_t()> unix_ms;
   };
 
   // A follower that hasn't polled for this long is removed.
@@ -58,6 +61,15 @@
   // first copy may still be in transit.
   static constexpr Millis kDocumentResendDelay{250};
 
+  // A process that started less than this ago takes the age of weights that it
+  // learns of from the time that is in the log, since it may be replaying it.
+  // Later ones are as old as this process knows them: the time of day jumps.
+  static constexpr Millis kReplayTime{30000};
+
+  // Ages of weights are repeated in answers for this long, so that followers
+  // also get the ages that other control hosts know.
+  static constexpr Millis kAgesRepeatTime{60000};
+
   // Normally only a follower's primary control host sends it the routing
   // document. Other control hosts send it once the follower has lacked it for
   // this long.
@@ -78,6 +90,10 @@
   void OnPoll(const HostId& from, const wire::FleetPoll& poll);
   // Sends all followers the decisions that they haven't been sent yet.
   void PushDecisions(const Decisions& decisions);
+  // Takes over the ages of weights that another control host knows.
+  void MergeWeightsAges(const wire::FleetUpdate& update) {
+    weights_ages_.Merge(update, hooks_.now());
+  }
   // Requests that the followers are sent the announcements, and the list of
   // quiesced upstreams, before their next poll.
   void RequestPush() { push_requested_ = true; }
@@ -115,6 +131,9 @@
   // rest and hosts may have slow links.
   bool IncludeDocument(Follower& follower, TimePoint now);
 
+  // Records the ages of the versions that `decisions` adds to the current ones.
+  void RecordWeightsAges(const Decisions& decisions);
+
   void Send(const HostId& to, Follower& follower, bool is_answer);
   void AddAnnouncements(Follower& follower, wire::FleetUpdate& update) const;
   // Hands the judges and tables what a process that serves callers reported.
@@ -128,6 +147,7 @@
   const Hooks hooks_;
   const TimePoint started_at_;
   Decisions decisions_;
+  WeightsAges weights_ages_;
   std::map<HostId, Follower> followers_;
   std::map<HostId, TimePoint> caller_seen_at_;  // by last poll
   // Derived from the two maps above.
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -190,6 +190,8 @@
     hooks_.on_cache(update.cache(),
                     answers_last_poll ? control.polled_at : TimePoint{});
   }
+  if (update.weights_ages_size() > 0 && hooks_.on_weights_ages)
+    hooks_.on_weights_ages(update);
   if (update.has_decisions())
     ApplyDecisions(update.decisions());
   std::vector<HostId> named;
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -50,6 +50,9 @@
     // connect to them.
     std::function<void(const std::vector<HostId>&)> on_control_hosts;
     std::function<void(DecisionsPtr)> on_decisions;
+    // Called before on_decisions with updates that have ages of weights.
+    // Optional.
+    std::function<void(const wire::FleetUpdate&)> on_weights_ages;
     std::function<void(const upstreams::Announcement&, TimePoint received_at)>
         on_announcement;
     // Called with upstreams that are known to have announced themselves, maybe
--- a/src/endivecart/fleet/operator_service.cc
+++ b/src/endivecart/fleet/operator_service.cc
@@ -37,8 +37,13 @@
 OperatorService::OperatorService(FleetVoter& voter,
                                  upstreams::UpstreamRegistry& roster,
                                  FleetFeed& feed,
-                                 std::function<TimePoint()> now)
-    : voter_(voter), roster_(roster), feed_(feed), now_(std::move(now)) {}
+                                 std::function<TimePoint()> now,
+                                 std::function<std::uint64_t()> unix_ms)
+    : voter_(voter),
+      roster_(roster),
+      feed_(feed),
+      now_(std::move(now)),
+      unix_ms_(std::move(unix_ms)) {}
 
 OperatorReply OperatorService::NotLeaderReply() const {
   OperatorReply reply;
@@ -150,6 +155,7 @@
                  [&](const NameWeights& c) {
                    command.mutable_name_weights()->set_model(c.model.str());
                    command.mutable_name_weights()->set_version(c.version);
+                   command.mutable_name_weights()->set_named_ms(unix_ms_());
                    ProposeCommand(command, std::move(reply));
                  },
                  [&](const ReadRouting&) {
--- a/src/endivecart/fleet/operator_service.h
+++ b/src/endivecart/fleet/operator_service.h
@@ -111,7 +111,8 @@
   OperatorService(FleetVoter& voter,
                   upstreams::UpstreamRegistry& roster,
                   FleetFeed& feed,
-                  std::function<TimePoint()> now);
+                  std::function<TimePoint()> now,
+                  std::function<std::uint64_t()> unix_ms);
 
   // Calls `reply` exactly once, possibly before returning.
   void Handle(const OperatorCall& call, ReplyCallback reply);
@@ -128,6 +129,7 @@
   upstreams::UpstreamRegistry& roster_;
   FleetFeed& feed_;
   const std::function<TimePoint()> now_;
+  const std::function<std::uint64_t()> unix_ms_;
 };
 
 }  // namespace endivecart::fleet
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -14,6 +14,9 @@
   hooks.on_heard = [&gateway](const UpstreamId& id, TimePoint heard_at) {
     gateway.upstreams().Refresh(id, heard_at);
   };
+  hooks.on_weights_ages = [&gateway](const wire::FleetUpdate& update) {
+    gateway.weights_ages().Merge(update, gateway.Now());
+  };
   hooks.local_loads = [&gateway] { return gateway.upstreams().LocalLoads(); };
   hooks.on_loads = [&gateway] { gateway.AdmitSoon(); };
   hooks.move_reports = [&gateway] { return gateway.moves().Reports(); };
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -49,7 +49,7 @@
                            routes::RouteTablePtr routes) {
   const TimePoint now = loop_.Now();
   for (const auto& [model, version] : decisions->weights)
-    weights_first_seen_[model].try_emplace(version, now);
+    weights_ages_.Record(model, version, now);
   moves_.SetDecisions(*decisions, now);
   decisions_ = decisions;
   upstreams_.SetDecisions(std::move(decisions));
@@ -75,15 +75,8 @@
 }
 
 std::uint64_t Gateway::MinWeights(const ModelId& model) const {
-  const auto it = weights_first_seen_.find(model);
-  if (it == weights_first_seen_.end())
-    return 0;
-  std::uint64_t least = 0;
-  for (const auto& [version, first_seen_at] : it->second) {
-    if (loop_.Now() - first_seen_at >= options_.old_weights_grace)
-      least = std::max(least, version);
-  }
-  return least;
+  return weights_ages_.NewestNamedBefore(model, options_.old_weights_grace,
+                                         loop_.Now());
 }
 
 void Gateway::RespondWithRefusal(net::HttpExchange& exchange,
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -73,6 +73,9 @@
   // Sets the decisions in force. If `routes` is null, the previous routes stay.
   void SetDecisions(fleet::DecisionsPtr decisions,
                     routes::RouteTablePtr routes);
+  fleet::WeightsAges& weights_ages() { return weights_ages_; }
+  // Returns the oldest version of the weights that may serve a request; 0: any.
+  std::uint64_t MinWeights(const ModelId& model) const;
   void SetFollower(const fleet::FleetFollower* follower) {
     follower_ = follower;
   }
@@ -126,8 +129,6 @@
                           const Refusal& refusal,
                           bool tells_not_run);
   routes::ServiceId ChooseService(const routes::Route& route);
-  // Returns the oldest version of the weights that may serve a request; 0: any.
-  std::uint64_t MinWeights(const ModelId& model) const;
   void Remove(const std::shared_ptr<Forwarding>& forwarding);
   void CountBadServerLoad(const UpstreamId& upstream);
   // This host's rank among those that serve callers, as far as known.
@@ -166,8 +167,7 @@
   const fleet::FleetFollower* follower_ = nullptr;
   fleet::DecisionsPtr decisions_;
   routes::RouteTablePtr routes_;
-  // When this host first learned of each version of a model's weights.
-  std::map<ModelId, std::map<std::uint64_t, TimePoint>> weights_first_seen_;
+  fleet::WeightsAges weights_ages_;
   std::set<std::shared_ptr<Forwarding>> active_;
   RequestQueue request_queue_;
   std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -170,6 +170,28 @@
   BOOST_TEST(requests[1].find("Label: 2\r\n") != std::string::npos);
 }
 
+// Guards against prompts on replaced weights at a host that has just started
+// (issue 45).
+BOOST_AUTO_TEST_CASE(the_grace_for_old_weights_does_not_begin_with_the_host) {
+  answer = [](auto& connection, auto) {
+    Reply(connection, CompleteAnswer("1", "yes"));
+  };
+  const std::string prompt = "Key: k\r\nModel: m\r\nTimeout: 60\r\n";
+  fleet::Decisions decisions;
+  decisions.weights[ModelId("m")] = 2;
+  ApplyDecisions(decisions);
+  BOOST_TEST(HasStatus(Send("/safe/", "1", prompt), 200));
+  wire::FleetUpdate update;
+  auto& record = *update.add_weights_ages();
+  record.set_model("m");
+  record.set_version(2);
+  record.set_age_ms(20000);
+  gateway.weights_ages().Merge(update, gateway.Now());
+  ApplyDecisions(decisions);
+  BOOST_TEST(!HasStatus(Send("/safe/", "1", prompt), 200));
+  BOOST_TEST(requests.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_answered_at_its_time_limit) {
   answer = [](auto&, auto) {};
   const std::string received = Send("/once/", "1", "Key: k\r\nTimeout: 60\r\n");
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -125,8 +125,8 @@
   OpenVoter();
   OpenFollower();
   caches.Start(storage->is_founder() && voter->HasEmptyLog());
-  operator_service.emplace(*voter, roster, *feed,
-                           [this] { return loop.Now(); });
+  operator_service.emplace(
+      *voter, roster, *feed, [this] { return loop.Now(); }, UnixMillis);
   feed->PushDecisions(voter->decisions());
   if (auto listening = OpenServers(); !listening)
     return listening;
@@ -209,6 +209,7 @@
       [this](const std::vector<quarantine::Quarantine>& quarantines) {
         SaveQuarantines(quarantines);
       };
+  feed_hooks.unix_ms = UnixMillis;
   feed.emplace(incarnation, &roster, std::move(feed_hooks));
   if (const auto stored = storage->LoadFile(kQuarantineFile)) {
     feed->RestoreQuarantines(
@@ -257,6 +258,9 @@
   follower_hooks.on_decisions = [](const fleet::DecisionsPtr&) {
     // A voter applies decisions only from its own log.
   };
+  follower_hooks.on_weights_ages = [this](const wire::FleetUpdate& update) {
+    feed->MergeWeightsAges(update);
+  };
   follower_hooks.on_announcement =
       [this](const upstreams::Announcement& announcement,
              TimePoint received_at) {
