A stopping host takes late requests by their time limit only (LOST)

Cause: CanFinish takes the longest answer of the past for a bound. It isn't one: the next stream may be longer, may be allowed more output, and one still running was ignored. Ruled out by the record: repeats, waiting. A stalled upstream isn't ruled out for the users' stream; it would have been cut all the same. Before, the estimate also counts running streams of the route and the output that the request allows at the slowest pace of late. Before, with the new signatures and the old decision, gateway_planned_stop failed in once_callers_know_of_the_stop_a_request_that_may_outlast_it_is_rejected and a_request_is_expected_to_last_as_long_as_one_running; the two other new cases have no failing run. Other suites not run yet.

--- a/src/endivecart/gateway/duration_estimator.cc
+++ b/src/endivecart/gateway/duration_estimator.cc
@@ -6,30 +6,49 @@
 
 namespace {
 
-// Each answer reduces the maximum by this part of it.
-constexpr int kDecayDivisor = 256;
+// Each answer reduces a maximum by this part of it.
+constexpr double kDecay = 1.0 / 256;
 // Requests may take longer than before while another host stops or starts.
 constexpr double kReserve = 1.25;
 
+void Raise(double& maximum, double value) {
+  maximum = std::max(value, maximum * (1 - kDecay));
+}
+
+double ToMillis(Millis time) {
+  return static_cast<double>(time.count());
+}
+
 }  // namespace
 
-void DurationEstimator::Add(const std::string& route, Millis duration) {
-  Millis& longest = longest_[route];
-  longest = std::max(duration, longest - longest / kDecayDivisor);
+void DurationEstimator::Add(const std::string& route,
+                            const AnswerTiming& timing) {
+  Maxima& maxima = maxima_[route];
+  Raise(maxima.duration_ms, ToMillis(timing.duration));
+  if (timing.events < 2)
+    return;
+  Raise(maxima.first_event_ms, ToMillis(timing.first_event));
+  Raise(maxima.ms_per_event, ToMillis(timing.duration - timing.first_event) /
+                                 static_cast<double>(timing.events - 1));
 }
 
 std::optional<Millis> DurationEstimator::Longest(
-    const std::string& route) const {
-  const auto it = longest_.find(route);
-  if (it == longest_.end())
+    const std::string& route,
+    std::int64_t max_events) const {
+  const auto it = maxima_.find(route);
+  if (it == maxima_.end())
     return std::nullopt;
+  const Maxima& maxima = it->second;
+  const double longest_stream_ms =
+      maxima.first_event_ms +
+      maxima.ms_per_event * static_cast<double>(max_events);
   return Millis(static_cast<Millis::rep>(
-      static_cast<double>(it->second.count()) * kReserve));
+      std::max(maxima.duration_ms, longest_stream_ms) * kReserve));
 }
 
 void DurationEstimator::KeepOnly(
     const std::function<bool(const std::string&)>& exists) {
-  std::erase_if(longest_,
+  std::erase_if(maxima_,
                 [&](const auto& entry) { return !exists(entry.first); });
 }
 
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -93,6 +93,11 @@
   return std::chrono::duration_cast<Millis>(deadline_ - gateway_.loop_.Now());
 }
 
+Millis Forwarding::Age() const {
+  return std::chrono::duration_cast<Millis>(gateway_.loop_.Now() -
+                                            accepted_at_);
+}
+
 std::int64_t Forwarding::PromptTokens() const {
   return request_.prompt ? request_.prompt->input_tokens : 0;
 }
@@ -597,7 +602,8 @@
 
 void Forwarding::LogCutByStop() const {
   const TimePoint now = gateway_.loop_.Now();
-  const auto longest = gateway_.durations_.Longest(route_.name);
+  const auto longest = gateway_.durations_.Longest(
+      route_.name, request_.prompt ? request_.prompt->max_output_tokens : 0);
   LogLine line("gateway.cut_by_stop");
   line.Add("request", request_.id.str())
       .Add("route", route_.name)
@@ -656,8 +662,14 @@
   ReleaseSaves();
   const double elapsed = MillisBetween(accepted_at_, gateway_.loop_.Now());
   if (status >= 200 && status < 300) {
-    gateway_.durations_.Add(route_.name,
-                            Millis(static_cast<Millis::rep>(elapsed)));
+    AnswerTiming timing;
+    timing.duration = Age();
+    if (IsStream() && started_) {
+      timing.first_event =
+          std::chrono::duration_cast<Millis>(first_event_at_ - accepted_at_);
+      timing.events = events_;
+    }
+    gateway_.durations_.Add(route_.name, timing);
   }
   LogLine line("gateway.done");
   line.Add("request", request_.id.str())
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -45,6 +45,11 @@
   void RecordSpeedOfRun();
   // Sends a final answer if none has begun.
   void AnswerForShutdown();
+  bool IsOn(const routes::Route& route) const {
+    return route_.name == route.name;
+  }
+  // Returns how long ago the request was accepted.
+  Millis Age() const;
   // Logs how far the request is, because the process exits.
   void LogCutByStop() const;
   // Tries to send a queued request. Returns whether it was sent.
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -69,9 +69,24 @@
     return true;
   const Millis limit = std::min(
       request.caller_timeout.value_or(route.time_limit), route.time_limit);
-  const Millis expected =
-      std::min(durations_.Longest(route.name).value_or(limit), limit);
-  return loop_.Now() + expected <= *stop_at_;
+  const TimePoint now = loop_.Now();
+  const Millis longest =
+      now < callers_know_at_ ? ExpectedDuration(route, request, limit) : limit;
+  return now + longest <= *stop_at_;
+}
+
+Millis Gateway::ExpectedDuration(const routes::Route& route,
+                                 const CallerRequest& request,
+                                 Millis limit) const {
+  auto expected = durations_.Longest(
+      route.name, request.prompt ? request.prompt->max_output_tokens : 0);
+  if (!expected)
+    return limit;
+  for (const auto& forwarding : active_) {
+    if (forwarding->IsOn(route))
+      expected = std::max(*expected, forwarding->Age());
+  }
+  return std::min(*expected, limit);
 }
 
 std::uint64_t Gateway::MinWeights(const ModelId& model) const {
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -91,8 +91,13 @@
   // capacity may have become free.
   void AdmitSoon();
   // This process ends at `end`: from now on, requests that can't be expected to
-  // be answered until then are rejected.
-  void StopBy(TimePoint end) { stop_at_ = end; }
+  // be answered until then are rejected. From `callers_know_at`, when callers
+  // could have gone elsewhere, those that must be answered until then by their
+  // time limit are the only ones that are accepted.
+  void StopBy(TimePoint end, TimePoint callers_know_at = TimePoint::max()) {
+    stop_at_ = end;
+    callers_know_at_ = callers_know_at;
+  }
   // Sends a final answer to each request that has none yet, because the process
   // is about to exit. Streams that have begun get none.
   void AnswerAll();
@@ -122,6 +127,11 @@
   // Returns whether this process lives long enough to answer the request.
   bool CanFinish(const routes::Route& route,
                  const CallerRequest& request) const;
+  // Returns an estimate of how long the request takes: `limit` if nothing is
+  // known, and never longer.
+  Millis ExpectedDuration(const routes::Route& route,
+                          const CallerRequest& request,
+                          Millis limit) const;
   // `tells_not_run`: whether to guarantee to a host that relayed the request
   // that it was not run.
   void RespondWithRefusal(net::HttpExchange& exchange,
@@ -163,6 +173,7 @@
   PrefillRateEstimator prefill_rates_;
   DurationEstimator durations_;
   std::optional<TimePoint> stop_at_;
+  TimePoint callers_know_at_ = TimePoint::max();
   CapacityEstimator capacity_estimator_;
   std::mt19937_64 random_;
   const fleet::FleetFollower* follower_ = nullptr;
--- a/src/endivecart/gateway/planned_stop_unittest.cc
+++ b/src/endivecart/gateway/planned_stop_unittest.cc
@@ -96,6 +96,69 @@
   BOOST_TEST(HasStatus(caller.received(), 503));
 }
 
+// Guards against LOST: a stopping host accepted a stream because those before
+// it had been short, and cut it at the end of the process.
+BOOST_FIXTURE_TEST_CASE(
+    once_callers_know_of_the_stop_a_request_that_may_outlast_it_is_rejected,
+    StoppingHost) {
+  RawCaller caller(loop, server->port());
+  RunStream(caller, Millis(100));
+  StartStream(caller);
+  server->DisableKeepAlive();
+  gateway.StopBy(loop.Now() + Millis(2900), loop.Now() + Millis(50));
+  RunFor(Millis(50));
+  EndStream();
+  const std::size_t sends = requests.size();
+  const std::size_t before = caller.received().size();
+  caller.Write(KeptRequest("/stream/"));
+  RunFor(kPause);
+  const std::string last = caller.received().substr(before);
+  BOOST_TEST(HasStatus(last, 503));
+  BOOST_TEST(last.find("Connection: close") != std::string::npos);
+  BOOST_TEST(last.find("Retry: ") != std::string::npos);
+  BOOST_TEST(requests.size() == sends);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+    once_callers_know_of_the_stop_a_request_with_a_short_time_limit_is_served,
+    StoppingHost) {
+  RawCaller caller(loop, server->port());
+  gateway.StopBy(loop.Now() + Millis(1000), loop.Now());
+  caller.Write(
+      "GET /stream/ HTTP/1.1\r\nHost: a\r\nId: 1\r\nKey: k\r\n"
+      "Timeout: 800\r\n\r\n");
+  RunFor(kPause);
+  BOOST_TEST(running != nullptr);
+}
+
+// Guards against LOST: only streams that had ended counted, so a long one that
+// was still running told nothing about the next one on its route.
+BOOST_FIXTURE_TEST_CASE(a_request_is_expected_to_last_as_long_as_one_running,
+                        StoppingHost) {
+  RawCaller caller(loop, server->port());
+  RunStream(caller, Millis(100));
+  StartStream(caller);
+  RunFor(Millis(1000));
+  gateway.StopBy(loop.Now() + Millis(900));
+  const std::size_t sends = requests.size();
+  RawCaller other(loop, server->port());
+  other.Write(KeptRequest("/stream/"));
+  RunFor(kPause);
+  BOOST_TEST(HasStatus(other.received(), 503));
+  BOOST_TEST(requests.size() == sends);
+}
+
+// Guards against LOST: a prompt that allows more output than those before was
+// expected to take no longer than they did.
+BOOST_AUTO_TEST_CASE(a_stream_is_expected_to_use_the_output_it_allows) {
+  DurationEstimator durations;
+  durations.Add("r", {Millis(300), Millis(100), 3});
+  BOOST_TEST(durations.Longest("r", 0)->count() == 375);
+  BOOST_TEST(durations.Longest("r", 2)->count() == 375);
+  BOOST_TEST(durations.Longest("r", 10)->count() == 1375);
+  BOOST_TEST(!durations.Longest("other", 10));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -77,6 +77,8 @@
   void ApplyDecisions(const fleet::DecisionsPtr& decisions);
   bool IsReady() const { return gateway.HasRoutes() && !stopping; }
   void StopTick(TimePoint now);
+  // Returns when the load balancer has stopped sending new callers.
+  TimePoint CallersKnowAt() const { return stop_started_at + kBalancerDelay; }
   // Returns when requests that are not answered yet get a final answer.
   TimePoint FinalAnswersAt() const {
     return stop_started_at + settings.bounds.stop_time - kStopMargin -
@@ -222,7 +224,7 @@
   const Millis elapsed =
       std::chrono::duration_cast<Millis>(now - stop_started_at);
   // The settings may have changed since.
-  gateway.StopBy(FinalAnswersAt());
+  gateway.StopBy(FinalAnswersAt(), CallersKnowAt());
   if (elapsed < kBalancerDelay)
     return;
   bool done = gateway.active() == 0;
@@ -276,7 +278,7 @@
   parts_->stopping = true;
   parts_->stop_started_at = parts_->loop.Now();
   parts_->gateway.StopRelaying();
-  parts_->gateway.StopBy(parts_->FinalAnswersAt());
+  parts_->gateway.StopBy(parts_->FinalAnswersAt(), parts_->CallersKnowAt());
   parts_->callers->DisableKeepAlive();
   if (parts_->relay)
     parts_->relay->DisableKeepAlive();
