--- a/src/endivecart/gateway/caller_request.h
+++ b/src/endivecart/gateway/caller_request.h
@@ -79,6 +79,9 @@
   bool has_bad_server_load = false;  // a load was sent, but is malformed
   limits::UpstreamLimits limits;
   bool has_bad_limits = false;  // a limit was sent, but is malformed
+  // Seconds for which an upstream that refused wants nothing from this host.
+  std::optional<double> wait_s;
+  bool has_bad_wait = false;  // a wait was sent, but is malformed
 
   bool operator==(const AnswerMetadata&) const = default;
 };
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -73,6 +73,7 @@
   if (metadata.has_bad_server_load)
     gateway_.CountBadServerLoad(upstream_);
   gateway_.OnRequestLimit(upstream_, metadata, sent_at_);
+  gateway_.OnNamedWait(upstream_, metadata);
 }
 
 void Forwarding::OnBody(std::string_view bytes) {
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -223,6 +223,22 @@
                    loop_.Now());
 }
 
+void Gateway::OnNamedWait(const UpstreamId& upstream,
+                          const AnswerMetadata& metadata) {
+  if (metadata.has_bad_wait) {
+    metrics_.Add("endivecart_bad_named_waits_total");
+    LogLine("gateway.bad_named_wait").Add("upstream", upstream.str()).Warn();
+    return;
+  }
+  if (!metadata.wait_s)
+    return;
+  metrics_.Add("endivecart_named_waits_total");
+  LogLine("gateway.named_wait")
+      .Add("upstream", upstream.str())
+      .Add("wait_s", *metadata.wait_s)
+      .Info();
+}
+
 void Gateway::Remove(const std::shared_ptr<Forwarding>& forwarding) {
   active_.erase(forwarding);
 }
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -135,6 +135,8 @@
   void OnRequestLimit(const UpstreamId& upstream,
                       const AnswerMetadata& metadata,
                       TimePoint sent_at);
+  // Records the wait that an upstream named with a refusal.
+  void OnNamedWait(const UpstreamId& upstream, const AnswerMetadata& metadata);
   void Admit();
   // Looks for silent upstreams, and probes upstreams if necessary.
   void ReachTick();
--- a/tests/support/plain_dialect.h
+++ b/tests/support/plain_dialect.h
@@ -74,6 +74,8 @@
       metadata.limits.requests_per_s = std::stod(std::string(*limit));
     if (const auto limit = head.fields.Find("Brittle"))
       metadata.limits.refusals_per_s = std::stod(std::string(*limit));
+    if (const auto wait = head.fields.Find("Wait"); wait && head.status == 503)
+      metadata.wait_s = std::stod(std::string(*wait));
     return metadata;
   };
   dialect.fields_for_caller = [](const net::HttpFields& fields) {
