Keep away from upstreams that told this host to wait

What callers saw: requests refused by upstreams that had asked for a pause.

Cause: Retry-After of an upstream's 503 was not read; the upstream was only less preferred for 300 ms. Class of fault: a statement of the other side that no code reads.

Ruled out: nothing of the other hypotheses.

Change: NamedWaits keeps the end of each wait, by incarnation; such upstreams are no candidates, CheckSendInvariants refuses a send to them, and requests that still wait for a connection to one are placed anew. While all of a service wait, requests queue if the shortest wait ends in time, else they are refused at once with it. Hosts return spread.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -125,7 +125,9 @@
         .Add("service", service_.str())
         .Add("upstreams", upstream_counts_.ToString())
         .Warn();
-    GiveUp(time_to_permit_ ? "limited" : kReasonNoUpstream);
+    GiveUp(upstream_counts_.waiting > 0 ? "asked_to_wait"
+           : time_to_permit_            ? "limited"
+                                        : kReasonNoUpstream);
   }
 }
 
@@ -237,6 +239,7 @@
     query.model = request_.prompt->model;
     query.min_weights = gateway_.MinWeights(query.model);
   }
+  query.waits = &gateway_.named_waits_;
   const VersionChoice versions =
       gateway_.moves_.Choose(service_, move_draw_, gateway_.loop_.Now());
   query.only_version = versions.only;
@@ -326,6 +329,10 @@
                   true};
   }
   is_full_ = lacks_room;
+  if (const auto wait = upstream_counts_.shortest_wait) {
+    time_to_permit_ = std::min(time_to_permit_.value_or(*wait), *wait);
+    is_full_ |= *wait < TimeLeft() / kMaxWaitDivisor;
+  }
   return std::nullopt;
 }
 
@@ -407,6 +414,9 @@
       gateway_.limits_.RefusalLimit(gateway_.upstreams_.RunOf(chosen.upstream))
           .has_value();
   context.has_room = chosen.has_room;
+  context.is_waiting =
+      gateway_.named_waits_.TimeLeft(gateway_.upstreams_.RunOf(chosen.upstream),
+                                     gateway_.loop_.Now()) > Millis(0);
   context.is_quarantined = gateway_.part_monitor_.IsQuarantined(parts_);
   context.is_trial = is_trial_;
   context.caller_was_there = caller_was_there_;
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -38,6 +38,9 @@
   // Retries through another host if this one is cut off from the current
   // upstream and a retry is allowed.
   void FailOverFromCutLink();
+  // Sends to another upstream if this one wants nothing for a while and no byte
+  // has been sent to it yet.
+  void LeaveWaitingUpstream(const UpstreamId& upstream);
   // Reports an outstanding send, in case that all upstreams are silent.
   void ReportWaiting() const;
   // Records the speed of a running request for its version as soon as it is
--- a/src/endivecart/gateway/forwarding_permits.cc
+++ b/src/endivecart/gateway/forwarding_permits.cc
@@ -69,6 +69,14 @@
              id, service ? service->cold_requests_per_s : 0, rank, now);
 }
 
+void Forwarding::LeaveWaitingUpstream(const UpstreamId& upstream) {
+  if (!call_ || relay_ || upstream_ != upstream || call_->may_have_been_sent())
+    return;
+  call_.reset();
+  EndSend(SendResult::kAbandoned);
+  RetryOrGiveUp("asked_to_wait", SendEffect::kNotReached);
+}
+
 void Forwarding::RecordBrokenRun() {
   if (relay_)
     return;
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -31,6 +31,7 @@
       metrics_(metrics),
       upstreams_(options_.domain, [&loop] { return loop.Now(); }),
       save_claims_(options_.seed, loop),
+      named_waits_(StableHash(options_.host.str(), options_.seed)),
       prober_(loop, client, upstreams_, reach_),
       relay_port_(options_.relay_port),
       retry_limiter_(options_.retry_ratio, options_.retry_window),
@@ -237,6 +238,21 @@
       .Add("upstream", upstream.str())
       .Add("wait_s", *metadata.wait_s)
       .Info();
+  if (!named_waits_.OnNamed(upstreams_.RunOf(upstream), *metadata.wait_s,
+                            loop_.Now())) {
+    metrics_.Add("endivecart_bad_named_waits_total");
+    LogLine("gateway.bad_named_wait")
+        .Add("upstream", upstream.str())
+        .Add("wait_s", *metadata.wait_s)
+        .Warn();
+  }
+  // Other requests that wait for a connection would still arrive.
+  for (const auto& forwarding : active_) {
+    loop_.Post([weak = std::weak_ptr(forwarding), upstream] {
+      if (const auto self = weak.lock())
+        self->LeaveWaitingUpstream(upstream);
+    });
+  }
 }
 
 void Gateway::Remove(const std::shared_ptr<Forwarding>& forwarding) {
@@ -282,10 +298,13 @@
                static_cast<double>(part_monitor_.quarantines()));
   upstreams_.Expire();
   limits_.Expire(loop_.Now());
+  named_waits_.Expire(loop_.Now());
   reach_.Expire(loop_.Now());
   metrics_.Set("endivecart_cut_off", "", reach_.IsCutOff() ? 1 : 0);
   metrics_.Set("endivecart_limited_upstreams", "",
                static_cast<double>(limits_.limited()));
+  metrics_.Set("endivecart_waiting_upstreams", "",
+               static_cast<double>(named_waits_.size()));
   const auto active = active_;  // active_ changes as requests end
   for (const auto& forwarding : active) {
     forwarding->RecordSpeedOfRun();
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -154,6 +154,7 @@
   MoveTracker moves_;
   quarantine::PartMonitor part_monitor_;
   limits::LimitMonitor limits_;
+  limits::NamedWaits named_waits_;
   quarantine::ReachMonitor reach_;
   ReachProber prober_;
   quarantine::RelaySelector relays_;
--- a/src/endivecart/gateway/send_invariants.cc
+++ b/src/endivecart/gateway/send_invariants.cc
@@ -69,6 +69,8 @@
                           Invariant::kUpstreamCapacity, id);
   holds &= CheckInvariant(!context.is_brittle || context.has_room,
                           Invariant::kUpstreamCapacity, id);
+  holds &=
+      CheckInvariant(!context.is_waiting, Invariant::kUpstreamCapacity, id);
   holds &= CheckInvariant(!context.is_quarantined || context.is_trial,
                           Invariant::kQuarantinedPartGetsNoWork, id);
   holds &=
--- a/src/endivecart/gateway/send_invariants.h
+++ b/src/endivecart/gateway/send_invariants.h
@@ -22,6 +22,7 @@
   bool has_limit_permit = false;       // from LimitMonitor
   bool is_brittle = false;             // the upstream says so
   bool has_room = false;               // by LimitMonitor
+  bool is_waiting = false;             // the upstream told this host to wait
   bool is_quarantined = false;         // a part of the prompt crashes upstreams
   bool is_trial = false;            // the one request that may be sent anyway
   bool caller_was_there = false;    // its connection was open just now
--- a/src/endivecart/gateway/send_invariants_unittest.cc
+++ b/src/endivecart/gateway/send_invariants_unittest.cc
@@ -55,6 +55,11 @@
   BOOST_TEST(CheckSendInvariants(context));
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_told_this_host_to_wait_gets_no_sends) {
+  context.is_waiting = true;
+  BOOST_TEST(Violates(Invariant::kUpstreamCapacity));
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_upstream_gets_no_sends) {
   upstream.state = upstreams::UpstreamState::kDraining;
   BOOST_TEST(Violates(Invariant::kLeavingGetsNoWork));
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -54,7 +54,8 @@
          ",old_weights:" + std::to_string(old_weights) +
          ",resting:" + std::to_string(resting) +
          ",region:" + std::to_string(region) +
-         ",tried:" + std::to_string(excluded);
+         ",tried:" + std::to_string(excluded) +
+         ",waiting:" + std::to_string(waiting);
 }
 
 UpstreamTracker::UpstreamTracker(DomainId own_domain,
@@ -161,6 +162,7 @@
   std::vector<Candidate> candidates;
   UpstreamCounts found;
   const TimePoint now = now_();
+  const bool any_waits = query.waits != nullptr && !query.waits->empty();
   const bool any_fails = failures_.KnowsFailing(now);
   const HostRank rank =
       any_fails && others != nullptr ? others->Place() : HostRank();
@@ -191,6 +193,12 @@
       ++found.resting;
     } else if (WeightsOf(upstream, query.model) < query.min_weights) {
       ++found.old_weights;
+    } else if (const Millis wait = any_waits
+                                       ? query.waits->TimeLeft(RunOf(id), now)
+                                       : Millis(0);
+               wait > Millis(0)) {
+      ++found.waiting;
+      found.shortest_wait = std::min(found.shortest_wait.value_or(wait), wait);
     } else {
       ++found.usable;
       Candidate candidate;
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -10,6 +10,7 @@
 
 #include "endivecart/fleet/fleet.h"
 #include "endivecart/gateway/placement.h"
+#include "endivecart/limits/limits.h"
 #include "endivecart/upstreams/upstreams.h"
 
 namespace endivecart::gateway {
@@ -49,6 +50,8 @@
   int resting = 0;
   int region = 0;  // in a region where the request may not run
   int excluded = 0;
+  int waiting = 0;  // it wants nothing from this host for a while
+  std::optional<Millis> shortest_wait;  // of these
 
   bool operator==(const UpstreamCounts&) const = default;
   std::string ToString() const;
@@ -71,6 +74,7 @@
     std::optional<VersionId> only_version;  // of the software
     std::optional<VersionId> except_version;
     std::function<bool(const DomainId&)> may_run_in;  // null: anywhere
+    const limits::NamedWaits* waits = nullptr;        // null: none
   };
 
   UpstreamTracker(DomainId own_domain, std::function<TimePoint()> now);
--- a/src/endivecart/limits/limits.h
+++ b/src/endivecart/limits/limits.h
@@ -7,6 +7,7 @@
 
 #include "endivecart/limits/limit_monitor.h"  // IWYU pragma: export
 #include "endivecart/limits/limit_table.h"    // IWYU pragma: export
+#include "endivecart/limits/named_waits.h"    // IWYU pragma: export
 #include "endivecart/limits/room_limiter.h"   // IWYU pragma: export
 #include "endivecart/limits/share_limiter.h"  // IWYU pragma: export
 
