Recall a request whose call is given up before it is answered

What callers saw: nothing by itself; upstreams may get a request after its repeat.

Cause: a closed socket leaves its unsent bytes with the kernel, which goes on sending them. FailOverFromCutLink, time limits and callers that leave rely on the opposite. Class of fault: an act that was handed out is taken for undone.

Change: a connection that is closed with a request under way is reset (linger of 0), so that the kernel drops what it has not sent. What has left the host already can't be recalled.

Evidence: net_client/a_cancelled_request_is_not_delivered_later failed before: the server read all 16,051 bytes and an ordinary end after the call had been cancelled; now it reads less than the body, and a reset. net_client, net_server, gateway_cut_off_hosts pass.

Conclusion: shown on loopback; on a cut link the reset itself may be lost, but the bytes are not sent again.

--- a/src/endivecart/net/http_connection.cc
+++ b/src/endivecart/net/http_connection.cc
@@ -337,6 +337,12 @@
   const auto self = shared_from_this();
   timer_.reset();
   ErrorCode ignored;  // a failed close can't be handled
+  // Otherwise the kernel would go on sending the rest of the request, which may
+  // arrive long after it has been repeated elsewhere.
+  const bool is_under_way =
+      has_sent_bytes_ && (!response_complete_ || writing_);
+  if (is_under_way)
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   socket_.close(ignored);
   const auto it = pool_->addresses.find(address_);
   if (it != pool_->addresses.end())
--- a/src/endivecart/net/net_unittest.cc
+++ b/src/endivecart/net/net_unittest.cc
@@ -393,6 +393,41 @@
   BOOST_TEST(!outcome->may_have_been_sent);
 }
 
+// Guards against BUDGET: the kernel went on sending a request after its call
+// had been given up, so that it arrived beside its repeat.
+BOOST_FIXTURE_TEST_CASE(a_cancelled_request_is_not_delivered_later,
+                        ClientFixture) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor acceptor(loop.context(), tcp::v4());
+  // Most of the request has to stay with the sender until the server reads.
+  acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  acceptor.listen();
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/";
+  request.fields.Add("Host", "a");
+  request.body.assign(16000, 'x');
+  auto call = client.Start({"127.0.0.1", acceptor.local_endpoint().port()},
+                           request, CallOptions(),
+                           {[](const HttpResponseHead&) {},
+                            [](std::string_view) {}, [](CallResult) {}});
+  RunFor(Millis(20));
+  BOOST_REQUIRE(call->may_have_been_sent());
+  tcp::socket server = acceptor.accept();
+  call.reset();
+  std::string received;
+  boost::system::error_code error;
+  while (!error) {
+    char buffer[4096];
+    const std::size_t bytes =
+        server.read_some(boost::asio::buffer(buffer), error);
+    received.append(buffer, bytes);
+  }
+  BOOST_TEST(error == boost::asio::error::connection_reset);
+  BOOST_TEST(received.size() < request.body.size());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_cancelled_call_closes_its_connection, ClientFixture) {
   bool received = false;
   upstream.on_bytes = [&](auto&) { received = true; };
