Count repeats of requests that a cut holds up

What callers saw: nothing; upstreams got requests twice, beyond the retry limit.

Cause: what was sent after the last data from any upstream was taken for lost as soon as its connection was closed, and repeated through other hosts without a retry. A cut that refuses new connections only, or holds up answers only, delivers it. Class of fault: an act that was handed out is taken for undone.

Change: each such repeat takes a retry from the limiter.

Price: beyond the limit, requests that were under way when a host was cut off wait for their time limit or the end of the cut.

--- a/src/endivecart/gateway/cut_off_host_unittest.cc
+++ b/src/endivecart/gateway/cut_off_host_unittest.cc
@@ -116,6 +116,50 @@
   }
 }
 
+// Guards against BUDGET: a host that could open no connection sent what it had
+// under way once more through other hosts, uncounted, though it had arrived.
+BOOST_AUTO_TEST_CASE(
+    requests_that_arrived_before_a_cut_are_repeated_within_the_limit) {
+  constexpr int kBurst = 30;
+  constexpr double kRetryRatio = 0.2;
+  std::map<std::string, int> arrivals;
+  std::vector<std::pair<RawUpstream::Connection*, std::string>> held;
+  on_request = [&](Upstream&, RawUpstream::Connection& connection,
+                   const std::string& request) {
+    const bool is_first = ++arrivals[Field(request, "Id")] == 1;
+    if (is_first && request.starts_with("GET /plain/h0")) {
+      held.emplace_back(&connection, request);
+    } else {
+      AnswerPlain(connection, request);
+    }
+  };
+  const auto send_burst = [&] {
+    for (int i = 0; i < kBurst; ++i)
+      SendPlain(0, "/plain/h0");
+    RunFor(Millis(100));
+  };
+  send_burst();
+  BOOST_REQUIRE(held.size() == kBurst);
+  for (const auto& [connection, request] : held)
+    AnswerPlain(*connection, request);
+  RunFor(Millis(100));
+  // The second burst uses the connections of the first.
+  CutLinks(0, RawProxy::Cut::kRefuseNew);
+  send_burst();
+  const std::size_t arrived = arrivals.size();
+  BOOST_TEST(arrived > kBurst + kBurst / 2);
+  const TimePoint end = loop.Now() + kContactWindow;
+  while (loop.Now() < end) {
+    SendPlain(1, "/plain/h1");  // a relay has to have answers itself
+    RunFor(Millis(100));
+  }
+  int repeats = 0;
+  for (const auto& [id, count] : arrivals)
+    repeats += count - 1;
+  BOOST_TEST_MESSAGE("arrived " << arrived << ", repeats " << repeats);
+  BOOST_TEST(repeats <= kRetryRatio * static_cast<double>(arrivals.size()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/forwarding_relay.cc
+++ b/src/endivecart/gateway/forwarding_relay.cc
@@ -141,14 +141,10 @@
       runs_ + 1 >= route_.max_attempts || !ChooseRelay()) {
     return;
   }
-  // What was sent after the last data from any upstream was held up by the cut:
-  // no upstream gets it once the connection is closed.
-  const bool may_have_arrived =
-      sent_at_ <= gateway_.reach_.LastData(service_.str());
-  if (may_have_arrived &&
-      !gateway_.retry_limiter_.TryAcquire(service_, gateway_.loop_.Now())) {
+  // A cut may hold up answers only, or new connections only, so that the request
+  // may have arrived.
+  if (!gateway_.retry_limiter_.TryAcquire(service_, gateway_.loop_.Now()))
     return;
-  }
   call_.reset();
   EndFailedRun(SendResult::kSilent, "cut_off");
   Send();
