--- a/src/endivecart/gateway/forwarding_relay.cc
+++ b/src/endivecart/gateway/forwarding_relay.cc
@@ -141,8 +141,8 @@
       runs_ + 1 >= route_.max_attempts || !ChooseRelay()) {
     return;
   }
-  // A cut may hold up answers only, or new connections only, so that the request
-  // may have arrived.
+  // A cut may hold up answers only, or new connections only, so that the
+  // request may have arrived.
   if (!gateway_.retry_limiter_.TryAcquire(service_, gateway_.loop_.Now()))
     return;
   call_.reset();
