--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -148,6 +148,8 @@
   void OnRequestLimit(const UpstreamId& upstream,
                       const AnswerMetadata& metadata,
                       TimePoint sent_at);
+  // Records the wait that an upstream named with a refusal.
+  void OnNamedWait(const UpstreamId& upstream, const AnswerMetadata& metadata);
   void Admit();
   // Looks for silent upstreams, and probes upstreams if necessary.
   void ReachTick();
@@ -165,6 +167,7 @@
   MoveTracker moves_;
   quarantine::PartMonitor part_monitor_;
   limits::LimitMonitor limits_;
+  limits::NamedWaits named_waits_;
   quarantine::ReachMonitor reach_;
   ReachProber prober_;
   quarantine::RelaySelector relays_;
