Bodies reserve their declared length when the head is read

What callers saw: nothing yet; net_body_budget failed on (25 checks in net_*): a declared body reserved nothing before its first byte, and a caller was told to continue before its body could be rejected. Cause: the parser's base class announces a body only with its first byte. Change: the server makes the parser reserve once the head is complete. Test a_body_that_is_being_sent_is_not_copied counted the 8 MB that its own peer kept. Its peer now reads nothing and the body is 32 MB, with the same bound; the corrected test was not run on the code before the fix.

--- a/src/endivecart/net/body_unittest.cc
+++ b/src/endivecart/net/body_unittest.cc
@@ -12,7 +12,6 @@
 
 using tests::LoopFixture;
 using tests::RawCaller;
-using tests::RawUpstream;
 
 constexpr std::size_t kLargeBytes = 4UL << 20;
 // Heads, buffers and whatever else isn't a body.
@@ -34,16 +33,21 @@
 // Guards against LOST: each layer held a copy of a large body, and a few
 // requests took a host over its memory.
 BOOST_FIXTURE_TEST_CASE(a_body_that_is_being_sent_is_not_copied, LoopFixture) {
-  RawUpstream upstream(loop);
+  // A peer that reads nothing. The body doesn't fit in the kernel's buffers.
+  constexpr std::size_t kUnsentBytes = 32UL << 20;
+  const boost::asio::ip::tcp::acceptor upstream(
+      loop.context(), {boost::asio::ip::make_address("127.0.0.1"), 0});
   HttpClient client(loop);
   HttpRequest request;
   request.method = "POST";
   request.target = "/";
-  request.body = std::string(kLargeBytes, 'b');
+  request.body = std::string(kUnsentBytes, 'b');
   const std::size_t before = AllocatedBytes();
-  const auto call = client.Start(upstream.address(), request, CallOptions(),
-                                 {[](const HttpResponseHead&) {},
-                                  [](std::string_view) {}, [](CallResult) {}});
+  const auto call = client.Start(
+      settings::Endpoint{"127.0.0.1", upstream.local_endpoint().port()},
+      request, CallOptions(),
+      {[](const HttpResponseHead&) {}, [](std::string_view) {},
+       [](CallResult) {}});
   RunUntil([&] { return call->may_have_been_sent(); });
   BOOST_TEST(call->may_have_been_sent());
   BOOST_TEST(AllocatedBytes() < before + kOtherBytes);
--- a/src/endivecart/net/http_parser.cc
+++ b/src/endivecart/net/http_parser.cc
@@ -85,7 +85,14 @@
     error = http::error::body_limit;
     return;
   }
-  MakeRoom(*length, error);
+  if (*length > room_)
+    MakeRoom(*length, error);
+}
+
+void RequestParser::PrepareBody(Error& error) {
+  const auto length = content_length_remaining();
+  if (length && room_ == 0)
+    MakeRoom(*length, error);
 }
 
 void RequestParser::MakeRoom(std::size_t bytes, Error& error) {
--- a/src/endivecart/net/http_parser.h
+++ b/src/endivecart/net/http_parser.h
@@ -24,6 +24,9 @@
   HttpRequest& request() { return request_; }
   // Whether the client sent "Expect: 100-continue".
   bool expects_continue() const { return expects_continue_; }
+  // Makes room for a body of declared length. The base class announces the body
+  // only with its first byte.
+  void PrepareBody(boost::beast::error_code& error);
   // Returns the size for which the budget had no room; 0 if it had.
   std::size_t rejected_body_bytes() const { return rejected_body_bytes_; }
 
--- a/src/endivecart/net/http_server.cc
+++ b/src/endivecart/net/http_server.cc
@@ -320,6 +320,12 @@
         RefuseAndClose(413);
         return;
       }
+      ErrorCode no_room;
+      parser_->PrepareBody(no_room);
+      if (no_room) {
+        RefuseAndClose(StatusOfParseError(no_room));
+        return;
+      }
       if (parser_->expects_continue() && !parser_->is_done())
         Send("HTTP/1.1 100 Continue\r\n\r\n");
     }
