Tests: a request's body is set as a whole

The parts on BUDGET and on bodies were joined without a conflict in the text, but a test wrote into a body that is immutable since. The test is the same. The joined code had not compiled before.

--- a/src/endivecart/net/net_unittest.cc
+++ b/src/endivecart/net/net_unittest.cc
@@ -407,7 +407,7 @@
   request.method = "POST";
   request.target = "/";
   request.fields.Add("Host", "a");
-  request.body.assign(16000, 'x');
+  request.body = std::string(16000, 'x');
   auto call = client.Start({"127.0.0.1", acceptor.local_endpoint().port()},
                            request, CallOptions(),
                            {[](const HttpResponseHead&) {},
