A control host that just started doesn't age new decisions (VERSION)

Found by the review of the fix, by reading: in its first 30 s a control host took the age of every version that it learned of from two clocks, its own and that of the proposer. With clocks that differ by some seconds a new version was old at once at all hosts, as the oldest age counts, and prompts found no upstream until the first had loaded.

Change: only decisions that were in the log when the process started take their age from it; later ones are as old as the process knows them.

The test of the time of day no longer skips the first 30 s; a new one has control hosts whose clocks are ahead. Neither was run on the code before, nor yet on this one: the joined parts are being built.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -79,8 +79,9 @@
 
 void FleetFeed::RecordWeightsAges(const Decisions& decisions) {
   const TimePoint now = hooks_.now();
-  const bool may_replay = hooks_.unix_ms && now - started_at_ < kReplayTime;
-  const std::uint64_t unix_ms = may_replay ? hooks_.unix_ms() : 0;
+  const bool is_replayed = decisions.index <= loaded_index_;
+  const std::uint64_t unix_ms =
+      is_replayed && hooks_.unix_ms ? hooks_.unix_ms() : 0;
   for (const auto& [model, version] : decisions.weights) {
     const auto known = decisions_.weights.find(model);
     // A snapshot of an earlier release doesn't have the times.
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -61,11 +61,6 @@
   // first copy may still be in transit.
   static constexpr Millis kDocumentResendDelay{250};
 
-  // A process that started less than this ago takes the age of weights that it
-  // learns of from the time that is in the log, since it may be replaying it.
-  // Later ones are as old as this process knows them: the time of day jumps.
-  static constexpr Millis kReplayTime{30000};
-
   // Ages of weights are repeated in answers for this long, so that followers
   // also get the ages that other control hosts know.
   static constexpr Millis kAgesRepeatTime{60000};
@@ -88,6 +83,10 @@
     told_quarantines_ = quarantines;
   }
   void OnPoll(const HostId& from, const wire::FleetPoll& poll);
+  // Decisions up to this index of the log were made before this process
+  // started, so that only the log tells their age. Later ones are as old as
+  // this process knows them: the time of day differs between hosts and jumps.
+  void SetLoadedIndex(std::uint64_t index) { loaded_index_ = index; }
   // Sends all followers the decisions that they haven't been sent yet.
   void PushDecisions(const Decisions& decisions);
   // Takes over the ages of weights that another control host knows.
@@ -147,6 +146,7 @@
   const Hooks hooks_;
   const TimePoint started_at_;
   Decisions decisions_;
+  std::uint64_t loaded_index_ = 0;
   WeightsAges weights_ages_;
   std::map<HostId, Follower> followers_;
   std::map<HostId, TimePoint> caller_seen_at_;  // by last poll
--- a/src/endivecart/fleet/fleet_voter.cc
+++ b/src/endivecart/fleet/fleet_voter.cc
@@ -72,6 +72,14 @@
     LogLine("fleet.snapshot_unreadable").Error();
   applied_index_ = state.snapshot.last_index();
   core_.emplace(raft, state, hooks_.now());
+  loaded_index_ = core_->log().last_index();
+  if (state.term == 0)
+    return;
+  // A full disk may not have synced what was loaded. Nothing is sent before a
+  // record has been.
+  persisting_.emplace();
+  *persisting_->records.emplace_back().mutable_vote() = MakeDurableVote(*core_);
+  disk_work_since_ = hooks_.now();
 }
 
 void FleetVoter::Tick() {
--- a/src/endivecart/fleet/fleet_voter.h
+++ b/src/endivecart/fleet/fleet_voter.h
@@ -84,6 +84,8 @@
   // everything that earlier leaders committed.
   bool IsConfirmedLeader() const;
   bool HasEmptyLog() const;
+  // Returns the last index of the log when this process started.
+  std::uint64_t loaded_index() const { return loaded_index_; }
   // Returns an empty id if the leader is unknown.
   HostId LeaderHost() const;
   std::uint64_t term() const { return core_->term(); }
@@ -132,6 +134,7 @@
   // The last entry that decisions() includes. Lags behind the core's delivered
   // index while the disk writes the batch that contains the entries.
   std::uint64_t applied_index_ = 0;
+  std::uint64_t loaded_index_ = 0;
   // The newest entry whose proposer was told that it is decided.
   std::uint64_t acknowledged_index_ = 0;
   bool disk_busy_ = false;
--- a/src/endivecart/fleet/weights_ages_unittest.cc
+++ b/src/endivecart/fleet/weights_ages_unittest.cc
@@ -90,10 +90,11 @@
     hooks.cache_update = [](const CachePosition&) {
       return std::optional<wire::CacheUpdate>();
     };
-    hooks.unix_ms = [this] { return unix_ms_; };
+    hooks.unix_ms = [this] { return unix_ms_ + control_clock_ahead_ms_; };
     ++incarnation_;
     feeds_[i] =
         std::make_unique<FleetFeed>(incarnation_, &roster_, std::move(hooks));
+    feeds_[i]->SetLoadedIndex(index_);
     feeds_[i]->PushDecisions(Decisions());
     feeds_[i]->PushDecisions(log_.decisions());
   }
@@ -139,6 +140,10 @@
   void JumpTimeOfDay(int millis) {
     unix_ms_ += static_cast<std::uint64_t>(static_cast<std::int64_t>(millis));
   }
+  // Of the control hosts' clocks, before that of the host that proposes.
+  void SetControlClockAhead(std::uint64_t millis) {
+    control_clock_ahead_ms_ = millis;
+  }
   void SetStamps(bool stamps) { stamps_ = stamps; }
   void SetTellsAges(bool tells_ages) { tells_ages_ = tells_ages; }
 
@@ -150,6 +155,7 @@
 
   TimePoint now_ = At(0);
   std::uint64_t unix_ms_ = 1790000000000;
+  std::uint64_t control_clock_ahead_ms_ = 0;
   bool stamps_ = true;
   bool tells_ages_ = true;
   std::uint64_t index_ = 0;
@@ -225,7 +231,6 @@
 // jumps or differs between control hosts.
 BOOST_AUTO_TEST_CASE(the_time_of_day_does_not_age_a_decision_in_operation) {
   RestartingFleet fleet(1);
-  fleet.Advance(FleetFeed::kReplayTime.count());
   fleet.JumpTimeOfDay(5000);
   fleet.NameWeights(2);
   fleet.JumpTimeOfDay(60000);
@@ -237,6 +242,23 @@
   BOOST_TEST(fleet.MinWeights(0) == 2u);
 }
 
+// Guards against a decision that is old at once: control hosts that had just
+// started took its age from clocks that differ.
+BOOST_AUTO_TEST_CASE(
+    a_new_decision_is_young_at_control_hosts_that_just_started) {
+  RestartingFleet fleet(1);
+  fleet.NameWeights(2);
+  fleet.Advance(9000);
+  fleet.RestartControlHost(0);
+  fleet.RestartControlHost(1);
+  fleet.SetControlClockAhead(8000);
+  fleet.NameWeights(3);
+  fleet.Advance(1000);
+  BOOST_TEST(fleet.MinWeights(0) == 2u);
+  fleet.Advance(7000);
+  BOOST_TEST(fleet.MinWeights(0) == 3u);
+}
+
 // Guards against a log or a control host of an earlier release being refused.
 BOOST_AUTO_TEST_CASE(
     without_an_age_a_decision_counts_from_when_it_was_learned) {
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -176,6 +176,7 @@
   };
   voter_hooks.now = [this] { return loop.Now(); };
   voter.emplace(options, storage.get(), std::move(voter_hooks));
+  feed->SetLoadedIndex(voter->loaded_index());
 }
 
 void VoterNode::Parts::OpenFeed() {
