Test: a voter that starts is silent until its disk is written

If the leader's disk is lost and the others lose power, an acknowledged change is gone.

The same holds not for the older ControlNode of role site, which shares the data folder: open.

--- a/src/endivecart/fleet/fleet_voter_unittest.cc
+++ b/src/endivecart/fleet/fleet_voter_unittest.cc
@@ -97,6 +97,26 @@
     }
   }
 
+  // Restarts a voter that doesn't lead and holds back its writes. Returns its
+  // host.
+  HostId RestartFollower() {
+    for (auto& [host, node] : nodes_) {
+      if (node.voter->IsLeader())
+        continue;
+      node.jobs.clear();
+      node.holds_writes = true;
+      node.voter = MakeVoter(host, node);
+      sent_[host] = 0;
+      return host;
+    }
+    throw std::runtime_error("all voters lead");
+  }
+
+  int MessagesOf(const HostId& host) { return sent_[host]; }
+  void ReleaseWrites(const HostId& host) {
+    nodes_.at(host).holds_writes = false;
+  }
+
   void HoldWrites(const FleetVoter& voter, bool hold) {
     for (auto& [host, node] : nodes_) {
       if (node.voter.get() == &voter)
@@ -123,6 +143,7 @@
     FleetVoter::Hooks hooks;
     hooks.send = [this, host](const HostId& to, wire::Envelope envelope) {
       envelope.set_from(host.str());
+      ++sent_[host];
       messages_.emplace_back(to, std::move(envelope));
     };
     hooks.run_on_disk = [&node](auto job, auto done) {
@@ -151,6 +172,7 @@
   soak::RandomSource dice_;
   TimePoint now_{Millis(1000000)};
   std::map<HostId, Node> nodes_;
+  std::map<HostId, int> sent_;
   std::deque<std::pair<HostId, wire::Envelope>> messages_;
 };
 
@@ -257,6 +279,19 @@
   BOOST_TEST(Leaders() == 1);
 }
 
+// Guards against a change that is lost although it was acknowledged: a voter
+// that started on a full disk confirmed records that had never been synced.
+BOOST_FIXTURE_TEST_CASE(a_voter_that_starts_is_silent_until_its_disk_is_written,
+                        ThreeVoters) {
+  BOOST_REQUIRE(Replace(Elect(), 1));
+  const HostId host = RestartFollower();
+  Pass(1000);
+  BOOST_TEST(MessagesOf(host) == 0);
+  ReleaseWrites(host);
+  Pass(1000);
+  BOOST_TEST(MessagesOf(host) > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
