The estimate of a request's time stays within range

Found by the review, by reading: the output that a caller allows comes unbounded from its header; multiplied by the time per event it may exceed the range of the integer that it is converted to, which is undefined. A stopping host could then accept what it should reject. Change: limited before the conversion; the test asks with the largest number. Not run on the code before.

--- a/src/endivecart/gateway/duration_estimator.cc
+++ b/src/endivecart/gateway/duration_estimator.cc
@@ -10,6 +10,8 @@
 constexpr double kDecay = 1.0 / 256;
 // Requests may take longer than before while another host stops or starts.
 constexpr double kReserve = 1.25;
+// Longer than any request; keeps what callers allow within the range of Millis.
+constexpr double kMaxMs = 1e9;
 
 void Raise(double& maximum, double value) {
   maximum = std::max(value, maximum * (1 - kDecay));
@@ -42,8 +44,9 @@
   const double longest_stream_ms =
       maxima.first_event_ms +
       maxima.ms_per_event * static_cast<double>(max_events);
-  return Millis(static_cast<Millis::rep>(
-      std::max(maxima.duration_ms, longest_stream_ms) * kReserve));
+  const double longest_ms = std::max(maxima.duration_ms, longest_stream_ms);
+  return Millis(
+      static_cast<Millis::rep>(std::min(longest_ms * kReserve, kMaxMs)));
 }
 
 void DurationEstimator::KeepOnly(
--- a/src/endivecart/gateway/planned_stop_unittest.cc
+++ b/src/endivecart/gateway/planned_stop_unittest.cc
@@ -1,4 +1,6 @@
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <limits>
 
 #include "support/gateway_fixture.h"
 
@@ -157,6 +159,9 @@
   BOOST_TEST(durations.Longest("r", 2)->count() == 375);
   BOOST_TEST(durations.Longest("r", 10)->count() == 1375);
   BOOST_TEST(!durations.Longest("other", 10));
+  // Callers may allow any number of events.
+  BOOST_TEST(durations.Longest("r", std::numeric_limits<std::int64_t>::max())
+                 ->count() > 1375);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
