A refused request takes a retry also on its way through another host (BUDGET)

What callers' upstreams saw: a request that an upstream had refused was sent once more by way of another host without a retry from the limit, though the refused arrival counts. Cause: a relayed send was taken for the first one whenever the request had not run; refused and not reached are different. Change: only what reached no upstream goes on freely. Test: a burst that is held, a cut, then refusals. Open: the host that relays and the one that sends both count the request.

--- a/src/endivecart/gateway/cut_off_host_unittest.cc
+++ b/src/endivecart/gateway/cut_off_host_unittest.cc
@@ -160,6 +160,46 @@
   BOOST_TEST(repeats <= kRetryRatio * static_cast<double>(arrivals.size()));
 }
 
+// Guards against BUDGET: what an upstream had refused was sent once more
+// through other hosts, uncounted, while the host was cut off.
+BOOST_AUTO_TEST_CASE(
+    refused_requests_are_repeated_through_other_hosts_within_the_limit) {
+  constexpr int kBurst = 30;
+  constexpr double kRetryRatio = 0.2;
+  std::map<std::string, int> arrivals;
+  std::vector<std::pair<RawUpstream::Connection*, std::string>> held;
+  on_request = [&](Upstream&, RawUpstream::Connection& connection,
+                   const std::string& request) {
+    const bool is_first = ++arrivals[Field(request, "Id")] == 1;
+    if (is_first && request.starts_with("GET /once/h0")) {
+      held.emplace_back(&connection, request);
+    } else {
+      AnswerPlain(connection, request);
+    }
+  };
+  for (int i = 0; i < kBurst; ++i)
+    SendPlain(0, "/once/h0");
+  RunFor(Millis(100));
+  BOOST_REQUIRE(held.size() == kBurst);
+  CutLinks(0, RawProxy::Cut::kRefuseNew);
+  for (int i = 0; i < 15; ++i) {
+    SendPlain(1, "/once/h1");  // a relay has to have answers itself
+    RunFor(Millis(100));
+  }
+  for (const auto& [connection, request] : held) {
+    Reply(*connection,
+          "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: " + Field(request, "Id") +
+              "\r\nContent-Length: 0\r\n\r\n");
+  }
+  RunFor(Millis(500));
+  int repeats = 0;
+  for (const auto& [id, count] : arrivals)
+    repeats += count - 1;
+  BOOST_TEST_MESSAGE("requests " << arrivals.size() << ", repeats " << repeats);
+  BOOST_TEST(repeats > 0);
+  BOOST_TEST(repeats <= kRetryRatio * static_cast<double>(arrivals.size()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -546,8 +546,10 @@
 }
 
 void Forwarding::RetryOrGiveUp(const char* reason, SendEffect effect) {
-  // A relay's send is no retry: none has reached an upstream.
-  if ((run_state_ == RunState::kNotRun && ChooseRelay()) || MayRetry(effect)) {
+  // A relay's send is no retry if none has reached an upstream.
+  const bool is_first_arrival =
+      effect == SendEffect::kNotReached && run_state_ == RunState::kNotRun;
+  if ((is_first_arrival && ChooseRelay()) || MayRetry(effect)) {
     Send();
   } else {
     GiveUp(reason);
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -32,7 +32,11 @@
   plain.services = {{routes::ServiceId("plain"), 1}};
   plain.resumable = false;
   plain.carries_prompt = false;
-  configuration.routes = {route, plain};
+  routes::Route once = plain;
+  once.name = "once";
+  once.path_prefix = "/once/";
+  once.kind = routes::RequestKind::kNonIdempotent;
+  configuration.routes = {route, plain, once};
   configuration.services.resize(2);
   configuration.services[0].id = routes::ServiceId("s");
   configuration.services[1].id = routes::ServiceId("plain");
