--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -15,7 +15,7 @@
 // How precisely it is stored when a quarantine was asked for last.
 constexpr Millis kAskedResolution{60000};
 // An age beyond this is of no consequence.
-constexpr std::uint64_t kMaxReplayedAgeMs = 24 * 3600 * 1000;
+constexpr std::uint64_t kMaxReplayedAgeMs = std::uint64_t{24} * 3600 * 1000;
 
 }  // namespace
 
--- a/src/endivecart/fleet/weights_ages_unittest.cc
+++ b/src/endivecart/fleet/weights_ages_unittest.cc
@@ -295,7 +295,7 @@
   WeightsAges ages;
   const int retention = static_cast<int>(WeightsAges::kRetention.count());
   for (int i = 0; i < 100; ++i)
-    ages.Record(kModel, static_cast<std::uint64_t>(i + 1), At(i * retention));
+    ages.Record(kModel, static_cast<std::uint64_t>(i) + 1, At(i * retention));
   wire::FleetUpdate update;
   ages.AppendTo(update, At(99 * retention));
   BOOST_TEST(update.weights_ages_size() == 2);
