--- a/src/endivecart/fleet/weights_ages_unittest.cc
+++ b/src/endivecart/fleet/weights_ages_unittest.cc
@@ -170,7 +170,7 @@
 BOOST_AUTO_TEST_SUITE(fleet_weights_ages, *boost::unit_test::label("fleet"))
 
 // Guards against prompts on replaced weights at a host that has restarted,
-// whose grace for older weights began anew (issue 45).
+// whose grace for older weights started again with each restart.
 BOOST_AUTO_TEST_CASE(a_host_that_starts_learns_how_old_a_decision_is) {
   RestartingFleet fleet(1);
   fleet.Advance(10);
