Cache saves: grants go into the replicated log before they are answered

Cause: after a restart of all processes a new leader couldn't know which saves its predecessor had granted, so it granted none for the longest request plus 3.5 s (15.5 s).

Change: CacheSaveBatches proposes the grants in batches (one under way, at most 50 a second, none without claims) and answers the claims once their batch is decided. A leader that has the whole log begins at once, after a newer list of each store; what the log has may begin for its whole lifetime from then on, unless the store's list has the part or its host's run reports otherwise. A part that a store's list shows incomplete gets no save: the save that writes it may be of an earlier leader.

--- a/src/endivecart/fleet/cache_catalog.cc
+++ b/src/endivecart/fleet/cache_catalog.cc
@@ -14,15 +14,8 @@
 constexpr Millis kListInterval{15000};
 // Lists are not made more often than this to learn what became of a save.
 constexpr Millis kMinListInterval{4000};
-// After a store restarts empty, no parts are saved there until every follower
-// knows of the restart and all fetches that were planned before have ended.
-// Otherwise a fetch could take an incomplete part for the complete one that the
-// store held before.
-constexpr Millis kSettlingTime = CacheCatalog::kFreeDelay;
 // A part that is still incomplete after this long was abandoned by its writer.
 constexpr Millis kPartialTimeout{10000};
-// A store filled beyond this fraction of its capacity gets no more parts.
-constexpr double kMaxFillRatio = 0.97;
 // A follower that is behind by more removals discards what it has.
 constexpr std::size_t kMaxRemovals = 20000;
 // How often the states of the stores are determined anew while no store was
@@ -55,9 +48,10 @@
 
 void CacheCatalog::OnLeadershipGained(std::uint64_t term,
                                       TimePoint now,
-                                      bool may_have_predecessor) {
+                                      bool may_have_predecessor,
+                                      const std::vector<LoggedSave>* logged) {
   term_ = term;
-  save_ledger_.OnLeadershipGained(may_have_predecessor, now);
+  save_ledger_.OnLeadershipGained(may_have_predecessor, now, logged);
   // An order of the previous leader may still free parts until then, so none
   // may be published.
   reads_allowed_at_ = now + kOldOrdersExpired;
@@ -74,6 +68,7 @@
     store.parts.clear();
     store.keys.clear();
     store.partial.clear();
+    store.partial_keys.clear();
     store.used = 0;
   }
 }
@@ -140,6 +135,7 @@
                        const CachePartName& name,
                        std::int64_t tokens) {
   store.partial.erase(name);
+  store.partial_keys.erase(CacheKey(name));
   save_ledger_.OnComplete(
       {CacheKey(name), CacheStoreKey(store.settings.address)});
   const auto [it, is_new] = store.parts.try_emplace(name);
@@ -179,6 +175,7 @@
   store.parts.clear();
   store.keys.clear();
   store.partial.clear();
+  store.partial_keys.clear();
   store.used = 0;
   store.listed = false;
   store_states_due_ = TimePoint{};
@@ -296,12 +293,12 @@
   }
   store->partial = std::move(partial);
   store->used = used;
-  std::set<std::uint64_t> incomplete;
+  store->partial_keys.clear();
   for (const auto& [name, since] : store->partial)
-    incomplete.insert(CacheKey(name));
+    store->partial_keys.insert(CacheKey(name));
   save_ledger_.OnListed(
       CacheStoreKey(address), store->read_asked_at,
-      [&](std::uint64_t key) { return incomplete.contains(key); });
+      [&](std::uint64_t key) { return store->partial_keys.contains(key); });
 }
 
 void CacheCatalog::OnReadFailed(const settings::Endpoint& address,
@@ -352,73 +349,6 @@
   return frees;
 }
 
-bool CacheCatalog::TakesMore(const Store& store, TimePoint now) {
-  return store.listed && store.present &&
-         now - store.readable_since >= kSettlingTime &&
-         static_cast<double>(store.used) <
-             kMaxFillRatio * static_cast<double>(store.settings.cache_tokens);
-}
-
-bool CacheCatalog::IsStored(std::uint64_t key) const {
-  return std::any_of(stores_.begin(), stores_.end(), [key](const Store& store) {
-    return store.keys.contains(key);
-  });
-}
-
-wire::CacheSaveGrant CacheCatalog::OnSaveClaim(
-    const HostId& host,
-    const wire::CacheSaveClaim& claim,
-    TimePoint now) {
-  wire::CacheSaveGrant grant;
-  grant.set_term(claim.term());
-  grant.set_number(claim.number());
-  if (!term_ || claim.term() != *term_)
-    return grant;
-  for (const wire::CachedPart& part : claim.parts()) {
-    if (part.store() >= stores_.size() || IsStored(part.key()))
-      continue;
-    Store& store = stores_[part.store()];
-    if (!TakesMore(store, now))
-      continue;
-    const auto ruling = save_ledger_.Grant(
-        {part.key(), CacheStoreKey(store.settings.address)},
-        {host, claim.number()}, Millis(claim.lifetime_ms()), now);
-    if (ruling == CacheSaveLedger::Ruling::kGranted)
-      *grant.add_parts() = part;
-    if (ruling == CacheSaveLedger::Ruling::kNeedsList)
-      store.next_list = std::min(store.next_list, store.may_list_at);
-  }
-  return grant;
-}
-
-void CacheCatalog::OnSaveRelease(const HostId& host,
-                                 const wire::CacheSaveRelease& release,
-                                 TimePoint now) {
-  if (!term_)
-    return;
-  for (const wire::CacheSaveRecord& save : release.saves()) {
-    save_ledger_.Release({save.key(), save.store()}, {host, save.claim()},
-                         release.was_sent(), now);
-  }
-}
-
-void CacheCatalog::OnPoll(const HostId& host,
-                          const wire::FleetPoll& poll,
-                          TimePoint now) {
-  std::vector<CacheSaveLedger::Outstanding> saves;
-  for (const wire::CacheSaveRecord& save : poll.saves()) {
-    saves.push_back({{save.key(), save.store()},
-                     {host, save.claim()},
-                     Millis(save.ends_in_ms())});
-  }
-  // Before the host has received an update of this term, it may still use
-  // grants of earlier ones. Only the primary control host gets its saves.
-  const bool is_report =
-      term_ && poll.cache_term() == *term_ && poll.wants_loads();
-  save_ledger_.OnPoll({host, poll.incarnation()}, is_report ? &saves : nullptr,
-                      now);
-}
-
 void CacheCatalog::UpdateStoreStates(TimePoint now) {
   if (now < store_states_due_)
     return;
--- a/src/endivecart/fleet/cache_catalog.h
+++ b/src/endivecart/fleet/cache_catalog.h
@@ -120,10 +120,13 @@
   static constexpr Millis kOldOrdersExpired{kOrderLifetime + Millis(100)};
 
   // Discards all state: this process has just become the leader of `term`.
-  // `may_have_predecessor`: another leader may have granted saves.
+  // `may_have_predecessor`: another leader may have granted saves. `logged`:
+  // see CacheSaveLedger::OnLeadershipGained().
+  using LoggedSave = CacheSaveLedger::Outstanding;
   void OnLeadershipGained(std::uint64_t term,
                           TimePoint now,
-                          bool may_have_predecessor = true);
+                          bool may_have_predecessor = true,
+                          const std::vector<LoggedSave>* logged = nullptr);
   void OnLeadershipLost();
   // Sets the stores of the routing configuration in force.
   void SetStores(const std::vector<routes::CacheStore>& stores);
@@ -142,10 +145,18 @@
   void OnReadFailed(const settings::Endpoint& store, TimePoint now);
   std::vector<CacheFree> NextFrees(TimePoint now);
 
-  // Returns those of the parts that the host may save; see CacheSaveLedger.
+  // Returns those of the parts that the host may save; see CacheSaveLedger. The
+  // answer must not be sent before the log has the grant; see CacheSaveBatches.
   wire::CacheSaveGrant OnSaveClaim(const HostId& host,
                                    const wire::CacheSaveClaim& claim,
                                    TimePoint now);
+  // Takes back a grant that was and will not be sent.
+  void CancelGrant(const HostId& host,
+                   const wire::CacheSaveGrant& grant,
+                   TimePoint now);
+  // Returns the store of a granted part among all leaders.
+  std::uint64_t StoreKeyOf(const wire::CachedPart& part) const;
+  CacheSaveLedger& save_ledger() { return save_ledger_; }
   void OnSaveRelease(const HostId& host,
                      const wire::CacheSaveRelease& release,
                      TimePoint now);
@@ -191,6 +202,7 @@
     std::set<std::uint64_t> keys;  // of `parts`
     // Parts that were incomplete in the last list, and when first seen so.
     std::map<CachePartName, TimePoint> partial;
+    std::set<std::uint64_t> partial_keys;
     std::int64_t used = 0;
   };
   // The latest change of a part of a store.
--- a/src/endivecart/fleet/cache_save_ledger.h
+++ b/src/endivecart/fleet/cache_save_ledger.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -47,10 +48,16 @@
   // A host that serves callers polls every control host more often than this,
   // unless it is cut off from it.
   static constexpr Millis kPollGap{2000};
-  // Grants beyond these are denied.
+  // A request waits for a grant for at most this long.
+  static constexpr Millis kClaimWait{50};
+  // Grants beyond these are denied. They are part of each snapshot of the log,
+  // with about 60 bytes each.
   static constexpr std::size_t kMaxGrants = 100000;
+  // A process numbers its claims from its incarnation on, so that those of its
+  // own run can be told from those of earlier ones on its host.
+  static constexpr std::uint64_t kMaxClaims = std::uint64_t{1} << 32;
 
-  // One run of a process that serves callers.
+  // One run of a process that serves callers, with its incarnation.
   using HostRun = std::pair<HostId, std::uint64_t>;
   // A save that an earlier leader granted.
   struct Outstanding {
@@ -74,10 +81,19 @@
   }
   // The time after which a save that was granted by now has begun or never
   // will.
-  Millis Expiry() const { return request_limit_ + kTransferWait + kMargin; }
+  Millis Expiry() const { return GrantTime(request_limit_); }
+  // Returns for how long the save of a request may begin that runs within
+  // `lifetime`.
+  static constexpr Millis GrantTime(Millis lifetime) {
+    return lifetime + kTransferWait + kMargin;
+  }
   // `may_have_predecessor`: another leader may have granted saves. None is
   // granted then until all hosts have reported theirs, or until all have ended.
-  void OnLeadershipGained(bool may_have_predecessor, TimePoint now);
+  // `logged`: all saves of earlier leaders that may still begin, or null if the
+  // log doesn't have all of them. There is no such wait if it has.
+  void OnLeadershipGained(bool may_have_predecessor,
+                          TimePoint now,
+                          const std::vector<Outstanding>* logged = nullptr);
   // A host has polled this process, leader or not. `saves`: what it reports to
   // this leader, or null.
   void OnPoll(const HostRun& host,
@@ -107,6 +123,16 @@
                 TimePoint asked_at,
                 const std::function<bool(std::uint64_t key)>& is_incomplete);
 
+  // Takes the grants that have ended and are still in the log, at most `max`.
+  std::vector<Outstanding> TakeEnded(std::size_t max, TimePoint now);
+  // Gives back what was taken: the log may still have them.
+  void ReturnEnded(const std::vector<Outstanding>& ended);
+  // Returns whether all saves of earlier leaders that may still begin are
+  // known.
+  bool KnowsAll(TimePoint now) const { return AllowedAt() <= now; }
+  // Returns all saves that may still begin, which are in the log from now on.
+  std::vector<Outstanding> LogAll(TimePoint now);
+
   std::size_t size() const { return grants_.size(); }
 
  private:
@@ -114,7 +140,21 @@
     Claim claim;
     TimePoint ends_at;
     bool was_complete = false;
+    bool is_logged = true;
+    // From the log of earlier leaders.
+    bool is_restored = false;
   };
+  using Grants = std::map<Part, Entry>;
+
+  void Restore(const std::vector<Outstanding>& logged, TimePoint now);
+  // Applies the first report of a host's run to its restored saves.
+  void OnReport(const HostRun& host,
+                const std::vector<Outstanding>& saves,
+                TimePoint now);
+  // Removes a grant that ended.
+  void Erase(Grants::iterator it);
+  // Records that the log may forget the grant.
+  void MarkEnded(const Part& part, Entry& entry);
 
   // Ends the wait once no grant of an earlier leader is unknown.
   void UpdateWait(TimePoint now);
@@ -130,7 +170,13 @@
   // Those that have not reported to this leader yet.
   std::set<HostRun> unreported_;
   bool may_end_wait_early_ = false;
-  std::map<Part, Entry> grants_;
+  Grants grants_;
+  // The parts of restored saves, by host.
+  std::map<HostId, std::vector<Part>> restored_;
+  std::set<HostRun> reported_;
+  // Grants that the log may forget.
+  std::deque<Outstanding> ended_;
+  TimePoint next_sweep_{};
   Millis request_limit_{0};
   TimePoint gained_at_{};
   bool may_have_predecessor_ = false;
--- a/src/endivecart/fleet/cache_save_ledger_unittest.cc
+++ b/src/endivecart/fleet/cache_save_ledger_unittest.cc
@@ -186,6 +186,78 @@
   BOOST_TEST(is_granted_after_start(true));
 }
 
+struct Restored : Ledger {
+  // The host numbers its claims from its incarnation on.
+  Restored() {
+    const std::vector<CacheSaveLedger::Outstanding> logged{
+        {part, {run.first, run.second + 1}, kLogged}};
+    ledger.OnLeadershipGained(true, At(Millis(0)), &logged);
+  }
+  void List(Millis at) { ledger.OnListed(part.store, At(at), NeverIncomplete); }
+
+  static constexpr Millis kLogged = CacheSaveLedger::GrantTime(kLifetime);
+  const CacheSaveLedger::HostRun run{HostId("a"), 100};
+  const std::vector<CacheSaveLedger::Outstanding> none;
+};
+
+BOOST_FIXTURE_TEST_CASE(a_leader_with_the_log_grants_after_the_next_list,
+                        Restored) {
+  BOOST_CHECK(ledger.Grant({8, 1}, second, kLifetime, At(Millis(100))) ==
+              Ruling::kNeedsList);
+  List(Millis(300));
+  BOOST_CHECK(ledger.Grant({8, 1}, second, kLifetime, At(Millis(400))) ==
+              Ruling::kGranted);
+}
+
+// Guards against MIXED: after a restart of all processes, a server may still
+// carry out a save that the log has.
+BOOST_FIXTURE_TEST_CASE(a_logged_save_may_begin_for_its_whole_lifetime,
+                        Restored) {
+  List(kLogged - Millis(1));
+  BOOST_TEST(!Grant(kLogged - Millis(1), second));
+  BOOST_TEST(!Grant(kLogged, second));
+  List(kLogged);
+  BOOST_TEST(Grant(kLogged, second));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_logged_save_ends_with_its_part_in_the_stores_list,
+                        Restored) {
+  ledger.OnComplete(part);
+  List(Millis(300));
+  BOOST_TEST(ledger.TakeEnded(10, At(Millis(300))).size() == 1u);
+  BOOST_TEST(Grant(Millis(400), second));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_logged_save_that_its_host_does_not_report_has_ended,
+                        Restored) {
+  ledger.OnPoll(run, nullptr, At(Millis(50)));  // still follows the last leader
+  ledger.OnPoll(run, &none, At(Millis(100)));
+  const Millis ended = Millis(100) + CacheSaveLedger::kTransferWait;
+  List(ended - Millis(1));
+  BOOST_TEST(!Grant(ended, second));
+  List(ended);
+  BOOST_TEST(Grant(ended, second));
+}
+
+// Guards against MIXED: a restarted host doesn't know the saves of its last
+// run.
+BOOST_FIXTURE_TEST_CASE(a_logged_save_is_reported_by_its_own_run_only,
+                        Restored) {
+  ledger.OnPoll({run.first, 5000}, &none, At(Millis(100)));
+  List(Millis(5000));
+  BOOST_TEST(!Grant(Millis(5000), second));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_logged_save_ends_when_its_host_says, Restored) {
+  const std::vector<CacheSaveLedger::Outstanding> saves{
+      {part, {run.first, run.second + 1}, Millis(4000)}};
+  ledger.OnPoll(run, &saves, At(Millis(100)));
+  List(Millis(4099));
+  BOOST_TEST(!Grant(Millis(4099), second));
+  List(Millis(4100));
+  BOOST_TEST(Grant(Millis(4100), second));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_save_that_may_begin_too_late_is_denied, Ledger) {
   BOOST_CHECK(ledger.Grant(part, first, kLifetime + Millis(1), At(Millis(0))) ==
               Ruling::kDenied);
--- a/src/endivecart/fleet/decision_log.cc
+++ b/src/endivecart/fleet/decision_log.cc
@@ -79,6 +79,10 @@
     case wire::FleetCommand::kNameWeights:
       changed = NameWeights(parsed.name_weights());
       break;
+    case wire::FleetCommand::kGrantSaves:
+      // No follower needs to know of it.
+      save_grants_.Apply(parsed.grant_saves());
+      break;
     case wire::FleetCommand::BODY_NOT_SET:
       break;
   }
@@ -88,7 +92,9 @@
 }
 
 std::string DecisionLog::Snapshot() const {
-  return ToWire(decisions_, true).SerializeAsString();
+  wire::FleetDecisions message = ToWire(decisions_, true);
+  *message.mutable_save_grants() = save_grants_.ToWire();
+  return message.SerializeAsString();
 }
 
 bool DecisionLog::Restore(const std::string& state) {
@@ -96,6 +102,7 @@
   if (!message.ParseFromString(state))
     return false;
   decisions_ = FromWire(message, nullptr);
+  save_grants_ = SaveGrantLog::FromWire(message.save_grants());
   return true;
 }
 
--- a/src/endivecart/fleet/decision_log.h
+++ b/src/endivecart/fleet/decision_log.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "endivecart/fleet/decisions.h"
+#include "endivecart/fleet/save_grant_log.h"
 
 namespace endivecart::fleet {
 
@@ -12,8 +13,11 @@
 // idempotent.
 class DecisionLog {
  public:
+  // To be called for each entry of the log, with a command or without, before
+  // it is applied.
+  void OnEntry(std::uint64_t term) { save_grants_.OnEntry(term); }
   // Applies one serialized FleetCommand and returns whether it changed
-  // anything. A command that can't be parsed is logged and ignored.
+  // decisions(). A command that can't be parsed is logged and ignored.
   bool Apply(const std::string& command, std::uint64_t index);
 
   // Returns the serialized state.
@@ -22,6 +26,7 @@
   bool Restore(const std::string& state);
 
   const Decisions& decisions() const { return decisions_; }
+  const SaveGrantLog& save_grants() const { return save_grants_; }
 
  private:
   bool ReplaceRouting(const wire::ReplaceRoutingCommand& command);
@@ -31,6 +36,7 @@
   bool NameWeights(const wire::NameWeightsCommand& command);
 
   Decisions decisions_;
+  SaveGrantLog save_grants_;
 };
 
 }  // namespace endivecart::fleet
--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -5,6 +5,7 @@
 // decisions; all other processes follow them.
 
 #include "endivecart/fleet/cache_catalog.h"        // IWYU pragma: export
+#include "endivecart/fleet/cache_save_batches.h"   // IWYU pragma: export
 #include "endivecart/fleet/cache_save_ledger.h"    // IWYU pragma: export
 #include "endivecart/fleet/decision_log.h"         // IWYU pragma: export
 #include "endivecart/fleet/decisions.h"            // IWYU pragma: export
@@ -17,6 +18,7 @@
 #include "endivecart/fleet/move_coordinator.h"     // IWYU pragma: export
 #include "endivecart/fleet/operator_service.h"     // IWYU pragma: export
 #include "endivecart/fleet/quarantine_messages.h"  // IWYU pragma: export
+#include "endivecart/fleet/save_grant_log.h"       // IWYU pragma: export
 #include "endivecart/fleet/voter_set_manager.h"    // IWYU pragma: export
 #include "endivecart/fleet/weights_ages.h"         // IWYU pragma: export
 #include "endivecart/fleet/weights_coordinator.h"  // IWYU pragma: export
--- a/src/endivecart/fleet/fleet_voter.cc
+++ b/src/endivecart/fleet/fleet_voter.cc
@@ -203,6 +203,7 @@
 void FleetVoter::Apply(const wire::LogEntry& entry) {
   applied_index_ = entry.index();
   bytes_since_snapshot_ += entry.ByteSizeLong();
+  log_.OnEntry(entry.term());
   if (entry.has_command() && log_.Apply(entry.command(), entry.index())) {
     hooks_.on_decisions(log_.decisions());
     if (IsLeader())
--- a/src/endivecart/fleet/fleet_voter.h
+++ b/src/endivecart/fleet/fleet_voter.h
@@ -90,6 +90,7 @@
   HostId LeaderHost() const;
   std::uint64_t term() const { return core_->term(); }
   const Decisions& decisions() const { return log_.decisions(); }
+  const SaveGrantLog& save_grants() const { return log_.save_grants(); }
   std::vector<HostId> VoterHosts() const;
   const control::RaftCore& core() const { return *core_; }
 
--- a/src/endivecart/gateway/cache_protocol_unittest.cc
+++ b/src/endivecart/gateway/cache_protocol_unittest.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <random>
 
+#include "endivecart/fleet/fleet.h"
 #include "endivecart/gateway/cache_view.h"
 
 namespace endivecart::gateway {
@@ -14,6 +15,7 @@
 using fleet::CacheEvent;
 using fleet::CacheList;
 using fleet::CachePartName;
+using fleet::CacheSaveBatches;
 using fleet::CacheSaveLedger;
 
 constexpr Millis kStep{10};
@@ -31,10 +33,12 @@
   bool saves_cross_restarts = false;
   bool hosts_are_cut_off = false;  // for seconds; updates come afterwards
   bool updates_are_lost = false;
+  bool answers_are_lost = false;  // to claims
   bool writers_are_slow = false;  // saves take as long as partials are kept
   bool labels_retire = false;
   bool leaders_change = false;
-  bool fetches_are_slow = false;  // they end shortly before their deadline
+  bool fetches_are_slow = false;   // they end shortly before their deadline
+  bool processes_restart = false;  // all at once, also within a batch of grants
 };
 
 // A store as the platform's: it frees and forgets nothing by itself, and tells
@@ -107,6 +111,39 @@
   std::vector<CacheEvent> events_;
 };
 
+// The saves that the replicated log records. A change of leader may keep the
+// commands that were under way or lose them.
+class SimulatedLog {
+ public:
+  using Done = std::function<void(bool)>;
+
+  std::size_t Propose(const wire::GrantSavesCommand& command, Done done) {
+    pending_.emplace_back(command, std::move(done));
+    return ++proposed_;
+  }
+  // Decides the commands up to this one, unless a new leader came first.
+  void Decide(std::size_t last) {
+    while (!pending_.empty() && proposed_ - pending_.size() < last) {
+      const auto [command, done] = std::move(pending_.front());
+      pending_.pop_front();
+      grants_.Apply(command);
+      done(true);
+    }
+  }
+  void BeginTerm(std::uint64_t term, std::size_t kept) {
+    for (std::size_t i = 0; i < std::min(kept, pending_.size()); ++i)
+      grants_.Apply(pending_[i].first);
+    pending_.clear();
+    grants_.OnEntry(term);
+  }
+  const fleet::SaveGrantLog& grants() const { return grants_; }
+
+ private:
+  fleet::SaveGrantLog grants_;
+  std::size_t proposed_ = 0;
+  std::deque<std::pair<wire::GrantSavesCommand, Done>> pending_;
+};
+
 // A catalogue, stores and hosts that fetch and save parts, on a manual clock.
 // Counts fetches that meet a part which is incomplete, or freed meanwhile.
 class CacheFleet {
@@ -132,18 +169,18 @@
       stores_[static_cast<std::size_t>(i % 3)].Save(NameOf(part, live_label_),
                                                     now_ - kStep);
     }
-    for (auto* catalog : {&catalog_, &successor_}) {
-      *catalog = std::make_shared<CacheCatalog>();
-      (*catalog)->SetStores(settings_);
-      (*catalog)->SetRequestLimit(kLongWait);
-      (*catalog)->StartWatchingPolls(false, now_ - kLongTime);
-    }
+    timers_.Advance(
+        std::chrono::duration_cast<Millis>(now_.time_since_epoch()));
+    for (Host& host : hosts_)
+      host.run = random_();
+    StartControlHosts(now_ - kLongTime);
     NewLeader();
   }
 
   void Run(Millis time) {
     for (Millis passed{0}; passed < time; passed += kStep) {
       now_ += kStep;
+      timers_.Advance(kStep);
       for (SimulatedStore& store : stores_)
         store.Step(now_);
       RunLater();
@@ -160,6 +197,17 @@
   int fetches_without_deadline = 0;
   int saves = 0;
 
+  // Kills all processes but the stores and the servers, which still carry out
+  // what they were sent.
+  void RestartProcesses() {
+    StartControlHosts(now_);
+    for (Host& host : hosts_) {
+      host = Host();
+      host.run = random_();
+    }
+    NewLeader();
+  }
+
  private:
   struct Host {
     CacheView view;
@@ -169,7 +217,17 @@
     TimePoint cut_until{};
     std::array<std::uint64_t, 3> known_epochs{};  // of the stores
     std::vector<wire::CacheSaveRecord> outstanding;
+    std::uint64_t run = 0;
+    std::uint64_t claims = 0;
   };
+  // Runs the action unless the host's process was restarted meanwhile.
+  void OfRun(std::size_t number, Millis delay, std::function<void()> action) {
+    After(delay,
+          [this, number, run = hosts_[number].run, action = std::move(action)] {
+            if (hosts_[number].run == run)
+              action();
+          });
+  }
   using Action = std::function<void()>;
 
   CachePartName NameOf(int part, int label) const {
@@ -200,18 +258,58 @@
 
   // Two control hosts lead in turn.
   void NewLeader() {
-    if (catalog_)
-      catalog_->OnLeadershipLost();
+    catalog_->OnLeadershipLost();
+    batches_->OnLeadershipLost();
     std::swap(catalog_, successor_);
     ++term_;
-    catalog_->OnLeadershipGained(term_, now_, term_ > 1);
+    log_.BeginTerm(term_, random_() % 2);
+    const bool is_complete = log_.grants().IsComplete();
+    const auto logged = log_.grants().Saves();
+    catalog_->OnLeadershipGained(term_, now_, term_ > 1,
+                                 is_complete ? &logged : nullptr);
+    batches_ =
+        std::make_unique<CacheSaveBatches>(*catalog_, timers_, SaveHooks());
+    batches_->OnLeadershipGained(is_complete);
+  }
+  void StartControlHosts(TimePoint watching_since) {
+    for (auto* catalog : {&catalog_, &successor_}) {
+      *catalog = std::make_shared<CacheCatalog>();
+      (*catalog)->SetStores(settings_);
+      (*catalog)->SetRequestLimit(kLongWait);
+      (*catalog)->StartWatchingPolls(false, watching_since);
+    }
+    batches_ =
+        std::make_unique<CacheSaveBatches>(*catalog_, timers_, SaveHooks());
+  }
+  CacheSaveBatches::Hooks SaveHooks() {
+    CacheSaveBatches::Hooks hooks;
+    hooks.propose = [this](const wire::FleetCommand& command, auto done) {
+      const auto number = log_.Propose(command.grant_saves(), std::move(done));
+      After(Between(2, 20), [this, number, term = term_] {
+        if (term == term_)
+          log_.Decide(number);
+      });
+    };
+    hooks.answer = [this](const HostId& host,
+                          const wire::CacheSaveGrant& grant) {
+      const auto it = claims_.find({host, grant.number()});
+      if (it == claims_.end())
+        return;
+      if (grant.parts_size() > 0 &&
+          (!troubles_.answers_are_lost || Chance(0.9)))
+        it->second();
+      claims_.erase(it);
+    };
+    return hooks;
   }
   void Disturb() {
     if (troubles_.stores_restart)
       stores_[random_() % stores_.size()].Restart();
     if (troubles_.labels_retire)
       ++live_label_;
-    if (troubles_.leaders_change && Chance(0.5))
+    if (troubles_.processes_restart && Chance(0.4))
+      RestartProcesses();
+    else if (troubles_.leaders_change && Chance(0.5))
       NewLeader();
     for (Host& host : hosts_) {
       if (troubles_.hosts_are_cut_off && Chance(0.3))
@@ -219,6 +317,7 @@
     }
   }
   void LeadStep() {
+    batches_->Tick();
     for (const fleet::CacheRead& read : catalog_->NextReads(now_)) {
       After(Between(10, 50), [this, read, catalog = catalog_, term = term_] {
         SimulatedStore& store = stores_[StoreAt(read.store)];
@@ -269,14 +368,14 @@
     host.is_polling = true;
     const std::uint64_t poll = ++host.poll_number;
     // A poll without an answer is given up.
-    After(Millis(1000), [this, number, poll] {
+    OfRun(number, Millis(1000), [this, number, poll] {
       if (hosts_[number].poll_number == poll)
         hosts_[number].is_polling = false;
     });
     const TimePoint asked_at = now_;
     if (now_ < host.cut_until)
       return;
-    After(Between(2, 10),
+    OfRun(number, Between(2, 10),
           [this, number, poll, asked_at, message = PollOf(number)] {
             catalog_->OnPoll(HostOf(number), message, now_);
             successor_->OnPoll(HostOf(number), message, now_);
@@ -284,7 +383,7 @@
                 catalog_->UpdateSince(hosts_[number].view.position(), now_);
             if (!update || (troubles_.updates_are_lost && Chance(0.2)))
               return;
-            After(Between(2, 20),
+            OfRun(number, Between(2, 20),
                   [=, this, update = *update, epochs = listed_epochs_] {
                     Deliver(number, update, asked_at, poll);
                     hosts_[number].known_epochs = epochs;
@@ -294,7 +393,7 @@
   wire::FleetPoll PollOf(std::size_t number) {
     Host& host = hosts_[number];
     wire::FleetPoll poll;
-    poll.set_incarnation(1);
+    poll.set_incarnation(host.run);
     poll.set_cache_term(host.view.position().term);
     poll.set_wants_loads(true);
     for (wire::CacheSaveRecord save : host.outstanding) {
@@ -312,7 +411,7 @@
     const TimePoint cut_until = hosts_[number].cut_until;
     if (now_ < cut_until) {
       const auto left = std::chrono::duration_cast<Millis>(cut_until - now_);
-      After(left + Between(0, 1000),
+      OfRun(number, left + Between(0, 1000),
             [=, this] { Apply(hosts_[number], update, asked_at, poll); });
     } else {
       Apply(hosts_[number], update, asked_at, poll);
@@ -353,29 +452,42 @@
       return;
     wire::CacheSaveClaim claim;
     claim.set_term(hosts_[number].view.position().term);
-    claim.set_number(++claims_);
+    claim.set_number(hosts_[number].run + ++hosts_[number].claims);
     claim.set_lifetime_ms(static_cast<std::uint32_t>(kLongWait.count()));
     claim.add_parts()->set_key(part.key);
     claim.mutable_parts(0)->set_store(part.store);
-    After(Between(1, 20), [=, this] {
-      const auto grant = catalog_->OnSaveClaim(HostOf(number), claim, now_);
-      if (grant.parts_size() == 0)
-        return;
-      After(Between(1, 20), [=, this] {
-        if (hosts_[number].view.position().term == claim.term())
+    claims_[{HostOf(number), claim.number()}] = [=, this, at = now_] {
+      OfRun(number, Between(1, 20), [=, this] {
+        if (hosts_[number].view.position().term == claim.term() &&
+            now_ - at <= CacheSaveLedger::kClaimWait) {
           Save(number, part, name, claim.number());
+        } else {
+          Release(number, RecordOf(part, claim.number()), false);
+        }
       });
-    });
+    };
+    OfRun(number, Between(1, 20),
+          [=, this] { batches_->OnClaim(HostOf(number), claim); });
+  }
+  static wire::CacheSaveRecord RecordOf(const SavePart& part,
+                                        std::uint64_t claim) {
+    wire::CacheSaveRecord record;
+    record.set_key(part.key);
+    record.set_store(fleet::CacheStoreKey(part.address));
+    record.set_claim(claim);
+    return record;
   }
   static HostId HostOf(std::size_t number) {
     return HostId("host-" + std::to_string(number));
   }
-  void Release(std::size_t number, const wire::CacheSaveRecord& save) {
+  void Release(std::size_t number,
+               const wire::CacheSaveRecord& save,
+               bool was_sent = true) {
     wire::CacheSaveRelease release;
     *release.add_saves() = save;
-    release.set_was_sent(true);
+    release.set_was_sent(was_sent);
     catalog_->OnSaveRelease(HostOf(number), release, now_);
-    After(CacheSaveLedger::kTransferWait, [=, this] {
+    OfRun(number, CacheSaveLedger::kTransferWait, [=, this] {
       std::erase_if(hosts_[number].outstanding, [&](const auto& known) {
         return known.claim() == save.claim();
       });
@@ -386,10 +498,7 @@
             const CachePartName& name,
             std::uint64_t claim) {
     const std::size_t store = StoreAt(part.address);
-    wire::CacheSaveRecord record;
-    record.set_key(part.key);
-    record.set_store(fleet::CacheStoreKey(part.address));
-    record.set_claim(claim);
+    const wire::CacheSaveRecord record = RecordOf(part, claim);
     hosts_[host].outstanding.push_back(record);
     ++saves;
     const Millis write_time = troubles_.writers_are_slow && Chance(0.3)
@@ -401,7 +510,8 @@
                             ? Between(400, static_cast<int>(kLongWait.count()))
                             : Between(20, 400);
     if (!troubles_.saves_cross_restarts || Chance(0.8))
-      After(wait + Between(10, 1000), [=, this] { Release(host, record); });
+      OfRun(host, wait + Between(10, 1000),
+            [=, this] { Release(host, record); });
     After(wait, [=, this] {
       if (troubles_.saves_cross_restarts ||
           stores_[store].epoch() == known_epoch) {
@@ -453,7 +563,11 @@
   std::shared_ptr<CacheCatalog> catalog_;  // the leader's
   std::shared_ptr<CacheCatalog> successor_;
   std::uint64_t term_ = 0;
-  std::uint64_t claims_ = 0;
+  ManualTimerService timers_;  // its time is now_
+  SimulatedLog log_;
+  std::unique_ptr<CacheSaveBatches> batches_;  // the leader's
+  // What becomes of each claim that is granted.
+  std::map<std::pair<HostId, std::uint64_t>, std::function<void()>> claims_;
   std::array<std::uint64_t, 3> listed_epochs_{};
   std::vector<Host> hosts_;
   int live_label_ = 1;
@@ -594,6 +708,40 @@
   BOOST_TEST(fleet.bad_fetches == 0);
 }
 
+// Guards against MIXED: the next leader doesn't know what was granted before
+// all processes restarted.
+BOOST_DATA_TEST_CASE(no_restart_of_all_processes_leads_to_a_bad_fetch,
+                     boost::unit_test::data::xrange(1, 11) *
+                         boost::unit_test::data::make({3, 30}),
+                     seed,
+                     hosts) {
+  Troubles troubles = MixOfTroubles(seed);
+  troubles.saves_cross_restarts = true;
+  troubles.processes_restart = true;
+  troubles.answers_are_lost = seed % 2 == 1;
+  CacheFleet fleet(static_cast<std::size_t>(hosts), 5000, 100, troubles, seed);
+  fleet.Run(2 * kRunTime);
+  BOOST_TEST_MESSAGE("fetches " << fleet.fetches << ", saves " << fleet.saves
+                                << ", bad " << fleet.bad_fetches);
+  BOOST_TEST(fleet.bad_fetches == 0);
+}
+
+// Guards against the loss of the cache on days on which all processes restart:
+// nothing was saved for the longest request.
+BOOST_AUTO_TEST_CASE(saves_go_on_after_a_restart_of_all_processes) {
+  Troubles troubles;
+  troubles.saves_cross_restarts = true;
+  CacheFleet fleet(6, 0, 600, troubles, 1);
+  fleet.Run(kRunTime);
+  const int before = fleet.saves;
+  BOOST_TEST(before > 0);
+  fleet.RestartProcesses();
+  // The next leader waits for a store's former fetches in any case.
+  fleet.Run(CacheCatalog::kFreeDelay + Millis(1500));
+  BOOST_TEST(fleet.saves > before);
+  BOOST_TEST(fleet.bad_fetches == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/cache_save_claims.h
+++ b/src/endivecart/gateway/cache_save_claims.h
@@ -34,15 +34,15 @@
 
   // A request waits for at most this long: prefilling takes longer, but no
   // request may be late because the leader is.
-  static constexpr Millis kMaxWait{50};
+  static constexpr Millis kMaxWait = fleet::CacheSaveLedger::kClaimWait;
   // No part is claimed for this long after a claim got no answer.
   static constexpr Millis kSilentPause{1000};
   // A part that was denied is not claimed again for this long: another request
   // is about to save it.
   static constexpr Millis kDeniedPause{1000};
 
-  // `first_number` must differ between processes of one host. `timers` must
-  // outlive this object.
+  // `first_number`: the incarnation of this process. `timers` must outlive this
+  // object.
   CacheSaveClaims(std::uint64_t first_number, TimerService& timers);
 
   void SetSender(Sender send) { send_ = std::move(send); }
--- a/src/endivecart/node/cache_store_controller.cc
+++ b/src/endivecart/node/cache_store_controller.cc
@@ -33,11 +33,14 @@
                                            const VoterNodeHooks& hooks)
     : loop_(loop), client_(client), hooks_(hooks) {}
 
-void CacheStoreController::Start(bool is_first_start) {
+void CacheStoreController::Start(bool is_first_start,
+                                 fleet::CacheSaveBatches::Hooks save_hooks) {
   catalog_.StartWatchingPolls(is_first_start, loop_.Now());
+  save_batches_.emplace(catalog_, loop_, std::move(save_hooks));
 }
 
 void CacheStoreController::Tick(const fleet::Decisions& decisions,
+                                const fleet::SaveGrantLog& save_grants,
                                 const upstreams::UpstreamRegistry& roster,
                                 bool is_confirmed_leader,
                                 std::uint64_t term) {
@@ -49,16 +52,18 @@
   if (!is_confirmed_leader) {
     // If confirmation is regained within the same term, no other process was
     // leader in between.
-    if (term != term_ && std::exchange(term_, 0) != 0)
+    if (term != term_ && std::exchange(term_, 0) != 0) {
       catalog_.OnLeadershipLost();
+      save_batches_->OnLeadershipLost();
+    }
     return;
   }
   if (term_ != term) {
     term_ = term;
-    // Without a configuration, no process knew of any store.
-    catalog_.OnLeadershipGained(term, now, decisions.routing_version != 0);
+    OnLeadershipGained(decisions, save_grants);
     retire_due_ = now + kRetireInterval;
   }
+  save_batches_->Tick();
   for (const fleet::CacheRead& read : catalog_.NextReads(now))
     ReadStore(read);
   if (now >= retire_due_) {
@@ -69,6 +74,19 @@
     SendFree(order);
 }
 
+void CacheStoreController::OnLeadershipGained(
+    const fleet::Decisions& decisions,
+    const fleet::SaveGrantLog& save_grants) {
+  const bool is_log_complete =
+      save_grants.newest_term() == term_ && save_grants.IsComplete();
+  const auto logged = save_grants.Saves();
+  // Without a configuration, no process knew of any store.
+  catalog_.OnLeadershipGained(term_, loop_.Now(),
+                              decisions.routing_version != 0,
+                              is_log_complete ? &logged : nullptr);
+  save_batches_->OnLeadershipGained(is_log_complete);
+}
+
 void CacheStoreController::UpdateStores(const fleet::Decisions& decisions) {
   routing_version_ = decisions.routing_version;
   const auto configuration = hooks_.decode_routing(decisions.routing_document);
@@ -147,10 +165,9 @@
   return catalog_.UpdateSince(position, loop_.Now());
 }
 
-wire::CacheSaveGrant CacheStoreController::OnSaveClaim(
-    const HostId& host,
-    const wire::CacheSaveClaim& claim) {
-  return catalog_.OnSaveClaim(host, claim, loop_.Now());
+void CacheStoreController::OnSaveClaim(const HostId& host,
+                                       const wire::CacheSaveClaim& claim) {
+  save_batches_->OnClaim(host, claim);
 }
 
 void CacheStoreController::OnSaveRelease(
--- a/src/endivecart/node/cache_store_controller.h
+++ b/src/endivecart/node/cache_store_controller.h
@@ -20,10 +20,10 @@
                        UpstreamClient& client,
                        const VoterNodeHooks& hooks);
 
-  // To be called once, before OnCallerPoll(). `is_first_start`: of the whole
-  // fleet.
-  void Start(bool is_first_start);
+  // To be called once, before all others. `is_first_start`: of the whole fleet.
+  void Start(bool is_first_start, fleet::CacheSaveBatches::Hooks save_hooks);
   void Tick(const fleet::Decisions& decisions,
+            const fleet::SaveGrantLog& save_grants,
             const upstreams::UpstreamRegistry& roster,
             bool is_confirmed_leader,
             std::uint64_t term);
@@ -32,12 +32,13 @@
   std::optional<wire::CacheUpdate> UpdateSince(
       const fleet::CachePosition& position);
   // To be called only while this process is the confirmed leader.
-  wire::CacheSaveGrant OnSaveClaim(const HostId& host,
-                                   const wire::CacheSaveClaim& claim);
+  void OnSaveClaim(const HostId& host, const wire::CacheSaveClaim& claim);
   void OnSaveRelease(const HostId& host, const wire::CacheSaveRelease& release);
   void OnCallerPoll(const HostId& host, const wire::FleetPoll& poll);
 
  private:
+  void OnLeadershipGained(const fleet::Decisions& decisions,
+                          const fleet::SaveGrantLog& save_grants);
   void UpdateStores(const fleet::Decisions& decisions);
   void Retire(const fleet::Decisions& decisions,
               const upstreams::UpstreamRegistry& roster);
@@ -48,6 +49,7 @@
   UpstreamClient& client_;
   const VoterNodeHooks& hooks_;
   fleet::CacheCatalog catalog_;
+  std::optional<fleet::CacheSaveBatches> save_batches_;
   std::uint64_t term_ = 0;  // as the leader; 0: none
   std::uint64_t routing_version_ = 0;
   TimePoint retire_due_{};
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -66,7 +66,7 @@
   void VoterTick(TimePoint now);
   void SetBusMetrics();
   void OnEnvelope(const wire::Envelope& envelope);
-  void OnSaveClaim(const HostId& from, const wire::CacheSaveClaim& claim);
+  fleet::CacheSaveBatches::Hooks SaveHooks();
   void OnCall(const net::HttpExchangePtr& exchange);
   void RunLeaderTasks();
   void EndMoves();
@@ -125,7 +125,7 @@
   OpenFeed();
   OpenVoter();
   OpenFollower();
-  caches.Start(storage->is_founder() && voter->HasEmptyLog());
+  caches.Start(storage->is_founder() && voter->HasEmptyLog(), SaveHooks());
   operator_service.emplace(
       *voter, roster, *feed, [this] { return loop.Now(); }, UnixMillis);
   feed->PushDecisions(voter->decisions());
@@ -362,19 +362,29 @@
   } else if (envelope.has_fleet_news()) {
     follower->OnUpdate(from, envelope.fleet_news());
   } else if (envelope.has_cache_save_claim()) {
-    OnSaveClaim(from, envelope.cache_save_claim());
+    if (voter->IsConfirmedLeader())
+      caches.OnSaveClaim(from, envelope.cache_save_claim());
   } else if (envelope.has_cache_save_release()) {
     caches.OnSaveRelease(from, envelope.cache_save_release());
   }
 }
 
-void VoterNode::Parts::OnSaveClaim(const HostId& from,
-                                   const wire::CacheSaveClaim& claim) {
-  if (!voter->IsConfirmedLeader())
-    return;
-  wire::Envelope envelope;
-  *envelope.mutable_cache_save_grant() = caches.OnSaveClaim(from, claim);
-  bus->Send(from, std::move(envelope));
+fleet::CacheSaveBatches::Hooks VoterNode::Parts::SaveHooks() {
+  fleet::CacheSaveBatches::Hooks save_hooks;
+  save_hooks.propose = [this](const wire::FleetCommand& command,
+                              std::function<void(bool)> done) {
+    voter->Propose(command, kProposalTimeout,
+                   [done = std::move(done)](fleet::ProposalResult result) {
+                     done(result == fleet::ProposalResult::kDecided);
+                   });
+  };
+  save_hooks.answer = [this](const HostId& host,
+                             const wire::CacheSaveGrant& grant) {
+    wire::Envelope envelope;
+    *envelope.mutable_cache_save_grant() = grant;
+    bus->Send(host, std::move(envelope));
+  };
+  return save_hooks;
 }
 
 void VoterNode::Parts::OnCall(const net::HttpExchangePtr& exchange) {
@@ -410,7 +420,8 @@
   if (weights.Tick(voter->decisions(), roster, is_confirmed_leader,
                    voter->term()))
     feed->RequestPush();
-  caches.Tick(voter->decisions(), roster, is_confirmed_leader, voter->term());
+  caches.Tick(voter->decisions(), voter->save_grants(), roster,
+              is_confirmed_leader, voter->term());
   EndMoves();
 }
 
