Tests: restarts between a grant and its commit, and parts being written

Guards: an answer before its commit is caught by the random run too, and a new leader's grant of a part that an unknown save is writing by a catalogue test.

--- a/src/endivecart/fleet/cache_catalog_unittest.cc
+++ b/src/endivecart/fleet/cache_catalog_unittest.cc
@@ -249,6 +249,29 @@
   BOOST_TEST(catalog.NextReads(At(0)).empty());
 }
 
+// Guards against MIXED: the save that writes the part may be of an earlier
+// leader, and a second one could begin after the part was published.
+BOOST_FIXTURE_TEST_CASE(a_part_that_is_being_written_gets_no_save, Catalog) {
+  catalog.SetRequestLimit(Millis(10000));
+  catalog.OnLeadershipGained(4, At(0), false);
+  const CachePartName part{"m.1", "a"};
+  const auto is_granted = [&](int at, const CacheList& list) {
+    catalog.NextReads(At(at));
+    catalog.OnList(store, list, At(at));
+    wire::CacheSaveClaim claim;
+    claim.set_term(4);
+    claim.set_number(static_cast<std::uint64_t>(at));
+    claim.set_lifetime_ms(10000);
+    claim.add_parts()->set_key(CacheKey(part));
+    return catalog.OnSaveClaim(HostId("a"), claim, At(at)).parts_size() > 0;
+  };
+  CacheList empty{1, 10, {}, {}};
+  CacheList writing{1, 10, {}, {{part, 100}}};
+  BOOST_TEST(!is_granted(400, writing));
+  BOOST_TEST(!is_granted(5000, writing));
+  BOOST_TEST(is_granted(10000, empty));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/fleet/cache_save_random_run_unittest.cc
+++ b/src/endivecart/fleet/cache_save_random_run_unittest.cc
@@ -141,8 +141,10 @@
   }
   CacheSaveBatches::Hooks SaveHooks(Node& node) {
     CacheSaveBatches::Hooks hooks;
-    hooks.propose = [&node](const wire::FleetCommand& command,
-                            std::function<void(bool)> done) {
+    hooks.propose = [this, &node](const wire::FleetCommand& command,
+                                  std::function<void(bool)> done) {
+      if (dice_.Chance(0.01))
+        After(Below(30), [this] { RestartAll(); });
       node.voter->Propose(command, Millis(900),
                           [done = std::move(done)](ProposalResult result) {
                             done(result == ProposalResult::kDecided);
@@ -188,17 +190,20 @@
         After(Millis(500) + Below(1500), [this] { network_.Heal(); });
         break;
       default:
-        restarted_at_ = Now();
-        for (Node& each : nodes_) {
-          each.disk_full = false;
-          each.disk->SetFull(false);
-          if (each.voter)
-            Kill(each);
-        }
-        for (Caller& caller : callers_)
-          Restart(caller);
+        RestartAll();
     }
   }
+  void RestartAll() {
+    restarted_at_ = Now();
+    for (Node& each : nodes_) {
+      each.disk_full = false;
+      each.disk->SetFull(false);
+      if (each.voter)
+        Kill(each);
+    }
+    for (Caller& caller : callers_)
+      Restart(caller);
+  }
 
   void StepNode(Node& node) {
     if (!node.voter && Now() >= node.starts_at)
