--- a/src/endivecart/fleet/cache_save_random_run_unittest.cc
+++ b/src/endivecart/fleet/cache_save_random_run_unittest.cc
@@ -48,12 +48,8 @@
       if (dice_.Chance(0.0008))
         InjectFault();
       RunLater();
-      for (auto& [to, envelope] : network_.Deliver(NowMillis())) {
-        Node& node = *std::find_if(nodes_.begin(), nodes_.end(),
-                                   [&](Node& n) { return n.host == to; });
-        if (node.voter)
-          node.voter->OnRaft(HostId(envelope.from()), envelope.raft());
-      }
+      for (const auto& delivery : network_.Deliver(NowMillis()))
+        Deliver(delivery.first, delivery.second);
       for (Node& node : nodes_)
         StepNode(node);
       for (Caller& caller : callers_)
@@ -205,6 +201,12 @@
       Restart(caller);
   }
 
+  void Deliver(const HostId& to, const wire::Envelope& envelope) {
+    for (Node& node : nodes_) {
+      if (node.host == to && node.voter)
+        node.voter->OnRaft(HostId(envelope.from()), envelope.raft());
+    }
+  }
   void StepNode(Node& node) {
     if (!node.voter && Now() >= node.starts_at)
       Start(node);
