--- a/src/endivecart/settings/node_settings.cc
+++ b/src/endivecart/settings/node_settings.cc
@@ -53,6 +53,20 @@
   return Millis(static_cast<Millis::rep>(seconds * 1000));
 }
 
+// Like ReadSeconds(), but rejects a time of less than a millisecond.
+Millis ReadPositiveSeconds(JsonReader& reader,
+                           const std::string& key,
+                           Millis fallback) {
+  const double seconds =
+      reader.NumberOr(key, static_cast<double>(fallback.count()) / 1000);
+  if (seconds * 1000 < 1 ||
+      seconds * 1000 > static_cast<double>(kMaxMillis)) {
+    reader.AddError(key, "must be from 0.001 to 3600");
+    return fallback;
+  }
+  return Millis(static_cast<Millis::rep>(seconds * 1000));
+}
+
 FleetBounds ReadBounds(JsonReader reader) {
   FleetBounds bounds;
   bounds.announce_interval =
@@ -71,10 +85,63 @@
       ReadMillis(reader, "roll_back_time_ms", bounds.roll_back_time);
   bounds.cold_overshoot =
       reader.NumberOr("cold_overshoot", bounds.cold_overshoot);
+  bounds.usage_window =
+      ReadPositiveSeconds(reader, "usage_window_s", bounds.usage_window);
+  bounds.usage_tolerance =
+      reader.NumberOr("usage_tolerance", bounds.usage_tolerance);
+  bounds.usage_delay =
+      ReadPositiveSeconds(reader, "usage_delay_s", bounds.usage_delay);
+  bounds.fencing_required =
+      reader.BoolOr("fencing_required", bounds.fencing_required);
+  bounds.thaw_slack = Millis(
+      reader.IntOr("thaw_slack_ms", bounds.thaw_slack.count(), 0, kMaxMillis));
   reader.RefuseUnknownKeys();
   return bounds;
 }
 
+// Returns the duties, which may be named in the words of `duty_names`; what that
+// doesn't name is no duty of this system.
+std::set<Duty> ReadDuties(JsonReader& reader) {
+  std::set<Duty> duties;
+  const bool has_names = reader.Has("duty_names");
+  JsonReader names = reader.Object("duty_names", false);
+  for (const std::string& text : reader.StringsOr("duties", {})) {
+    if (has_names && !names.Has(text))
+      continue;
+    const std::string word = has_names ? names.String(text) : text;
+    if (word == "usage") {
+      duties.insert(Duty::kUsage);
+    } else if (word == "scale") {
+      duties.insert(Duty::kScale);
+    } else {
+      reader.AddError("duties", "'" + word + "' must be usage or scale");
+    }
+  }
+  return duties;
+}
+
+std::optional<PlatformApi> ReadPlatformApi(JsonReader& reader) {
+  if (!reader.Has("platform_api")) {
+    reader.Object("platform_api", false);
+    return std::nullopt;
+  }
+  JsonReader object = reader.Object("platform_api", true);
+  PlatformApi api;
+  api.duties = ReadDuties(object);
+  const std::string address = object.StringOr("address", "");
+  const auto endpoint = ParseEndpoint(address);
+  if (endpoint) {
+    api.address = *endpoint;
+  } else if (!api.duties.empty()) {
+    object.AddError("address", endpoint.error());
+  }
+  api.calls_per_s = object.NumberOr("calls_per_s", api.calls_per_s);
+  if (api.calls_per_s <= 0)
+    object.AddError("calls_per_s", "must be positive");
+  object.RefuseUnknownKeys();
+  return api;
+}
+
 NodeSettings ReadSettings(JsonReader& reader) {
   NodeSettings settings;
   settings.name = reader.String("name");
@@ -98,6 +165,7 @@
   settings.memory_mb = static_cast<int>(reader.IntOr(
       "memory_mb", settings.memory_mb, kMinMemoryMb, kMaxMemoryMb));
   settings.bounds = ReadBounds(reader.Object("bounds", false));
+  settings.platform_api = ReadPlatformApi(reader);
   JsonReader log = reader.Object("log", false);
   settings.log.level =
       log.ChoiceOr("level", "info", {"debug", "info", "warn", "error"});
--- a/src/endivecart/settings/node_settings.h
+++ b/src/endivecart/settings/node_settings.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,10 +33,36 @@
   Millis roll_back_time{5000};
   // Maximum load of a cold upstream, relative to its capacity when cold.
   double cold_overshoot = 1.0;
+  // Length of the windows for which requests are counted and reported.
+  Millis usage_window{5000};
+  // Maximum relative error of a customer's count.
+  double usage_tolerance = 0.05;
+  // From the end of a window to the latest time of its report.
+  Millis usage_delay{10000};
+  // Whether the platform refuses calls with an outdated fencing number.
+  bool fencing_required = false;
+  // For how long calls may still arrive from a process that was resumed or
+  // reconnected.
+  Millis thaw_slack{300};
 
   bool operator==(const FleetBounds&) const = default;
 };
 
+// What the fleet does for the platform.
+enum class Duty {
+  kUsage,  // reports the number of requests of each customer
+  kScale,  // sets the number of servers
+};
+
+// The interface at which the platform takes the calls of duties.
+struct PlatformApi {
+  Endpoint address;
+  std::set<Duty> duties;
+  double calls_per_s = 50;  // from all processes together
+
+  bool operator==(const PlatformApi&) const = default;
+};
+
 // The validated settings of one process of a fleet whose members discover each
 // other at run time. Hosts are identified by their IP addresses.
 struct NodeSettings {
@@ -56,8 +83,13 @@
   // Memory that the process may use; if unknown, a low figure.
   int memory_mb = 128;
   FleetBounds bounds;
+  std::optional<PlatformApi> platform_api;  // nullopt: there are no duties
   LogOptions log;
 
+  bool HasDuty(Duty duty) const {
+    return platform_api && platform_api->duties.contains(duty);
+  }
+
   bool operator==(const NodeSettings&) const = default;
 };
 
