--- a/src/endivecart/base/invariant.cc
+++ b/src/endivecart/base/invariant.cc
@@ -30,7 +30,7 @@
     "relayed_once",
     "stays_in_region",
     "caller_is_there",
-    "duty_holder_waits",
+    "fencing_number_rises",
     "usage_report_fixed"};
 
 void LogViolation(Invariant invariant, std::string_view detail) {
--- a/src/endivecart/base/invariant.h
+++ b/src/endivecart/base/invariant.h
@@ -28,7 +28,7 @@
   kRelayedOnce,                // no request passes through two other hosts
   kStaysInRegion,  // no request leaves the regions to which it is restricted
   kCallerIsThere,  // no request is sent for a caller known to have left
-  kDutyHolderWaits,   // no duty is performed before the former holder's lease ends
+  kFencingNumberRises,  // no call is made with a lower number than before
   kUsageReportFixed,  // a usage window is always reported with the same counts
   kCount,
 };
--- a/src/endivecart/fleet/decision_log.cc
+++ b/src/endivecart/fleet/decision_log.cc
@@ -79,6 +79,9 @@
     case wire::FleetCommand::kNameWeights:
       changed = NameWeights(parsed.name_weights());
       break;
+    case wire::FleetCommand::kCloseUsageWindow:
+      usage_log_.Apply(parsed.close_usage_window());
+      break;
     case wire::FleetCommand::BODY_NOT_SET:
       break;
   }
@@ -88,7 +91,9 @@
 }
 
 std::string DecisionLog::Snapshot() const {
-  return ToWire(decisions_, true).SerializeAsString();
+  wire::FleetDecisions message = ToWire(decisions_, true);
+  usage_log_.AddTo(message);
+  return message.SerializeAsString();
 }
 
 bool DecisionLog::Restore(const std::string& state) {
@@ -96,6 +101,7 @@
   if (!message.ParseFromString(state))
     return false;
   decisions_ = FromWire(message, nullptr);
+  usage_log_ = duties::UsageLog::FromSnapshot(message);
   return true;
 }
 
--- a/src/endivecart/fleet/decision_log.h
+++ b/src/endivecart/fleet/decision_log.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "endivecart/duties/duties.h"
 #include "endivecart/fleet/decisions.h"
 
 namespace endivecart::fleet {
@@ -12,8 +13,8 @@
 // idempotent.
 class DecisionLog {
  public:
-  // Applies one serialized FleetCommand and returns whether it changed
-  // anything. A command that can't be parsed is logged and ignored.
+  // Applies one serialized FleetCommand and returns whether it changed the
+  // decisions. A command that can't be parsed is logged and ignored.
   bool Apply(const std::string& command, std::uint64_t index);
 
   // Returns the serialized state.
@@ -22,6 +23,9 @@
   bool Restore(const std::string& state);
 
   const Decisions& decisions() const { return decisions_; }
+  // Kept beside the decisions: only control processes need it, and it changes
+  // with every usage window.
+  const duties::UsageLog& usage_log() const { return usage_log_; }
 
  private:
   bool ReplaceRouting(const wire::ReplaceRoutingCommand& command);
@@ -31,6 +35,7 @@
   bool NameWeights(const wire::NameWeightsCommand& command);
 
   Decisions decisions_;
+  duties::UsageLog usage_log_;
 };
 
 }  // namespace endivecart::fleet
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -77,6 +77,23 @@
   BOOST_CHECK(other.decisions() == log.decisions());
 }
 
+// Guards against an update of all hosts at each usage window.
+BOOST_AUTO_TEST_CASE(usage_windows_are_kept_in_the_log_but_are_no_decisions) {
+  DecisionLog log;
+  log.Apply(Replace(2, "two"), 1);
+  wire::FleetCommand command;
+  *command.mutable_close_usage_window()->mutable_window() =
+      duties::ToWire({7, {{CustomerId("a"), 3}}});
+  const Decisions before = log.decisions();
+  BOOST_TEST(!log.Apply(command.SerializeAsString(), 2));
+  BOOST_CHECK(log.decisions() == before);
+  BOOST_TEST(ToWire(log.decisions(), true).closed_usage_windows_size() == 0);
+  BOOST_TEST(log.usage_log().windows().size() == 1U);
+  DecisionLog other;
+  BOOST_TEST(other.Restore(log.Snapshot()));
+  BOOST_CHECK(other.usage_log() == log.usage_log());
+}
+
 BOOST_AUTO_TEST_CASE(an_omitted_document_is_copied_from_the_known_decisions) {
   DecisionLog log;
   log.Apply(Replace(2, "two"), 1);
--- a/src/endivecart/fleet/fleet_voter.h
+++ b/src/endivecart/fleet/fleet_voter.h
@@ -90,6 +90,7 @@
   HostId LeaderHost() const;
   std::uint64_t term() const { return core_->term(); }
   const Decisions& decisions() const { return log_.decisions(); }
+  const duties::UsageLog& usage_log() const { return log_.usage_log(); }
   std::vector<HostId> VoterHosts() const;
   const control::RaftCore& core() const { return *core_; }
 
