Duties: calls over sockets, and a stand-in for the platform

A control process performs the duties that its settings name: it closes usage windows while it is the confirmed leader, and sends one call at a time on one connection that exists before the leadership is checked, so that no request waits for a connection.

--- a/daemons/fleet_programs.cc
+++ b/daemons/fleet_programs.cc
@@ -82,5 +82,6 @@
           platform::DecodeWeightsOrderResult, platform::EncodeWeightsCheck,
           platform::DecodeWeightsReport, platform::DecodeRouting,
           platform::EncodeCacheRead, platform::DecodeCacheEvents,
-          platform::DecodeCacheList, platform::EncodeCacheFree});
+          platform::DecodeCacheList, platform::EncodeCacheFree,
+          platform::EncodeDutyCall, platform::DecodeDutyResult});
 }
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -8,6 +8,7 @@
 #include "endivecart/node/body_room.h"
 #include "endivecart/node/cache_store_controller.h"
 #include "endivecart/node/disk_thread.h"
+#include "endivecart/node/duty_wiring.h"
 #include "endivecart/node/incarnation.h"
 #include "endivecart/node/upstream_client.h"
 #include "endivecart/node/weights_controller.h"
@@ -89,6 +90,7 @@
   std::optional<fleet::FleetFollower> follower;
   std::optional<fleet::OperatorService> operator_service;
   fleet::MoveCoordinator moves;
+  std::unique_ptr<DutyController> duties;  // null: there are none
   std::unique_ptr<net::HttpServer> operators;
   std::unique_ptr<net::HttpServer> metrics_server;
   std::vector<std::unique_ptr<TimerSubscription>> timers;
@@ -125,6 +127,7 @@
   OpenFeed();
   OpenVoter();
   OpenFollower();
+  duties = MakeDutyController(loop, settings, hooks, *voter, stopping, metrics);
   caches.Start(storage->is_founder() && voter->HasEmptyLog());
   operator_service.emplace(
       *voter, roster, *feed, [this] { return loop.Now(); }, UnixMillis);
@@ -412,6 +415,8 @@
     feed->RequestPush();
   caches.Tick(voter->decisions(), roster, is_confirmed_leader, voter->term());
   EndMoves();
+  if (duties)
+    duties->Tick(voter->decisions());
 }
 
 void VoterNode::Parts::EndMoves() {
--- a/src/endivecart/node/voter_node.h
+++ b/src/endivecart/node/voter_node.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "endivecart/duties/duties.h"
 #include "endivecart/fleet/fleet.h"
 #include "endivecart/net/net.h"
 #include "endivecart/node/node_error.h"
@@ -42,6 +43,11 @@
   std::function<std::optional<fleet::CacheList>(std::string_view body)>
       decode_cache_list;
   std::function<net::HttpRequest(const fleet::CacheFree&)> encode_cache_free;
+  std::function<net::HttpRequest(const duties::DutyCall&,
+                                 const std::string& holder,
+                                 const settings::Endpoint& address)>
+      encode_duty_call;
+  std::function<duties::DutyOutcome(int status)> decode_duty_result;
 };
 
 // A control process: votes on the operators' decisions, receives the upstreams'
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -1,10 +1,11 @@
-// Stand-ins for external systems: a model upstream, a cache store and a plain
-// HTTP service.
+// Stand-ins for external systems: a model upstream, a cache store, a plain
+// HTTP service and the platform that takes the calls of duties.
 
 #include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
 
+#include "platform_standin.h"
 #include "service_standin.h"
 #include "store_standin.h"
 #include "upstream_standin.h"
@@ -19,7 +20,7 @@
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("endivecart-standin",
                            "Stand-ins for upstreams, stores and services");
-  options.add_options()("kind", "upstream, store or service",
+  options.add_options()("kind", "upstream, store, service or platform",
                         cxxopts::value<std::string>())(
       "listen", "ADDRESS:PORT", cxxopts::value<std::string>())(
       "id", "upstream's name",
@@ -41,7 +42,9 @@
       cxxopts::value<std::string>()->default_value(""))(
       "announce-token", "token for announcements",
       cxxopts::value<std::string>()->default_value(""))(
-      "checks-fencing", "refuse orders with an old fencing number")(
+      "checks-fencing", "refuse orders and calls with an old fencing number")(
+      "calls-per-second", "calls that the platform accepts",
+      cxxopts::value<std::size_t>()->default_value("50"))(
       "link-rate", "store link, bytes per second",
       cxxopts::value<std::int64_t>()->default_value("52428800"))(
       "store-capacity", "store capacity in bytes",
@@ -92,6 +95,22 @@
   std::_Exit(0);  // stand-ins have no state to flush
 }
 
+int ServePlatform(const cxxopts::ParseResult& args, const Endpoint& listen) {
+  endivecart::net::EventLoop loop;
+  standins::PlatformStandin standin(
+      loop, {listen, args.count("checks-fencing") > 0,
+             args["calls-per-second"].as<std::size_t>()});
+  const std::string error = standin.Start();
+  if (!error.empty()) {
+    std::cerr << "endivecart-standin: " << error << '\n';
+    return 1;
+  }
+  loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
+  loop.OnSignal(SIGINT, [&loop] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
+
 int Run(const cxxopts::ParseResult& args) {
   const auto listen = ParseEndpoint(args["listen"].as<std::string>());
   if (!listen) {
@@ -114,7 +133,10 @@
         {*listen, args["journal"].as<std::string>()});
     return Serve(standin);
   }
-  std::cerr << "endivecart-standin: kind must be upstream, store or service\n";
+  if (kind == "platform")
+    return ServePlatform(args, *listen);
+  std::cerr << "endivecart-standin: kind must be upstream, store, service or "
+               "platform\n";
   return kUsageError;
 }
 
