--- a/src/endivecart/routes/routing_configuration.cc
+++ b/src/endivecart/routes/routing_configuration.cc
@@ -53,6 +53,19 @@
   return std::nullopt;
 }
 
+std::optional<RoutingError> CheckScaling(const Service& service) {
+  const Scaling& scaling = *service.scaling;
+  const bool has_boot_time = scaling.boot_time > Millis(0) &&
+                             scaling.boot_time <= Scaling::kMaxBootTime;
+  const bool has_range = scaling.min_servers >= 0 && scaling.max_servers > 0 &&
+                         scaling.min_servers <= scaling.max_servers;
+  if (has_boot_time && has_range)
+    return std::nullopt;
+  return RoutingError{RoutingErrorCode::kBadScaling,
+                      "service '" + service.id.str() + "' has a bad " +
+                          (has_boot_time ? "range of servers" : "boot time")};
+}
+
 }  // namespace
 
 std::optional<RoutingError> CheckConfiguration(
@@ -67,6 +80,12 @@
                               "' and prefix '" + route.path_prefix + "'"};
     }
   }
+  for (const Service& service : configuration.services) {
+    if (!service.scaling)
+      continue;
+    if (auto error = CheckScaling(service))
+      return error;
+  }
   std::set<std::string> keys;
   for (const Customer& customer : configuration.customers) {
     std::set<std::string> own(customer.keys.begin(), customer.keys.end());
--- a/src/endivecart/routes/routing_configuration.h
+++ b/src/endivecart/routes/routing_configuration.h
@@ -74,6 +74,18 @@
   bool operator==(const CacheStore&) const = default;
 };
 
+// How many servers of a service each failure domain may have.
+struct Scaling {
+  // A longer boot time is taken for a mistake.
+  static constexpr Millis kMaxBootTime{std::chrono::hours(1)};
+
+  int min_servers = 0;
+  int max_servers = 0;
+  Millis boot_time{0};  // from a request for a server until it serves
+
+  bool operator==(const Scaling&) const = default;
+};
+
 struct Service {
   ServiceId id;
   std::string health_path;
@@ -82,6 +94,7 @@
   double cold_requests_per_s = 0;  // limit of a cold upstream
   std::optional<EngineLimits> engine;
   std::optional<CacheStore> store;
+  std::optional<Scaling> scaling;  // nullopt: the operators scale it
 
   bool operator==(const Service&) const = default;
 };
@@ -128,6 +141,7 @@
   kNoWeight,
   kNoTimeLimit,
   kSharedKey,
+  kBadScaling,
 };
 
 struct RoutingError {
@@ -139,8 +153,9 @@
 
 // Checks the consistency of a configuration: services exist, no two routes have
 // the same host and prefix, the weights of a route have a positive sum, time
-// limits are positive, and no two customers share a key. Returns the first
-// error, or nullopt if there is none.
+// limits are positive, no two customers share a key, and the limits of scaled
+// services are consistent. Returns the first error, or nullopt if there is
+// none.
 std::optional<RoutingError> CheckConfiguration(
     const RoutingConfiguration& configuration);
 
