--- a/src/endivecart/duties/duty_call.h
+++ b/src/endivecart/duties/duty_call.h
@@ -7,7 +7,7 @@
 #include <variant>
 
 #include "endivecart/base/base.h"
-#include "endivecart/routes/routes.h"
+#include "endivecart/duties/scale_planner.h"
 
 namespace endivecart::duties {
 
@@ -20,15 +20,6 @@
   bool operator==(const UsageWindow&) const = default;
 };
 
-// The number of servers that a service should have in a failure domain.
-struct ScaleTarget {
-  routes::ServiceId service;
-  DomainId domain;
-  int servers = 0;
-
-  bool operator==(const ScaleTarget&) const = default;
-};
-
 // A call to the platform.
 struct DutyCall {
   std::uint64_t fencing_number = 0;
