Duties: inputs of a control process

Control processes record usage, wall clocks and waiting requests from the polls of hosts that serve callers, answer with the true time as the leader, and plan the number of servers from announcements, loads and waiting requests.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -200,6 +200,10 @@
     *update.mutable_quarantine() = ToWire(ruling, now);
   if (follower.poll.serves_callers())
     *update.mutable_limits() = ToWire(limits_.All(), now);
+  if (follower.poll.serves_callers() && hooks_.true_unix_ms) {
+    if (const auto unix_ms = hooks_.true_unix_ms())
+      update.set_true_unix_ms(*unix_ms);
+  }
   if (is_answer)
     update.set_answered_poll(follower.poll.number());
   if (is_answer && follower.poll.serves_callers()) {
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -44,6 +44,9 @@
         on_quarantines;
     // Unix time in ms. Optional.
     std::function<std::uint64_t()> unix_ms;
+    // The time for usage windows, 0 if it isn't known yet; nullopt unless this
+    // process leads and usage is reported. Optional.
+    std::function<std::optional<std::uint64_t>()> true_unix_ms;
   };
 
   // A follower that hasn't polled for this long is removed.
@@ -110,6 +113,11 @@
   // Returns the number of processes that serve callers and have polled within
   // kCallerRetention, or 0 during kCallerDiscoveryTime.
   int CallerHosts() const;
+  // Returns the outstanding work of all hosts at an upstream, as they reported
+  // it.
+  wire::UpstreamLoad TotalLoad(const UpstreamId& upstream) const {
+    return loads_.TotalOf(upstream);
+  }
 
  private:
   struct Follower {
--- a/src/endivecart/fleet/load_table.cc
+++ b/src/endivecart/fleet/load_table.cc
@@ -42,6 +42,18 @@
     reports_.erase(host);
 }
 
+wire::UpstreamLoad LoadTable::TotalOf(const UpstreamId& upstream) const {
+  wire::UpstreamLoad load;
+  const auto it = numbers_.find(upstream.str());
+  if (it == numbers_.end())
+    return load;
+  const Sum& sum = sums_[it->second];
+  load.set_requests(Clamped(sum.requests));
+  load.set_prompt_tokens(Clamped(sum.prompt_tokens));
+  load.set_held_tokens(Clamped(sum.held_tokens));
+  return load;
+}
+
 void LoadTable::UpdateSilent(const upstreams::UpstreamRegistry& registry,
                              TimePoint now) {
   if (silent_updated_at_ != TimePoint{} &&
--- a/src/endivecart/fleet/load_table.h
+++ b/src/endivecart/fleet/load_table.h
@@ -48,6 +48,8 @@
                           const KnownNames& known,
                           const upstreams::UpstreamRegistry& registry,
                           TimePoint now);
+  // Returns the sum over all hosts.
+  wire::UpstreamLoad TotalOf(const UpstreamId& upstream) const;
   // Numbers the names anew if most of them are of upstreams that `registry` no
   // longer knows.
   void DropUnused(const upstreams::UpstreamRegistry& registry);
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -8,7 +8,7 @@
 #include "endivecart/node/body_room.h"
 #include "endivecart/node/cache_store_controller.h"
 #include "endivecart/node/disk_thread.h"
-#include "endivecart/node/duty_wiring.h"
+#include "endivecart/node/duty_parts.h"
 #include "endivecart/node/incarnation.h"
 #include "endivecart/node/upstream_client.h"
 #include "endivecart/node/weights_controller.h"
@@ -90,7 +90,7 @@
   std::optional<fleet::FleetFollower> follower;
   std::optional<fleet::OperatorService> operator_service;
   fleet::MoveCoordinator moves;
-  std::unique_ptr<DutyController> duties;  // null: there are none
+  std::unique_ptr<DutyParts> duties;  // null: there are none
   std::unique_ptr<net::HttpServer> operators;
   std::unique_ptr<net::HttpServer> metrics_server;
   std::vector<std::unique_ptr<TimerSubscription>> timers;
@@ -124,10 +124,12 @@
   if (!opened)
     return Fail(NodeError{NodeErrorCode::kTransport, opened.error().detail});
   log_bus = std::move(*opened);
+  duties = DutyParts::Make(loop, settings, hooks, metrics);
   OpenFeed();
   OpenVoter();
   OpenFollower();
-  duties = MakeDutyController(loop, settings, hooks, *voter, stopping, metrics);
+  if (duties)
+    duties->Start(*voter, *feed, roster, stopping);
   caches.Start(storage->is_founder() && voter->HasEmptyLog());
   operator_service.emplace(
       *voter, roster, *feed, [this] { return loop.Now(); }, UnixMillis);
@@ -198,6 +200,12 @@
   feed_hooks.on_caller_poll = [this](const HostId& host,
                                      const wire::FleetPoll& poll) {
     caches.OnCallerPoll(host, poll);
+    if (duties)
+      duties->OnCallerPoll(host, poll);
+  };
+  feed_hooks.true_unix_ms = [this] {
+    return duties && voter && voter->IsConfirmedLeader() ? duties->TrueUnixMs()
+                                                         : std::nullopt;
   };
   feed_hooks.on_move_report = [this](const HostId& host,
                                      const wire::ServiceMoveReport& report) {
@@ -416,7 +424,7 @@
   caches.Tick(voter->decisions(), roster, is_confirmed_leader, voter->term());
   EndMoves();
   if (duties)
-    duties->Tick(voter->decisions());
+    duties->Tick();
 }
 
 void VoterNode::Parts::EndMoves() {
