Usage: hosts count requests by customer and window, and report the sums

Cause: control knows nothing of what customers used; clocks of hosts step. Change: UsageCounter counts in the leader's time what upstreams began to run: a prompt at its first event, another request at its send once the answer shows that it ran, each caller's request once. Polls carry the sums that the control host hasn't answered yet, the wall clock and the requests that wait for scaled services; answers carry the true time. Without a hook for the true time, nothing is counted or sent. A relay learns by a header field what is counted already.

--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -203,6 +203,8 @@
   if (is_answer)
     update.set_answered_poll(follower.poll.number());
   if (is_answer && follower.poll.serves_callers()) {
+    if (hooks_.true_unix_ms)
+      update.set_true_unix_ms(hooks_.true_unix_ms());
     *update.mutable_relays() = ToWire(relay_table_.RelaysFor(to, now), now);
     if (follower.poll.wants_loads()) {
       *update.mutable_fleet_loads() = loads_.Encode(
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -44,6 +44,10 @@
         on_quarantines;
     // Unix time in ms. Optional.
     std::function<std::uint64_t()> unix_ms;
+    // Returns the true Unix time in ms, the same for all hosts, or 0 if it is
+    // not known (yet) or this process doesn't lead. Must be empty if no usage
+    // is to be reported: hosts then count nothing.
+    std::function<std::uint64_t()> true_unix_ms;
   };
 
   // A follower that hasn't polled for this long is removed.
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -69,6 +69,10 @@
       *poll.mutable_failures() = ToWire(hooks_.failures(), hooks_.now());
     for (wire::ServiceMoveReport& report : hooks_.move_reports())
       *poll.add_move_reports() = std::move(report);
+    if (hooks_.waiting) {
+      for (wire::WaitingRecord& waiting : hooks_.waiting())
+        *poll.add_waiting() = std::move(waiting);
+    }
   }
   HostId primary = PrimaryControlHost();
   const bool polls_all =
@@ -90,10 +94,12 @@
       out.clear_loads();
       out.clear_failures();
       out.clear_saves();
+      out.clear_waiting();
     } else if (host == loads_sender_) {
       out.set_names_epoch(loads_.known_names().epoch);
       out.set_names(static_cast<std::uint32_t>(loads_.known_names().count));
     }
+    AddUsage(control, out);
     out.set_feed_incarnation(control.feed_incarnation);
     out.set_feed_cursor(control.feed_cursor);
     control.polled_at = hooks_.now();
@@ -102,6 +108,20 @@
   }
 }
 
+void FleetFollower::AddUsage(ControlHost& control,
+                             wire::FleetPoll& poll) const {
+  control.usage_sent = 0;
+  if (!options_.serves_callers || !hooks_.usage_since)
+    return;
+  auto changes = hooks_.usage_since(control.usage_answered);
+  if (!changes)
+    return;
+  control.usage_sent = changes->change;
+  *poll.mutable_usage() = std::move(changes->report);
+  if (hooks_.unix_ms)
+    poll.set_unix_ms(hooks_.unix_ms());
+}
+
 bool FleetFollower::IsAnswerPending(const ControlHost& control) const {
   // Only for hosts in contact: one that is just starting may have missed the
   // poll.
@@ -152,9 +172,14 @@
           .Warn();
     }
   }
+  const bool answers_last_poll = update.answered_poll() != 0 &&
+                                 update.answered_poll() == control.poll_number;
+  if (answers_last_poll)
+    control.usage_answered = control.usage_sent;
   if (control.feed_incarnation != update.feed_incarnation()) {
     control.feed_incarnation = update.feed_incarnation();
     control.feed_cursor = 0;
+    control.usage_answered = 0;
   }
   // After a lost update the cursor stays, so that the next poll asks for what
   // is missing.
@@ -176,6 +201,12 @@
     for (const std::string& upstream : update.resting_upstreams())
       quiesced_.emplace(upstream);
     quiesced_updated_at_ = now;
+    if (answers_last_poll && hooks_.on_true_time) {
+      hooks_.on_true_time(update.has_true_unix_ms()
+                              ? std::optional(update.true_unix_ms())
+                              : std::nullopt,
+                          control.polled_at);
+    }
   }
   if (update.has_quarantine() && hooks_.on_quarantine)
     hooks_.on_quarantine(FromWire(update.quarantine(), now));
@@ -184,9 +215,6 @@
   if (update.relays_size() > 0 && hooks_.on_relays)
     hooks_.on_relays(FromWire(update.relays(), now));
   if (update.has_cache() && hooks_.on_cache) {
-    const bool answers_last_poll =
-        update.answered_poll() != 0 &&
-        update.answered_poll() == control.poll_number;
     hooks_.on_cache(update.cache(),
                     answers_last_poll ? control.polled_at : TimePoint{});
   }
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -39,6 +39,12 @@
   bool operator==(const LocalLoad&) const = default;
 };
 
+// The usage that changed after some change, and the number of the latest one.
+struct UsageChanges {
+  wire::UsageReport report;
+  std::uint64_t change = 0;
+};
+
 // Follows all control hosts (voters and spares), polling one of them, the
 // primary, more often. A decision or announcement that reaches any of them
 // reaches this process. Keeps the last known state while none answers.
@@ -85,6 +91,18 @@
     std::function<std::vector<quarantine::UpstreamFailures>()> failures;
     std::function<void(const quarantine::FailureRuling&)> on_failures;
     std::function<TimePoint()> now;
+    // Called with each answer of the leader: what it says of the true Unix time
+    // in ms (nullopt: usage is not wanted; 0: not known yet), and when the poll
+    // was sent that it answers. Optional.
+    std::function<void(std::optional<std::uint64_t>, TimePoint asked_at)>
+        on_true_time;
+    // Returns the usage that changed after this change, or nullopt if usage is
+    // not wanted. Optional.
+    std::function<std::optional<UsageChanges>(std::uint64_t since)> usage_since;
+    // This machine's wall clock, in ms; may be wrong. Optional.
+    std::function<std::uint64_t()> unix_ms;
+    // Returns the requests that wait for scaled services. Optional.
+    std::function<std::vector<wire::WaitingRecord>()> waiting;
   };
 
   // A control host that is silent for longer is considered unreachable.
@@ -134,9 +152,13 @@
     std::uint64_t feed_incarnation = 0;
     std::uint64_t feed_cursor = 0;
     CallerPlace place;
+    // The latest change of the usage in the last poll, and in those answered.
+    std::uint64_t usage_sent = 0;
+    std::uint64_t usage_answered = 0;
   };
 
   void Poll();
+  void AddUsage(ControlHost& control, wire::FleetPoll& poll) const;
   // Returns whether an earlier poll may still be answered. A second answer
   // would only repeat the contents of the first.
   bool IsAnswerPending(const ControlHost& control) const;
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -50,6 +50,14 @@
   hooks.outstanding_saves = [&gateway] {
     return gateway.save_claims().Outstanding();
   };
+  hooks.on_true_time = [&gateway](std::optional<std::uint64_t> true_unix_ms,
+                                  TimePoint asked_at) {
+    gateway.usage().OnTime(true_unix_ms, asked_at, gateway.Now());
+  };
+  hooks.usage_since = [&gateway](std::uint64_t change) {
+    return gateway.UsageSince(change);
+  };
+  hooks.waiting = [&gateway] { return gateway.WaitingForScaled(); };
   hooks.cache_position = [&gateway] { return gateway.cache().position(); };
 }
 
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -59,7 +59,11 @@
       parts_(AllParts(request_keys_, request_.prompt)),
       accepted_at_(exchange_->received_at()),
       ticket_from_relay_(ticket_from_relay),
-      runs_(ticket_from_relay_ ? ticket_from_relay_->runs : 0) {}
+      runs_(ticket_from_relay_ ? ticket_from_relay_->runs : 0),
+      // The events before were part of a run that was counted.
+      usage_counted_(
+          !request_.last_event_id.empty() ||
+          (ticket_from_relay_ && ticket_from_relay_->usage_counted)) {}
 
 Forwarding::~Forwarding() = default;
 
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -55,6 +55,11 @@
   Millis Age() const;
   // Logs how far the request is, because the process exits.
   void LogCutByStop() const;
+  const routes::ServiceId& service() const { return service_; }
+  std::int64_t PromptTokens() const;
+  // Returns when a request that is no stream was sent to an upstream, if its
+  // answer will tell whether it is to be counted as usage.
+  std::optional<TimePoint> UncountedSince() const;
   // Tries to send a queued request. Returns whether it was sent.
   bool TryDispatch();
 
@@ -140,6 +145,9 @@
   void PlanCache(UpstreamRequest& out) const;
   CachePlan PlanForLabel(const std::string& label) const;
 
+  // Counts the request for its customer, unless it is known to have been
+  // counted by this host or another one. `began_at`: when the upstream began.
+  void CountUsage(TimePoint began_at);
   // Records that the upstream has sent data.
   void RecordData();
   void OnHead(const net::HttpResponseHead& head);
@@ -195,7 +203,6 @@
   bool IsStream() const { return route_.kind == routes::RequestKind::kStream; }
   bool MayRepeat() const;
   Millis TimeLeft() const;
-  std::int64_t PromptTokens() const;
   std::int64_t HeldTokens() const;
   // Estimated time to prefill the prompt's shared parts.
   Millis PrefillTime() const;
@@ -242,6 +249,7 @@
   int runs_ = 0;   // sends that an upstream may have run
   RunState run_state_ = RunState::kNotRun;
   bool finished_ = false;
+  bool usage_counted_ = false;  // by any host
 
   // State of the current send:
   net::HttpCallPtr call_;
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -119,6 +119,7 @@
   last_event_at_ = gateway_.loop_.Now();
   if (!first_event_of_send_at_) {
     first_event_of_send_at_ = last_event_at_;
+    CountUsage(last_event_at_);
     if (!relay_)
       gateway_.upstreams_.RecordAnswer(upstream_);
   }
@@ -234,6 +235,8 @@
     return;
   }
   ++runs_;
+  if (!IsStream())
+    CountUsage(sent_at_);
   // A relay has retried already.
   if (server_error && head_.status != 504 && !relay_ &&
       MayRetry(SendEffect::kMayHaveRun)) {
--- a/src/endivecart/gateway/forwarding_relay.cc
+++ b/src/endivecart/gateway/forwarding_relay.cc
@@ -77,6 +77,8 @@
   net::HttpRequest request = gateway_.dialect_.encode_for_relay(
       request_, TimeLeft() - kWayBack, LastEventIdToSend());
   request.fields.Set(kRelayedField, ToText(ticket));
+  if (usage_counted_)
+    request.fields.Set(kUsageCountedField, "1");
   net::CallOptions options;
   options.connect_timeout = std::min(kConnectTimeout, TimeLeft());
   options.max_idle = kMaxIdle;
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -36,6 +36,7 @@
       relay_port_(options_.relay_port),
       retry_limiter_(options_.retry_ratio, options_.retry_window),
       random_(options_.seed),
+      usage_(options_.usage_window),
       admit_timer_(loop.Every(kAdmitInterval,
                               [this](TimePoint) {
                                 if (!request_queue_.empty())
@@ -127,7 +128,7 @@
 void Gateway::HandleRelayed(net::HttpExchangePtr exchange) {
   net::HttpRequest received = exchange->request();
   const auto text = received.fields.Find(kRelayedField);
-  const auto ticket = text ? ParseRelayTicket(*text) : std::nullopt;
+  auto ticket = text ? ParseRelayTicket(*text) : std::nullopt;
   if (!ticket) {
     Refuse(*exchange, {400, "malformed", std::nullopt, RequestId()}, true);
     return;
@@ -141,6 +142,8 @@
     return;
   }
   received.fields.Remove(kRelayedField);
+  ticket->usage_counted = received.fields.Has(kUsageCountedField);
+  received.fields.Remove(kUsageCountedField);
   Accept(std::move(exchange), received, ticket);
 }
 
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 
+#include "endivecart/duties/duties.h"
 #include "endivecart/fleet/fleet.h"
 #include "endivecart/gateway/cache_save_claims.h"
 #include "endivecart/gateway/cache_view.h"
@@ -41,6 +42,8 @@
   Millis old_weights_grace{8000};
   // Where other hosts may send requests; 0: nowhere.
   int relay_port = 0;
+  // Length of the windows in which usage is counted.
+  Millis usage_window{5000};
   std::uint64_t seed = 1;
 };
 
@@ -69,6 +72,12 @@
   // Returns what to report about the way to upstreams.
   quarantine::HostReach ReachReport() const;
   quarantine::RelaySelector& relays() { return relays_; }
+  duties::UsageCounter& usage() { return usage_; }
+  // Returns the usage that changed after this change, or nullopt if usage is
+  // not wanted.
+  std::optional<fleet::UsageChanges> UsageSince(std::uint64_t change);
+  // Returns the requests that wait for services with `scaling`.
+  std::vector<wire::WaitingRecord> WaitingForScaled() const;
 
   // Sets the decisions in force. If `routes` is null, the previous routes stay.
   void SetDecisions(fleet::DecisionsPtr decisions,
@@ -187,6 +196,7 @@
   std::set<std::shared_ptr<Forwarding>> active_;
   RequestQueue request_queue_;
   std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
+  duties::UsageCounter usage_;
   std::optional<TimePoint> bad_server_load_logged_at_;
   std::unique_ptr<TimerSubscription> admit_soon_;
   std::unique_ptr<TimerSubscription> admit_timer_;
--- a/src/endivecart/gateway/relayed_request.h
+++ b/src/endivecart/gateway/relayed_request.h
@@ -15,6 +15,10 @@
 // will not be; its value is the reason.
 inline constexpr char kRelayNotRunField[] = "Endivecart-Not-Run";
 
+// Field of such a request if a host has counted it as usage already. Not part
+// of the ticket: hosts of earlier releases refuse tickets with unknown parts.
+inline constexpr char kUsageCountedField[] = "Endivecart-Usage-Counted";
+
 // Reasons of which another relay may know nothing.
 inline constexpr char kReasonNoConfiguration[] = "no_configuration";
 inline constexpr char kReasonOlderConfiguration[] = "older_configuration";
@@ -32,6 +36,8 @@
   // Of the configuration by which the sender accepted it. A relay with an older
   // one must not judge it.
   std::uint64_t routing_version = 0;
+  // From kUsageCountedField; not in the text.
+  bool usage_counted = false;
 
   bool operator==(const RelayTicket&) const = default;
 };
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -39,6 +39,13 @@
   return out;
 }
 
+std::uint64_t UnixMillis() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Millis>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
 gateway::GatewayOptions OptionsFor(const settings::NodeSettings& settings,
                                    std::uint64_t seed) {
   gateway::GatewayOptions options;
@@ -124,6 +131,7 @@
   follower_hooks.on_decisions = [this](const fleet::DecisionsPtr& decisions) {
     ApplyDecisions(decisions);
   };
+  follower_hooks.unix_ms = UnixMillis;
   gateway::SetGatewayHooks(gateway, follower_hooks);
   follower.emplace(options, std::move(follower_hooks));
   gateway.SetFollower(&*follower);
