--- a/src/endivecart/node/duty_parts.cc
+++ b/src/endivecart/node/duty_parts.cc
@@ -104,18 +104,11 @@
     return;
   if (poll.unix_ms() > 0)
     true_time_.OnSample(host, poll.unix_ms(), now);
-  std::vector<duties::UsageEntry> entries;
-  for (const wire::UsageRecord& record : poll.usage().records()) {
-    entries.push_back(
-        {record.window(), CustomerId(record.customer()), record.count()});
-  }
-  usage_.OnPoll(host, poll.incarnation(), entries,
+  usage_.OnPoll(host, poll.incarnation(), duties::EntriesOf(poll.usage()),
                 poll.usage().complete_until_ms(), now);
 }
 
-std::optional<std::uint64_t> DutyParts::TrueUnixMs() const {
-  if (!reports_usage_)
-    return std::nullopt;
+std::uint64_t DutyParts::TrueUnixMs() const {
   return true_time_.UnixMs(loop_.Now()).value_or(0);
 }
 
--- a/src/endivecart/node/duty_parts.h
+++ b/src/endivecart/node/duty_parts.h
@@ -30,9 +30,9 @@
 
   // Records a poll of a process that serves callers.
   void OnCallerPoll(const HostId& host, const wire::FleetPoll& poll);
-  // Returns the time that processes should use for usage windows, 0 if it isn't
-  // known yet, or nullopt if usage isn't reported.
-  std::optional<std::uint64_t> TrueUnixMs() const;
+  // Returns the time that processes should use for usage windows; 0 if it isn't
+  // known yet.
+  std::uint64_t TrueUnixMs() const;
   void Tick();
 
  private:
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -203,10 +203,11 @@
     if (duties)
       duties->OnCallerPoll(host, poll);
   };
-  feed_hooks.true_unix_ms = [this] {
-    return duties && voter && voter->IsConfirmedLeader() ? duties->TrueUnixMs()
-                                                         : std::nullopt;
-  };
+  if (settings.HasDuty(settings::Duty::kUsage)) {
+    feed_hooks.true_unix_ms = [this] {
+      return voter && voter->IsConfirmedLeader() ? duties->TrueUnixMs() : 0;
+    };
+  }
   feed_hooks.on_move_report = [this](const HostId& host,
                                      const wire::ServiceMoveReport& report) {
     moves.OnReport(host, report);
