--- a/src/endivecart/fleet/decision_log.cc
+++ b/src/endivecart/fleet/decision_log.cc
@@ -83,6 +83,9 @@
       // No follower needs to know of it.
       save_grants_.Apply(parsed.grant_saves());
       break;
+    case wire::FleetCommand::kCloseUsageWindow:
+      usage_log_.Apply(parsed.close_usage_window());
+      break;
     case wire::FleetCommand::BODY_NOT_SET:
       break;
   }
@@ -94,6 +97,7 @@
 std::string DecisionLog::Snapshot() const {
   wire::FleetDecisions message = ToWire(decisions_, true);
   *message.mutable_save_grants() = save_grants_.ToWire();
+  usage_log_.AddTo(message);
   return message.SerializeAsString();
 }
 
@@ -103,6 +107,7 @@
     return false;
   decisions_ = FromWire(message, nullptr);
   save_grants_ = SaveGrantLog::FromWire(message.save_grants());
+  usage_log_ = duties::UsageLog::FromSnapshot(message);
   return true;
 }
 
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -44,6 +44,10 @@
         on_quarantines;
     // Unix time in ms. Optional.
     std::function<std::uint64_t()> unix_ms;
+    // Returns the true Unix time in ms, the same for all hosts, or 0 if it is
+    // not known (yet) or this process doesn't lead. Must be empty if no usage
+    // is to be reported: hosts then count nothing.
+    std::function<std::uint64_t()> true_unix_ms;
   };
 
   // A follower that hasn't polled for this long is removed.
@@ -110,6 +114,11 @@
   // Returns the number of processes that serve callers and have polled within
   // kCallerRetention, or 0 during kCallerDiscoveryTime.
   int CallerHosts() const;
+  // Returns the outstanding work of all hosts at an upstream, as they reported
+  // it.
+  wire::UpstreamLoad TotalLoad(const UpstreamId& upstream) const {
+    return loads_.TotalOf(upstream);
+  }
 
  private:
   struct Follower {
--- a/src/endivecart/fleet/fleet_voter.h
+++ b/src/endivecart/fleet/fleet_voter.h
@@ -91,6 +91,7 @@
   std::uint64_t term() const { return core_->term(); }
   const Decisions& decisions() const { return log_.decisions(); }
   const SaveGrantLog& save_grants() const { return log_.save_grants(); }
+  const duties::UsageLog& usage_log() const { return log_.usage_log(); }
   std::vector<HostId> VoterHosts() const;
   const control::RaftCore& core() const { return *core_; }
 
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -8,6 +8,7 @@
 #include "endivecart/node/body_room.h"
 #include "endivecart/node/cache_store_controller.h"
 #include "endivecart/node/disk_thread.h"
+#include "endivecart/node/duty_parts.h"
 #include "endivecart/node/incarnation.h"
 #include "endivecart/node/upstream_client.h"
 #include "endivecart/node/weights_controller.h"
@@ -89,6 +90,7 @@
   std::optional<fleet::FleetFollower> follower;
   std::optional<fleet::OperatorService> operator_service;
   fleet::MoveCoordinator moves;
+  std::unique_ptr<DutyParts> duties;  // null: there are none
   std::unique_ptr<net::HttpServer> operators;
   std::unique_ptr<net::HttpServer> metrics_server;
   std::vector<std::unique_ptr<TimerSubscription>> timers;
@@ -122,10 +124,13 @@
   if (!opened)
     return Fail(NodeError{NodeErrorCode::kTransport, opened.error().detail});
   log_bus = std::move(*opened);
+  duties = DutyParts::Make(loop, settings, hooks, metrics);
   OpenFeed();
   OpenVoter();
   OpenFollower();
   caches.Start(storage->is_founder() && voter->HasEmptyLog(), SaveHooks());
+  if (duties)
+    duties->Start(*voter, *feed, roster, stopping);
   operator_service.emplace(
       *voter, roster, *feed, [this] { return loop.Now(); }, UnixMillis);
   feed->PushDecisions(voter->decisions());
@@ -195,7 +200,14 @@
   feed_hooks.on_caller_poll = [this](const HostId& host,
                                      const wire::FleetPoll& poll) {
     caches.OnCallerPoll(host, poll);
+    if (duties)
+      duties->OnCallerPoll(host, poll);
   };
+  if (settings.HasDuty(settings::Duty::kUsage)) {
+    feed_hooks.true_unix_ms = [this] {
+      return voter && voter->IsConfirmedLeader() ? duties->TrueUnixMs() : 0;
+    };
+  }
   feed_hooks.on_move_report = [this](const HostId& host,
                                      const wire::ServiceMoveReport& report) {
     moves.OnReport(host, report);
@@ -423,6 +435,8 @@
   caches.Tick(voter->decisions(), voter->save_grants(), roster,
               is_confirmed_leader, voter->term());
   EndMoves();
+  if (duties)
+    duties->Tick();
 }
 
 void VoterNode::Parts::EndMoves() {
