--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -36,7 +36,14 @@
   once.name = "once";
   once.path_prefix = "/once/";
   once.kind = routes::RequestKind::kNonIdempotent;
-  configuration.routes = {route, plain, once};
+  routes::Route billed = plain;
+  billed.name = "billed";
+  billed.path_prefix = "/plain/billed/";
+  billed.needs_key = true;
+  configuration.routes = {route, plain, once, billed};
+  configuration.customers.resize(1);
+  configuration.customers[0].id = CustomerId("c");
+  configuration.customers[0].keys = {"k"};
   configuration.services.resize(2);
   configuration.services[0].id = routes::ServiceId("s");
   configuration.services[1].id = routes::ServiceId("plain");
@@ -46,8 +53,13 @@
 
 }  // namespace
 
-GatewayFleet::GatewayFleet(int hosts, int upstreams, bool has_links)
-    : has_links_(has_links), feed_(1, &registry_, FeedHooks()) {
+GatewayFleet::GatewayFleet(int hosts,
+                           int upstreams,
+                           bool has_links,
+                           bool counts_usage)
+    : has_links_(has_links),
+      counts_usage_(counts_usage),
+      feed_(1, &registry_, FeedHooks()) {
   for (int number = 0; number < hosts; ++number)
     AddHost(number);
   timers_.push_back(
@@ -85,6 +97,13 @@
   hooks.cache_update = [](const fleet::CachePosition&) {
     return std::optional<wire::CacheUpdate>();
   };
+  if (counts_usage_) {
+    hooks.true_unix_ms = [this] {
+      return static_cast<std::uint64_t>(
+          std::chrono::duration_cast<Millis>(loop.Now().time_since_epoch())
+              .count());
+    };
+  }
   return hooks;
 }
 
@@ -205,12 +224,11 @@
   upstream.server.Stop();
 }
 
-void GatewayFleet::SendRequest(int host,
+void GatewayFleet::SendRequest(int port,
                                const std::string& path,
                                const std::string& fields,
                                const std::string& key) {
   CollectAnswers();
-  const int port = hosts_.at(static_cast<std::size_t>(host))->server->port();
   calls_.push_back({std::make_unique<RawCaller>(loop, port), key});
   calls_.back().caller->Write("GET " + path + " HTTP/1.1\r\nHost: a\r\nId: " +
                               std::to_string(++sent_requests_) + "\r\n" +
@@ -219,11 +237,23 @@
 
 void GatewayFleet::SendPrompt(int host, const std::string& parts) {
   const std::string own = ",own" + std::to_string(sent_requests_ + 1);
-  SendRequest(host, "/x", "Model: m\r\nParts: " + parts + own + "\r\n", parts);
+  const int port = hosts_.at(static_cast<std::size_t>(host))->server->port();
+  SendRequest(port, "/x", "Model: m\r\nParts: " + parts + own + "\r\n", parts);
+}
+
+void GatewayFleet::SendPlain(int host,
+                             const std::string& path,
+                             const std::string& fields) {
+  const int port = hosts_.at(static_cast<std::size_t>(host))->server->port();
+  SendRequest(port, path, fields, path);
 }
 
-void GatewayFleet::SendPlain(int host, const std::string& path) {
-  SendRequest(host, path, "", path);
+void GatewayFleet::SendRelayed(const std::string& path,
+                               const std::string& fields) {
+  SendRequest(hosts_.front()->relay->port(), path,
+              std::string(gateway::kRelayedField) + ": " +
+                  gateway::ToText(gateway::RelayTicket()) + "\r\n" + fields,
+              path);
 }
 
 void GatewayFleet::LeaveAll() {
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -34,7 +34,12 @@
 
   // With `has_links`, each host reaches each upstream through a proxy; see
   // CutLinks().
-  GatewayFleet(int hosts, int upstreams, bool has_links = false);
+  // With `counts_usage`, the control host tells hosts the time and wants to
+  // know the usage.
+  GatewayFleet(int hosts,
+               int upstreams,
+               bool has_links = false,
+               bool counts_usage = false);
 
   // Starts another upstream, of the service "s" for prompts or "plain" for
   // other requests, and announces it.
@@ -56,7 +61,12 @@
   void SendPrompt(int host, const std::string& parts);
   // Sends a request that may be repeated and isn't a prompt. Its path, which
   // must begin with "/plain/", is the key of its answer.
-  void SendPlain(int host, const std::string& path);
+  // Those below "/plain/billed/" need the key "k" of customer "c".
+  void SendPlain(int host,
+                 const std::string& path,
+                 const std::string& fields = "");
+  // Sends such a request to the first host as another one would pass it on.
+  void SendRelayed(const std::string& path, const std::string& fields);
   // Closes the connections of all callers that have no complete answer yet.
   void LeaveAll();
   // Answers the request with a short body.
@@ -94,7 +104,7 @@
   };
 
   // Sends the fields after the id.
-  void SendRequest(int host,
+  void SendRequest(int port,
                    const std::string& path,
                    const std::string& fields,
                    const std::string& key);
@@ -105,6 +115,7 @@
   void CollectAnswers();
 
   const bool has_links_;
+  const bool counts_usage_;
   endivecart::upstreams::UpstreamRegistry registry_;
   endivecart::fleet::FleetFeed feed_;
   std::vector<std::unique_ptr<Host>> hosts_;
