--- a/src/endivecart/gateway/gateway_usage.cc
+++ b/src/endivecart/gateway/gateway_usage.cc
@@ -39,6 +39,7 @@
         static_cast<std::uint64_t>(forwarding->PromptTokens()));
   }
   std::vector<wire::WaitingRecord> records;
+  records.reserve(by_service.size());
   for (auto& [id, record] : by_service)
     records.push_back(std::move(record));
   return records;
