--- a/src/endivecart/node/duty_inputs.cc
+++ b/src/endivecart/node/duty_inputs.cc
@@ -19,7 +19,7 @@
 void DutyInputs::OnCallerPoll(const HostId& host,
                               const wire::FleetPoll& poll,
                               TimePoint now) {
-  if (poll.reach().domain() != "")
+  if (!poll.reach().domain().empty())
     domains_heard_at_[DomainId(poll.reach().domain())] = now;
   if (poll.waiting().empty()) {
     waiting_.erase(host);
--- a/src/endivecart/settings/node_settings.cc
+++ b/src/endivecart/settings/node_settings.cc
@@ -59,8 +59,7 @@
                            Millis fallback) {
   const double seconds =
       reader.NumberOr(key, static_cast<double>(fallback.count()) / 1000);
-  if (seconds * 1000 < 1 ||
-      seconds * 1000 > static_cast<double>(kMaxMillis)) {
+  if (seconds * 1000 < 1 || seconds * 1000 > static_cast<double>(kMaxMillis)) {
     reader.AddError(key, "must be from 0.001 to 3600");
     return fallback;
   }
@@ -99,8 +98,8 @@
   return bounds;
 }
 
-// Returns the duties, which may be named in the words of `duty_names`; what that
-// doesn't name is no duty of this system.
+// Returns the duties, which may be named in the words of `duty_names`; what
+// that doesn't name is no duty of this system.
 std::set<Duty> ReadDuties(JsonReader& reader) {
   std::set<Duty> duties;
   const bool has_names = reader.Has("duty_names");
--- a/src/endivecart/settings/node_settings_unittest.cc
+++ b/src/endivecart/settings/node_settings_unittest.cc
@@ -69,7 +69,8 @@
     const char* error;
   };
   const Case cases[] = {
-      {R"(, "bounds": {"usage_window_s": 0})", "bounds.usage_window_s: must be"},
+      {R"(, "bounds": {"usage_window_s": 0})",
+       "bounds.usage_window_s: must be"},
       {R"(, "bounds": {"usage_window_s": -5})", "bounds.usage_window_s: must"},
       {R"(, "bounds": {"usage_window_s": 1e9})", "bounds.usage_window_s: must"},
       {R"(, "bounds": {"usage_delay_s": 0})", "bounds.usage_delay_s: must be"},
