Net: one budget for everything that a connection makes a process hold

Cause: only bodies were counted.

Change: ConnectionBudget (before: BodyBudget) counts requests with their fields, bodies, collected answers, unread responses and documents as JSON; a sixth of memory_mb. Where there is no room, ChooseForBytes() names the connections that hold the most for the longest time (none served, none younger than 1 s); where there are too many connections, ChooseForSlots() the lingering ones and the oldest without an answered request. Rejections are 503, not run, with Connection: close; lingering is bounded in bytes. A body may take its length at 16 KB/s. Clients that read nothing for the idle timeout are closed. The kernel keeps 16 KB of unread input a connection. A pipelined request waits until the previous response is written. Limits on connections follow RLIMIT_NOFILE. A log line a minute for each kind. HttpServer's session and exchange are files of their own.

No system call is added to a request: waiting for input takes epoll_ctl instead of a read that would block.

--- a/src/endivecart/base/invariant.cc
+++ b/src/endivecart/base/invariant.cc
@@ -29,7 +29,8 @@
     "quarantined_part_gets_no_work",
     "relayed_once",
     "stays_in_region",
-    "caller_is_there"};
+    "caller_is_there",
+    "connection_budget"};
 
 void LogViolation(Invariant invariant, std::string_view detail) {
   LogLine("invariant")
--- a/src/endivecart/base/invariant.h
+++ b/src/endivecart/base/invariant.h
@@ -28,6 +28,7 @@
   kRelayedOnce,                // no request passes through two other hosts
   kStaysInRegion,  // no request leaves the regions to which it is restricted
   kCallerIsThere,  // no request is sent for a caller known to have left
+  kConnectionBudget,  // connections hold no more than their budget
   kCount,
 };
 
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -85,6 +85,17 @@
       OnBadAnswer("too_large");
       return;
     }
+    // A string that grows may double its memory.
+    const std::size_t size = body_.size() + bytes.size();
+    if (!exchange_->TryHold(size > body_.capacity() ? 2 * size
+                                                    : body_.capacity())) {
+      // Not the upstream's fault.
+      call_.reset();
+      run_state_ = RunState::kMayHaveRun;
+      EndSend(SendResult::kAbandoned);
+      GiveUp("no_room_for_answer");
+      return;
+    }
     body_ += bytes;
     return;
   }
--- a/src/endivecart/net/body.cc
+++ b/src/endivecart/net/body.cc
@@ -6,14 +6,14 @@
 
 struct Body::Data {
   std::string bytes;
-  BodyReservation reservation;
+  BudgetReservation reservation;
 };
 
-Body::Body(std::string bytes) : Body(std::move(bytes), BodyReservation()) {}
+Body::Body(std::string bytes) : Body(std::move(bytes), BudgetReservation()) {}
 
 Body::Body(const char* bytes) : Body(std::string(bytes)) {}
 
-Body::Body(std::string bytes, BodyReservation reservation) {
+Body::Body(std::string bytes, BudgetReservation reservation) {
   if (!bytes.empty()) {
     data_ = std::make_shared<const Data>(
         Data{std::move(bytes), std::move(reservation)});
--- a/src/endivecart/net/body.h
+++ b/src/endivecart/net/body.h
@@ -6,7 +6,7 @@
 #include <ostream>
 #include <string>
 
-#include "endivecart/net/body_budget.h"
+#include "endivecart/net/connection_budget.h"
 
 namespace endivecart::net {
 
@@ -18,7 +18,7 @@
   Body(std::string bytes);  // NOLINT(google-explicit-constructor)
   Body(const char* bytes);  // NOLINT(google-explicit-constructor)
   // `reservation` covers `bytes`.
-  Body(std::string bytes, BodyReservation reservation);
+  Body(std::string bytes, BudgetReservation reservation);
 
   const std::string& str() const;
   operator const std::string&() const {  // NOLINT(google-explicit-constructor)
--- a/src/endivecart/net/body_budget_unittest.cc
+++ b/src/endivecart/net/connection_budget_unittest.cc
@@ -1,5 +1,6 @@
 // The bytes that all bodies of a process may hold together.
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <random>
 #include <sstream>
@@ -65,7 +66,7 @@
     BOOST_TEST(budget->reserved_bytes() == kLargeBodiesAtOnce * kLargeBytes);
   }
 
-  const BodyBudgetPtr budget = BodyBudget::Create(kBudgetBytes);
+  const ConnectionBudgetPtr budget = ConnectionBudget::Create(kBudgetBytes);
   std::vector<HttpExchangePtr> held;
   std::unique_ptr<HttpServer> server;
   std::vector<std::unique_ptr<RawCaller>> senders;
@@ -178,11 +179,59 @@
   BOOST_TEST(budget->reserved_bytes() == 0u);
 }
 
+// Guards against LOST: fields of a header section cost many times their text,
+// and nothing counted them.
+BOOST_FIXTURE_TEST_CASE(fields_count_with_their_overhead, BudgetedServer) {
+  std::string head = "GET / HTTP/1.1\r\nHost: a\r\n";
+  for (int i = 0; i < 1000; ++i)
+    head += "a:b\r\n";
+  const auto caller = Call(head);
+  RunUntil([&] { return budget->held_bytes() > 0; });
+  BOOST_TEST(budget->HeldBytesOf(HeldKind::kRequests) >
+             1000 * sizeof(HttpFields::Field));
+  caller->Close();
+  RunUntil([&] { return budget->held_bytes() == 0; });
+  BOOST_TEST(budget->held_bytes() == 0u);
+}
+
+// Guards against stalled senders keeping ordinary callers out until a timeout.
+BOOST_FIXTURE_TEST_CASE(senders_that_stall_give_way_under_pressure,
+                        BudgetedServer) {
+  Fill();
+  RunFor(kMinCloseAge);
+  const auto caller = Call(HeadOf(kLargeBytes) + std::string(kLargeBytes, 'l'));
+  RunUntil([&] { return held.size() == 1; });
+  BOOST_TEST(held.size() == 1u);
+  BOOST_TEST(std::count_if(senders.begin(), senders.end(),
+                           [](const auto& s) { return IsRejected(*s); }) > 0);
+}
+
+// Guards against LOST: responses to pipelined requests pile up for a client
+// that reads nothing.
+BOOST_FIXTURE_TEST_CASE(a_pipelined_request_waits_for_a_client_that_reads,
+                        BudgetedServer) {
+  boost::asio::ip::tcp::socket socket(loop.context());
+  socket.open(boost::asio::ip::tcp::v4());
+  socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"),
+                  static_cast<unsigned short>(server->port())});
+  const std::string get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(get + get));
+  RunUntil([&] { return held.size() == 1; });
+  BOOST_REQUIRE(held.size() == 1u);
+  held.front()->Respond(
+      MakeResponse(200, "", std::string(kBudgetBytes / 2, 'r')));
+  RunFor(Millis(50));
+  BOOST_TEST(held.size() == 1u);
+  RunFor(HttpServerLimits().idle_timeout + Millis(1000));
+  BOOST_TEST(server->connections() == 0u);
+}
+
 // Guards against a sum that drifts, or passes the budget.
 BOOST_AUTO_TEST_CASE(the_sum_is_exact_and_within_the_budget) {
-  const auto budget = BodyBudget::Create(kBudgetBytes);
+  const auto budget = ConnectionBudget::Create(kBudgetBytes);
   std::mt19937_64 random(11);
-  std::vector<BodyReservation> reservations;
+  std::vector<BudgetReservation> reservations;
   for (int i = 0; i < 20'000; ++i) {
     if (random() % 2 == 0 && !reservations.empty()) {
       std::swap(reservations[random() % reservations.size()],
@@ -192,7 +241,7 @@
       reservations.push_back(std::move(*reserved));
     }
     std::size_t sum = 0;
-    for (const BodyReservation& reservation : reservations)
+    for (const BudgetReservation& reservation : reservations)
       sum += reservation.bytes();
     BOOST_REQUIRE(budget->reserved_bytes() == sum);
     BOOST_REQUIRE(sum <= kBudgetBytes);
--- a/src/endivecart/net/http_connection.cc
+++ b/src/endivecart/net/http_connection.cc
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16UL << 10;
+// The kernel keeps no more unread input of an upstream than this.
+constexpr int kReceiveBufferBytes = 32 << 10;
 constexpr std::string_view kTimeoutParameter = "timeout=";
 // An idle connection is closed after this fraction of the server's idle
 // timeout, so that a request isn't sent while the server closes it.
@@ -82,6 +84,8 @@
                                static_cast<unsigned short>(to.port));
   if (!error)
     socket_.open(endpoint.protocol(), error);
+  if (!error)
+    SetReceiveBuffer(socket_, kReceiveBufferBytes);
   if (error) {
     pool_->loop.Post(
         [self = shared_from_this(), error] { self->OnConnected(error); });
--- a/src/endivecart/net/http_message.cc
+++ b/src/endivecart/net/http_message.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <unordered_set>
 
 #include "endivecart/base/base.h"
 
@@ -18,6 +19,22 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+std::string LowerAscii(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](char c) { return LowerAscii(c); });
+  return out;
+}
+
+// Returns the bytes of a string outside of the object, with the allocator's
+// overhead.
+std::size_t HeapBytes(const std::string& text) {
+  constexpr std::size_t kAllocationBytes = 16;
+  static const std::size_t kInlineCapacity = std::string().capacity();
+  return text.capacity() > kInlineCapacity ? text.capacity() + kAllocationBytes
+                                           : 0;
+}
+
 std::string Trimmed(const std::string& text) {
   const auto first = text.find_first_not_of(" \t");
   if (first == std::string::npos)
@@ -59,17 +76,26 @@
 }
 
 void HttpFields::RemoveHopByHop() {
-  std::vector<std::string> named;
+  // A set, as a request may have thousands of fields and name as many.
+  std::unordered_set<std::string> names;
+  for (const std::string_view name : kHopByHop)
+    names.insert(LowerAscii(name));
   for (const Field& field : fields_) {
     if (!EqualsIgnoringCase(field.name, "Connection"))
       continue;
     for (const std::string& token : SplitAtCommas(field.value))
-      named.push_back(Trimmed(token));
+      names.insert(LowerAscii(Trimmed(token)));
   }
-  for (const std::string_view name : kHopByHop)
-    Remove(name);
-  for (const std::string& name : named)
-    Remove(name);
+  std::erase_if(fields_, [&](const Field& field) {
+    return names.contains(LowerAscii(field.name));
+  });
+}
+
+std::size_t HttpFields::MemoryBytes() const {
+  std::size_t bytes = fields_.capacity() * sizeof(Field);
+  for (const Field& field : fields_)
+    bytes += HeapBytes(field.name) + HeapBytes(field.value);
+  return bytes;
 }
 
 std::string_view HttpRequest::path() const {
--- a/src/endivecart/net/http_message.h
+++ b/src/endivecart/net/http_message.h
@@ -32,6 +32,8 @@
   void RemoveHopByHop();
 
   const std::vector<Field>& all() const { return fields_; }
+  // Returns the memory that the fields occupy, not only their text.
+  std::size_t MemoryBytes() const;
   bool operator==(const HttpFields&) const = default;
 
  private:
--- a/src/endivecart/net/http_parser.cc
+++ b/src/endivecart/net/http_parser.cc
@@ -33,7 +33,7 @@
 
 RequestParser::RequestParser(std::size_t max_header_bytes,
                              std::size_t max_body_bytes,
-                             BodyBudgetPtr budget)
+                             ConnectionBudgetPtr budget)
     : max_body_bytes_(max_body_bytes), budget_(std::move(budget)) {
   eager(true);
   header_limit(static_cast<std::uint32_t>(max_header_bytes));
@@ -96,7 +96,7 @@
 }
 
 void RequestParser::MakeRoom(std::size_t bytes, Error& error) {
-  BodyReservation reservation;
+  BudgetReservation reservation;
   if (budget_) {
     auto reserved = budget_->TryReserve(bytes);
     if (!reserved) {
--- a/src/endivecart/net/http_parser.h
+++ b/src/endivecart/net/http_parser.h
@@ -19,7 +19,7 @@
   // `budget` may be null.
   RequestParser(std::size_t max_header_bytes,
                 std::size_t max_body_bytes,
-                BodyBudgetPtr budget);
+                ConnectionBudgetPtr budget);
 
   HttpRequest& request() { return request_; }
   // Whether the client sent "Expect: 100-continue".
@@ -27,6 +27,8 @@
   // Makes room for a body of declared length. The base class announces the body
   // only with its first byte.
   void PrepareBody(boost::beast::error_code& error);
+  // Returns the bytes reserved for the body.
+  std::size_t body_room_bytes() const { return reservation_.bytes(); }
   // Returns the size for which the budget had no room; 0 if it had.
   std::size_t rejected_body_bytes() const { return rejected_body_bytes_; }
 
@@ -58,11 +60,11 @@
   void MakeRoom(std::size_t bytes, Error& error);
 
   const std::size_t max_body_bytes_;
-  const BodyBudgetPtr budget_;
+  const ConnectionBudgetPtr budget_;
   HttpRequest request_;
   std::string body_;
   std::size_t room_ = 0;  // for `body_`
-  BodyReservation reservation_;
+  BudgetReservation reservation_;
   std::size_t rejected_body_bytes_ = 0;
   bool header_done_ = false;
   bool expects_continue_ = false;
--- a/src/endivecart/net/http_server.h
+++ b/src/endivecart/net/http_server.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "endivecart/net/connection_budget.h"
 #include "endivecart/net/event_loop.h"
 #include "endivecart/net/http_message.h"
 #include "endivecart/net/net_error.h"
@@ -21,7 +22,10 @@
   std::size_t max_body_bytes = 8UL << 20;
   Millis header_timeout{10000};  // from first byte to complete header
   Millis body_timeout{30000};    // from the header to the complete body
-  Millis idle_timeout{15000};    // between requests, and for a stalled reader
+  // A body gets more time than `body_timeout` if it would be complete at this
+  // rate; 0: it doesn't.
+  std::size_t min_body_bytes_per_s = 0;
+  Millis idle_timeout{15000};  // between requests, and for a stalled reader
 
   bool operator==(const HttpServerLimits&) const = default;
 };
@@ -50,6 +54,9 @@
   // The client may have closed it before its request was read: the close lies
   // behind the request, and OnCallerGone() reports it only later.
   virtual bool IsCallerThere() = 0;
+  // Counts bytes that are collected for the response, in place of those given
+  // before. Returns false if there is no room for them.
+  virtual bool TryHold(std::size_t bytes) = 0;
   // `handler` is called once if the client's connection ends before the
   // response is complete.
   virtual void OnCallerGone(std::function<void()> handler) = 0;
@@ -59,9 +66,11 @@
 
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 
+struct HttpServerState;
+
 // Serves HTTP/1.1 on one address. Requests on a connection are handled one at a
-// time; pipelined requests wait. If there is a budget, requests whose bodies
-// have no room in it are rejected: 503, not run.
+// time; pipelined requests wait. If there is a budget, requests that have no
+// room in it are rejected: 503, not run.
 class HttpServer {
  public:
   using Handler = std::function<void(HttpExchangePtr)>;
@@ -71,7 +80,7 @@
       const settings::Endpoint& address,
       HttpServerLimits limits,
       Handler handler,
-      BodyBudgetPtr budget = nullptr);
+      ConnectionBudgetPtr budget = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -94,12 +103,13 @@
   std::size_t active() const;
 
  private:
-  class Session;
-  struct Data;
-  explicit HttpServer(std::shared_ptr<Data> data);
-  static void Accept(const std::shared_ptr<Data>& data);
+  explicit HttpServer(std::shared_ptr<HttpServerState> state);
+  static void Accept(const std::shared_ptr<HttpServerState>& state);
+  // Returns whether one more connection may be accepted, after closing another
+  // if that is necessary.
+  static bool HasSlot(HttpServerState& state);
 
-  std::shared_ptr<Data> data_;
+  std::shared_ptr<HttpServerState> state_;
 };
 
 }  // namespace endivecart::net
--- a/src/endivecart/net/socket_options.cc
+++ b/src/endivecart/net/socket_options.cc
@@ -36,6 +36,21 @@
   SetTcpOption(descriptor, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
+void LimitKernelBuffers(boost::asio::ip::tcp::acceptor& acceptor,
+                        int receive_bytes) {
+  boost::system::error_code ignored;  // without it, more is kept
+  acceptor.set_option(
+      boost::asio::socket_base::receive_buffer_size(receive_bytes), ignored);
+  SetTcpOption(acceptor.native_handle(), TCP_NOTSENT_LOWAT,
+               static_cast<int>(kMaxNotSentBytes));
+}
+
+void SetReceiveBuffer(boost::asio::ip::tcp::socket& socket, int bytes) {
+  boost::system::error_code ignored;  // see LimitKernelBuffers()
+  socket.set_option(boost::asio::socket_base::receive_buffer_size(bytes),
+                    ignored);
+}
+
 bool HasPeerClosed(boost::asio::ip::tcp::socket& socket) {
   // Unlike a read or a peek, this reports a close that lies behind unread
   // bytes.
--- a/src/endivecart/node/auxiliary_servers.h
+++ b/src/endivecart/node/auxiliary_servers.h
@@ -15,14 +15,16 @@
     net::EventLoop& loop,
     const settings::Endpoint& address,
     std::function<bool(const net::HttpRequest&)> is_check,
-    std::function<bool()> is_ready);
+    std::function<bool()> is_ready,
+    net::ConnectionBudgetPtr budget);
 
 // Serves the metrics in Prometheus text format, at any path.
 // `metrics` must outlive the server.
 Result<std::unique_ptr<net::HttpServer>, net::NetError> ListenForMetrics(
     net::EventLoop& loop,
     const settings::Endpoint& address,
-    const MetricsRegistry& metrics);
+    const MetricsRegistry& metrics,
+    net::ConnectionBudgetPtr budget);
 
 }  // namespace endivecart::node
 
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "endivecart/node/auxiliary_servers.h"
-#include "endivecart/node/body_room.h"
+#include "endivecart/node/connection_room.h"
 #include "endivecart/node/incarnation.h"
 #include "endivecart/node/loop_delay_monitor.h"
 
@@ -25,8 +25,8 @@
 constexpr Millis kFinalAnswerTime{300};
 // A caller sends its next request sooner after an answer, or much later.
 constexpr Millis kMinIdleTime{200};
-constexpr std::size_t kMaxCallerConnections = 2500;
-constexpr std::size_t kMaxRelayConnections = 800;
+// A body of 4 MB gets four minutes; the slowest link of a caller is faster.
+constexpr std::size_t kMinBodyBytesPerSecond = 16UL << 10;
 
 net::HttpServerLimits ServerLimits(const routes::CallerLimits& limits,
                                    std::size_t max_connections) {
@@ -36,6 +36,7 @@
   out.max_body_bytes = limits.max_body_bytes;
   out.header_timeout = limits.header_timeout;
   out.idle_timeout = limits.idle_timeout;
+  out.min_body_bytes_per_s = kMinBodyBytesPerSecond;
   return out;
 }
 
@@ -66,7 +67,8 @@
         incarnation(MakeIncarnation(settings.host, loop.Now())),
         delay_monitor(loop, metrics),
         client(loop),
-        body_budget(MakeBodyBudget(settings.memory_mb)),
+        connection_budget(MakeConnectionBudget(settings.memory_mb)),
+        connection_limits(OwnConnectionLimits()),
         gateway(OptionsFor(settings, incarnation),
                 hooks.dialect,
                 loop,
@@ -94,7 +96,8 @@
   MetricsRegistry metrics;
   LoopDelayMonitor delay_monitor;
   net::HttpClient client;
-  const net::BodyBudgetPtr body_budget;
+  const net::ConnectionBudgetPtr connection_budget;
+  const ConnectionLimits connection_limits;
   gateway::Gateway gateway;
   std::unique_ptr<fleet::FleetBus> bus;
   std::optional<fleet::FleetFollower> follower;
@@ -153,23 +156,25 @@
   OpenFollower();
   bus->ConnectTo(settings.contacts);
   auto listening = net::HttpServer::Listen(
-      loop, *settings.callers, ServerLimits({}, kMaxCallerConnections),
+      loop, *settings.callers, ServerLimits({}, connection_limits.callers),
       [this](net::HttpExchangePtr exchange) {
         gateway.Handle(std::move(exchange));
       },
-      body_budget);
+      connection_budget);
   if (!listening)
     return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
   callers = std::move(*listening);
   if (auto opened_relay = OpenRelay(); !opened_relay)
     return opened_relay;
-  listening = ListenForChecks(loop, *settings.ready, hooks.is_readiness_check,
-                              [this] { return IsReady(); });
+  listening = ListenForChecks(
+      loop, *settings.ready, hooks.is_readiness_check,
+      [this] { return IsReady(); }, connection_budget);
   if (!listening)
     return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
   ready = std::move(*listening);
   if (settings.metrics) {
-    listening = ListenForMetrics(loop, *settings.metrics, metrics);
+    listening =
+        ListenForMetrics(loop, *settings.metrics, metrics, connection_budget);
     if (!listening)
       return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
     metrics_server = std::move(*listening);
@@ -178,7 +183,7 @@
       loop.Every(kFollowTick, [this](TimePoint) { follower->Tick(); }));
   timers.push_back(loop.Every(kGatewayTick, [this](TimePoint) {
     gateway.Tick();
-    RecordBodyBudget(*body_budget, metrics);
+    RecordConnectionBudget(*connection_budget, metrics);
   }));
   follower->Tick();
   return true;
@@ -188,11 +193,11 @@
   if (!settings.relay)
     return true;
   auto listening = net::HttpServer::Listen(
-      loop, *settings.relay, ServerLimits({}, kMaxRelayConnections),
+      loop, *settings.relay, ServerLimits({}, connection_limits.relay),
       [this](net::HttpExchangePtr exchange) {
         gateway.HandleRelayed(std::move(exchange));
       },
-      body_budget);
+      connection_budget);
   if (!listening)
     return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
   relay = std::move(*listening);
@@ -207,10 +212,10 @@
       auto configuration = std::make_shared<const routes::RoutingConfiguration>(
           std::move(*decoded));
       callers->SetLimits(
-          ServerLimits(configuration->limits, kMaxCallerConnections));
+          ServerLimits(configuration->limits, connection_limits.callers));
       if (relay) {
         relay->SetLimits(
-            ServerLimits(configuration->limits, kMaxRelayConnections));
+            ServerLimits(configuration->limits, connection_limits.relay));
       }
       table = std::make_shared<const routes::RouteTable>(configuration);
     } else {
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "endivecart/node/auxiliary_servers.h"
-#include "endivecart/node/body_room.h"
 #include "endivecart/node/cache_store_controller.h"
+#include "endivecart/node/connection_room.h"
 #include "endivecart/node/disk_thread.h"
 #include "endivecart/node/incarnation.h"
 #include "endivecart/node/upstream_client.h"
@@ -25,7 +25,6 @@
 constexpr Millis kProposalTimeout{900};
 // The port for the log's messages follows that of all others.
 constexpr int kLogPortOffset = 1;
-constexpr std::size_t kMaxConnections = 2000;
 constexpr char kQuarantineFile[] = "quarantines";
 // Large enough for a routing configuration with thousands of routes.
 constexpr std::size_t kMaxCallBytes = 32UL << 20;
@@ -53,7 +52,8 @@
                 hooks,
                 settings.name,
                 {settings.bounds.order_lease}),
-        caches(loop, upstream_client, hooks) {}
+        caches(loop, upstream_client, hooks),
+        connection_budget(MakeConnectionBudget(settings.memory_mb)) {}
 
   Result<bool, NodeError> Open();
   Result<bool, NodeError> OpenStorage();
@@ -89,6 +89,7 @@
   std::optional<fleet::FleetFollower> follower;
   std::optional<fleet::OperatorService> operator_service;
   fleet::MoveCoordinator moves;
+  const net::ConnectionBudgetPtr connection_budget;
   std::unique_ptr<net::HttpServer> operators;
   std::unique_ptr<net::HttpServer> metrics_server;
   std::vector<std::unique_ptr<TimerSubscription>> timers;
@@ -284,18 +285,19 @@
 
 Result<bool, NodeError> VoterNode::Parts::OpenServers() {
   net::HttpServerLimits limits;
-  limits.max_connections = kMaxConnections;
+  limits.max_connections = OwnConnectionLimits().operators;
   limits.max_body_bytes = kMaxCallBytes;
   auto listening = net::HttpServer::Listen(
       loop, *settings.operators, limits,
       [this](const net::HttpExchangePtr& exchange) { OnCall(exchange); },
-      MakeBodyBudget(settings.memory_mb));
+      MakeConnectionBudget(settings.memory_mb));
   if (!listening)
     return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
   operators = std::move(*listening);
   if (!settings.metrics)
     return true;
-  listening = ListenForMetrics(loop, *settings.metrics, metrics);
+  listening =
+      ListenForMetrics(loop, *settings.metrics, metrics, connection_budget);
   if (!listening)
     return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
   metrics_server = std::move(*listening);
@@ -315,6 +317,7 @@
     feed->Expire();
     roster.Expire(now);
     SetBusMetrics();
+    RecordConnectionBudget(*connection_budget, metrics);
   }));
 }
 
@@ -378,6 +381,16 @@
 }
 
 void VoterNode::Parts::OnCall(const net::HttpExchangePtr& exchange) {
+  // Held while the call is decoded. Its document isn't kept as JSON.
+  const auto document = connection_budget->TryReserve(
+      EstimateJsonBytes(exchange->request().body.str()),
+      net::HeldKind::kDocuments);
+  if (!document) {
+    auto response = net::MakeResponse(503, "text/plain", "");
+    response.head.fields.Add("Retry-After", "1");
+    exchange->Respond(response);
+    return;
+  }
   const auto call = hooks.decode_call(exchange->request());
   if (!call) {
     exchange->Respond(hooks.not_found_response());
