--- a/src/endivecart/base/invariant.cc
+++ b/src/endivecart/base/invariant.cc
@@ -31,7 +31,8 @@
     "stays_in_region",
     "caller_is_there",
     "fencing_number_rises",
-    "usage_report_fixed"};
+    "usage_report_fixed",
+    "connection_budget"};
 
 void LogViolation(Invariant invariant, std::string_view detail) {
   LogLine("invariant")
--- a/src/endivecart/base/invariant.h
+++ b/src/endivecart/base/invariant.h
@@ -30,6 +30,7 @@
   kCallerIsThere,  // no request is sent for a caller known to have left
   kFencingNumberRises,  // no call is made with a lower number than before
   kUsageReportFixed,  // a usage window is always reported with the same counts
+  kConnectionBudget,  // connections hold no more than their budget
   kCount,
 };
 
