--- a/src/endivecart/base/invariant.h
+++ b/src/endivecart/base/invariant.h
@@ -26,8 +26,8 @@
   kSoundPartNotWithheld,   // a part that was answered since is not quarantined
   kQuarantinedPartGetsNoWork,  // no prompt with a quarantined part is sent
   kRelayedOnce,                // no request passes through two other hosts
-  kStaysInRegion,  // no request leaves the regions to which it is restricted
-  kCallerIsThere,  // no request is sent for a caller known to have left
+  kStaysInRegion,     // no request leaves the regions to which it is restricted
+  kCallerIsThere,     // no request is sent for a caller known to have left
   kConnectionBudget,  // connections hold no more than their budget
   kCount,
 };
