Scheduling: waiting requests go by their latest start, hopeless ones are refused

Cause: requests waited in order of arrival for up to a third of their time limit and were then refused; after a burst each was served, in order, too late. Fresh requests overtook those that waited, whatever their urgency.

Change: the library scheduling has the queue of waiting requests. Order: rank, then those that can be on time, then customers within an equal share, then the earliest latest start. A tenth of the capacity goes to those that have waited longest, and a class (route, rank, customer, large prompts) that is admitted less than 0.65 times as often as others goes first. Requests that can't be answered within their limit, by the backlog and the rate at which capacity becomes free, are refused at once; Retry-After follows the backlog, spread between callers. While requests of a service wait, new ones go through the queue. gateway/request_queue is removed; its tests are replaced by those of wait_queue_unittest.cc. Figures are logged as gateway.backlog.

Run: the library scheduling's 9 tests in a program of their own: no errors. The suite @gateway has not been run on this state.

--- a/src/endivecart/gateway/capacity_estimator.h
+++ b/src/endivecart/gateway/capacity_estimator.h
@@ -23,7 +23,7 @@
   static constexpr Millis kUpdateDelay{250};
 
   // Adds the demand of a prompt that needs `tokens` of capacity, each time that
-  // it is tried. `rank`: see RankOf().
+  // it is tried. `rank`: see scheduling::RankOf().
   void Add(int rank, std::int64_t tokens, TimePoint now);
   // Returns for each engine the probability with which a prompt may use its
   // free tokens. `hosts` is the number of hosts that send to the engines.
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -22,9 +22,8 @@
 constexpr int kMaxExtraSends = 3;
 // With less time left than this, a retry cannot succeed.
 constexpr Millis kMinRetryTime{20};
-constexpr Millis kDefaultRetryAfter{300};
-// A request is queued for at most its remaining time divided by this; the rest
-// is left for running it, or for a retry by the caller.
+// An upstream that named a longer wait than this part of the time left is not
+// waited for; the rest is left for running the request.
 constexpr int kMaxWaitDivisor = 3;
 
 quarantine::PartList AllParts(quarantine::PartList request_keys,
@@ -81,6 +80,7 @@
     if (const auto self = weak.lock(); self && self->call_)
       self->call_->SetPaused(false);
   });
+  used_before_ = gateway_.service_times_.TimeUsedBefore(route_.name, limit);
   service_ = gateway_.ChooseService(route_);
   move_draw_ = std::uniform_real_distribution<double>(0, 1)(gateway_.random_);
   // The host that sends it to an upstream counts it.
@@ -118,6 +118,12 @@
     StartRelayedCall(*relay);
     return;
   }
+  if (gateway_.wait_queue_.HasBacklog(service_.str())) {
+    // It may not overtake those that wait and go before it.
+    Wait();
+    gateway_.AdmitSoon();
+    return;
+  }
   const auto upstream = ChooseUpstream();
   if (upstream) {
     StartCall(*upstream);
@@ -145,52 +151,6 @@
   return false;
 }
 
-void Forwarding::Wait() {
-  const TimePoint now = gateway_.loop_.Now();
-  ticket_ = gateway_.request_queue_.Add(Rank(), service_.str(), now);
-  gateway_.waiting_[*ticket_] = weak_from_this();
-  const Millis max_wait = TimeLeft() / kMaxWaitDivisor;
-  LogLine("gateway.wait")
-      .Add("request", request_.id.str())
-      .Add("waiting", std::uint64_t{gateway_.request_queue_.size()})
-      .Add("at_most_ms", max_wait.count())
-      .Info();
-  const auto weak = weak_from_this();
-  wait_timer_ = gateway_.loop_.After(max_wait, [weak](TimePoint) {
-    const auto self = weak.lock();
-    if (self && self->ticket_) {
-      self->StopWaiting();
-      self->GiveUp("no_room");
-    }
-  });
-}
-
-void Forwarding::StopWaiting() {
-  if (!ticket_)
-    return;
-  gateway_.request_queue_.Remove(*ticket_);
-  gateway_.waiting_.erase(*ticket_);
-  ticket_.reset();
-  wait_timer_.reset();
-}
-
-bool Forwarding::TryDispatch() {
-  const auto self = shared_from_this();
-  if (gateway_.part_monitor_.IsQuarantined(parts_) || ChooseRelay()) {
-    StopWaiting();
-    Send();
-    return true;
-  }
-  const auto upstream = ChooseUpstream();
-  if (!upstream)
-    return false;
-  if (KeepForCaller()) {
-    StopWaiting();
-    StartCall(*upstream);
-  }
-  return true;
-}
-
 void Forwarding::MarkCapacity(std::vector<Candidate>& candidates,
                               const routes::Service* service,
                               int hosts) const {
@@ -228,7 +188,7 @@
 }
 
 int Forwarding::Rank() const {
-  return RankOf(Urgency(), route_.priority);
+  return scheduling::RankOf(Urgency(), route_.priority);
 }
 
 CustomerId Forwarding::IsolatedCustomer() const {
@@ -578,31 +538,6 @@
   gateway_.AdmitSoon();
 }
 
-void Forwarding::GiveUp(const char* reason) {
-  if (started_) {
-    exchange_->Abort();
-    Finish(0, reason);
-    return;
-  }
-  if (run_state_ == RunState::kNotRun) {
-    Refuse(503, reason,
-           std::max(kDefaultRetryAfter, time_to_permit_.value_or(Millis(0))));
-  } else {
-    Refuse(502, reason, std::nullopt);
-  }
-}
-
-void Forwarding::Refuse(int status,
-                        const std::string& reason,
-                        std::optional<Millis> retry_after) {
-  CheckInvariant(run_state_ == RunState::kNotRun || !GuaranteesNotRun(status),
-                 Invariant::kNotRunIsTrue, request_.id.str());
-  gateway_.RespondWithRefusal(
-      *exchange_, {status, reason, retry_after, request_.id},
-      ticket_from_relay_ && run_state_ == RunState::kNotRun);
-  Finish(status, reason.c_str());
-}
-
 void Forwarding::OnDeadline() {
   EndNow("time_limit");
 }
@@ -637,7 +572,7 @@
     exchange_->Abort();
     Finish(0, reason);
   } else if (run_state_ == RunState::kNotRun) {
-    Refuse(503, reason, kDefaultRetryAfter);
+    Refuse(503, reason, RetryAfter());
   } else {
     Refuse(504, reason, std::nullopt);
   }
@@ -682,6 +617,7 @@
       timing.events = events_;
     }
     gateway_.durations_.Add(route_.name, timing);
+    RecordServiceTime();
   }
   LogLine line("gateway.done");
   line.Add("request", request_.id.str())
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -57,6 +57,8 @@
   void LogCutByStop() const;
   // Tries to send a queued request. Returns whether it was sent.
   bool TryDispatch();
+  // Refuses a queued request that would have to wait for too long.
+  void RefuseWaiting(Millis retry_after, Millis expected_wait);
 
  private:
   // Whether a request without an answer may have been run by an upstream.
@@ -82,9 +84,15 @@
   // Records the end of a send that may have carried saves.
   void EndSaves(SendResult result);
   void ReleaseSaves();
-  // Queues the request until an upstream has capacity or the maximum wait is
-  // over.
+  // Queues the request until an upstream has capacity, or until it can't be
+  // answered within its time limit any more.
   void Wait();
+  scheduling::WaitingRequest AsWaiting() const;
+  // Predicted time from sending to the first event.
+  Millis PredictedService() const;
+  void RecordServiceTime();
+  // When the caller should return if the request is refused now.
+  Millis RetryAfter() const;
   void StopWaiting();
   // Sets `has_capacity` of each candidate for this prompt, by its free memory
   // and a random draw with the probability of CapacityEstimator.
@@ -202,7 +210,7 @@
   // The customer's priority, or the route's if it has none; 0 is the most
   // urgent.
   int Urgency() const;
-  // Order in the queue; see RankOf().
+  // Order in the queue; see scheduling::RankOf().
   int Rank() const;
   // The customer if its cache is isolated from others, otherwise empty.
   CustomerId IsolatedCustomer() const;
@@ -220,11 +228,12 @@
   routes::ServiceId service_;
   double move_draw_ = 0;  // in [0, 1); selects the version during a move
   const TimePoint accepted_at_;
+  Millis used_before_{0};          // by earlier attempts of the caller
   bool caller_was_there_ = false;  // when looked at for the next send
   TimePoint deadline_;
   std::unique_ptr<TimerSubscription> deadline_timer_;
   std::unique_ptr<TimerSubscription> wait_timer_;
-  std::optional<RequestQueue::Ticket> ticket_;
+  std::optional<scheduling::WaitQueue::Ticket> ticket_;
   bool is_full_ = false;            // upstreams exist, but none has capacity
   UpstreamCounts upstream_counts_;  // at the last choice
   // Of the limited upstreams at the last choice; nullopt if there was none.
