Scheduling: few tries in a round, callers that return are kept longer

Cause: each try of a waiting prompt adds to the estimated demand and so lowers the chance of all.

Change: a group's round ends after three requests that found no room, and three more that are much smaller. Fresh requests that would be late give way to callers that were told to come back.

Tests for Retry-After, the order by rank and the length of a round. In the test of long prompts all have one rank now: with three ranks the order that was used before passed it.

--- a/src/endivecart/scheduling/backlog.h
+++ b/src/endivecart/scheduling/backlog.h
@@ -25,7 +25,7 @@
   static constexpr Millis kTimeConstant{4000};
   // The same for arrivals: once a burst is over, what waits must not be refused
   // as if it went on.
-  static constexpr Millis kArrivalTimeConstant{1500};
+  static constexpr Millis kArrivalTimeConstant{600};
 
   // Counts the time until now as one with or without waiting requests.
   void Advance(bool has_waiting, TimePoint now);
--- a/src/endivecart/scheduling/wait_queue.cc
+++ b/src/endivecart/scheduling/wait_queue.cc
@@ -15,6 +15,9 @@
 // Capacity is held back for at most this long for a request that does not fit:
 // other hosts may take it meanwhile.
 constexpr Millis kMaxHoldBack{500};
+// Requests of a group that may find no room in one round, and as many again
+// that are much smaller than those.
+constexpr int kMaxMisses = 3;
 // Credit for the reserved share is kept for so many of the largest requests.
 constexpr double kMaxCredit = 2;
 
@@ -24,6 +27,17 @@
   return urgency * kPriorities + std::min(route_priority, kPriorities - 1);
 }
 
+bool WaitQueue::Misses::MayTry(const WaitingRequest& request) const {
+  if (count < kMaxMisses)
+    return true;
+  return count < 2 * kMaxMisses && request.work_tokens < least_tokens / 2;
+}
+
+void WaitQueue::Misses::Add(const WaitingRequest& request) {
+  ++count;
+  least_tokens = std::min(least_tokens, request.work_tokens);
+}
+
 WaitQueue::Ticket WaitQueue::Add(const WaitingRequest& request, TimePoint now) {
   Backlog& backlog = backlogs_[request.group];
   backlog.Advance(HasBacklog(request.group), now);
--- a/src/endivecart/scheduling/wait_queue.h
+++ b/src/endivecart/scheduling/wait_queue.h
@@ -2,6 +2,7 @@
 #define ENDIVECART_SCHEDULING_WAIT_QUEUE_H_
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -62,19 +63,26 @@
   bool HasBacklog(const std::string& group) const;
 
   // Calls `try_place` for the requests in order. It returns whether the request
-  // was sent to an upstream, and may then Remove() it.
+  // was sent to an upstream, and may then Remove() it. Each group's round ends
+  // after a few that found no room: each try counts as demand, and lowers the
+  // chance of all. Much smaller ones may still fit.
   template <class TryPlace>
   void Admit(TryPlace try_place, TimePoint now) {
+    std::map<std::string, Misses> misses;
     for (const Ticket ticket : TicketsInOrder(now)) {
       const auto it = waiting_.find(ticket);
       if (it == waiting_.end() || IsHeldBack(it->second))
         continue;
       const Entry entry = it->second;
+      Misses& missed = misses[entry.request.group];
+      if (!missed.MayTry(entry.request))
+        continue;
       const bool uses_share = UsesShare(ticket, entry);
       if (try_place(ticket)) {
         Remove(ticket, now);
         OnAdmitted(entry, uses_share, now);
       } else {
+        missed.Add(entry.request);
         OnNotPlaced(ticket, entry, now);
       }
     }
@@ -110,6 +118,14 @@
     double returning = 0;   // work of callers that were told to come back
     double by_arrival = 0;  // work of those that have waited longer
   };
+  // The requests that found no room in a round.
+  struct Misses {
+    int count = 0;
+    std::int64_t least_tokens = std::numeric_limits<std::int64_t>::max();
+
+    bool MayTry(const WaitingRequest& request) const;
+    void Add(const WaitingRequest& request);
+  };
   using ClassKey = std::pair<std::string, int>;  // group and rank
 
   static bool IsLate(const WaitingRequest& request, TimePoint now) {
--- a/src/endivecart/scheduling/wait_queue_refusals.cc
+++ b/src/endivecart/scheduling/wait_queue_refusals.cc
@@ -75,16 +75,23 @@
     double& sum = sums[request.group];
     if (!rate)
       continue;
-    // A caller that comes back as told goes before fresh requests that would be
-    // late: being refused again is worse for it than being refused once.
-    const double returning =
-        IsReturn(request, waiting_.at(ticket).since)
-            ? 0
-            : static_cast<double>(
-                  ReturnTimesOf(request.group).Expected(now).count()) *
-                  *rate;
-    const double wait_ms = ExpectedWaitMs(
-        request, {sum, returning, earlier.at(ticket)}, *rate, now);
+    // Callers come back once: being refused again is worse for them than being
+    // refused once. Their forecast counts on half of the arrivals, and they
+    // have precedence over fresh requests that would be late.
+    const bool is_return = IsReturn(request, waiting_.at(ticket).since);
+    const Millis returning =
+        is_return ? Millis(0) : ReturnTimesOf(request.group).Expected(now);
+    double wait_ms =
+        ExpectedWaitMs(request,
+                       {sum, static_cast<double>(returning.count()) * *rate,
+                        earlier.at(ticket)},
+                       *rate, now);
+    if (is_return) {
+      const double left = backlogs_.at(request.group)
+                              .RateLeftFor(request.rank + 1, 2 * *rate, now) /
+                          2;
+      wait_ms = std::min(wait_ms, sum / left);
+    }
     if (wait_ms / kForecastMargin <= MillisBetween(now, request.give_up_at)) {
       sum += static_cast<double>(request.work_tokens);
       continue;
--- a/src/endivecart/scheduling/wait_queue_unittest.cc
+++ b/src/endivecart/scheduling/wait_queue_unittest.cc
@@ -87,9 +87,9 @@
       "urgent",     0,         "c",           1000,       Millis(400),
       Millis(3000), Millis(0), Millis(12000), Millis(100)};
   const LoadClass usual{
-      "usual",      2,         "c",           2000,       Millis(1500),
+      "usual",      0,         "c",           2000,       Millis(1500),
       Millis(6000), Millis(0), Millis(12000), Millis(400)};
-  LoadClass burst{"long",       2,
+  LoadClass burst{"long",       0,
                   "c",          10000,
                   Millis(1500), Millis(6000),
                   Millis(2000), Millis(5000),
@@ -143,6 +143,28 @@
   BOOST_TEST(OnTime(model.Of("load")) >= 0.3);
 }
 
+// Guards against `Retry-After` times at which there is no room, or at which all
+// callers return together.
+BOOST_AUTO_TEST_CASE(refused_callers_return_when_there_is_room) {
+  const LoadClass usual{
+      "usual",      0,         "c",           1000,       Millis(500),
+      Millis(6000), Millis(0), Millis(14000), Millis(100)};
+  LoadClass burst = usual;
+  burst.name = "burst";
+  burst.from = Millis(2000);
+  burst.until = Millis(3000);
+  burst.interval = Millis(10);
+  LoadModel model(20, 4000);
+  model.Play({usual, burst}, Millis(20000));
+  Results returned;
+  for (const auto& result : model.results()) {
+    if (result.attempts > 1)
+      returned.push_back(result);
+  }
+  BOOST_TEST_REQUIRE(returned.size() > 20U);
+  BOOST_TEST(Served(returned) >= 0.3);
+}
+
 // Guards against any class being served less than half as often as its peers.
 BOOST_AUTO_TEST_CASE(no_class_starves_under_a_lasting_overload) {
   std::vector<LoadClass> loads;
@@ -192,6 +214,52 @@
   BOOST_TEST(RankOf(1, 50) < RankOf(2, 0));
 }
 
+BOOST_AUTO_TEST_CASE(the_most_urgent_request_goes_first) {
+  WaitQueue queue(1);
+  const TimePoint now(Millis(1000000));
+  WaitingRequest request;
+  request.latest_start = now + Millis(100);
+  request.rank = 2;
+  const auto less_urgent = queue.Add(request, now);
+  request.latest_start = now + Millis(500);
+  request.rank = 0;
+  const auto urgent = queue.Add(request, now + Millis(1));
+  std::vector<WaitQueue::Ticket> admitted;
+  queue.Admit(
+      [&](WaitQueue::Ticket ticket) {
+        admitted.push_back(ticket);
+        return true;
+      },
+      now + Millis(2));
+  BOOST_TEST(admitted == (std::vector<WaitQueue::Ticket>{urgent, less_urgent}),
+             boost::test_tools::per_element());
+  BOOST_TEST(queue.empty());
+}
+
+// Guards against each waiting request being tried, and so counted as demand, in
+// each round.
+BOOST_AUTO_TEST_CASE(a_round_tries_few_requests_that_find_no_room) {
+  WaitQueue queue(1);
+  const TimePoint now(Millis(1000000));
+  WaitingRequest request;
+  request.work_tokens = 8000;
+  for (int i = 0; i < 40; ++i)
+    queue.Add(request, now);
+  request.work_tokens = 1000;
+  const auto small = queue.Add(request, now + Millis(1));
+  int tries = 0;
+  bool has_tried_small = false;
+  queue.Admit(
+      [&](WaitQueue::Ticket ticket) {
+        ++tries;
+        has_tried_small |= ticket == small;
+        return false;
+      },
+      now + Millis(2));
+  BOOST_TEST(tries <= 6);
+  BOOST_TEST(has_tried_small);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_blocks_none_for_other_upstreams) {
   WaitQueue queue(1);
   const TimePoint now(Millis(1000000));
