Learn the concurrency that upstreams sustain; ask only likely homes for parts

Cause: an upstream may be slow from half full on, while placement goes by its number of slots; and a home was asked for parts however unlikely it has them.

Change: ConcurrencyLimits finds, from the times between events and from answers of plain services, the number of requests from which on no more work is done. Placement takes it in place of more slots and lowers the probability of being on time beyond it. A home is a source only if its learned hit rate is at least 0.2.

--- a/src/endivecart/estimates/estimates.h
+++ b/src/endivecart/estimates/estimates.h
@@ -6,6 +6,7 @@
 // clock.
 
 #include "endivecart/estimates/cache_hits.h"
+#include "endivecart/estimates/concurrency_limits.h"
 #include "endivecart/estimates/first_event_prediction.h"
 #include "endivecart/estimates/link_model.h"
 #include "endivecart/estimates/server_load.h"
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -266,6 +266,10 @@
     candidates = find();
   }
   PreferOwnRegion(candidates);
+  for (Candidate& candidate : candidates) {
+    candidate.sustained = gateway_.concurrency_limits_.LimitOf(
+        candidate.id, gateway_.loop_.Now());
+  }
   return candidates;
 }
 
@@ -470,6 +474,7 @@
   const auto* upstream = gateway_.upstreams_.Find(id);
   ResetSend();
   upstream_ = id;
+  requests_there_ = chosen.requests_there;
   const bool was_sent_there = !tried_.insert(id).second;
   weights_version_ = request_.prompt ? gateway_.upstreams_.WeightsOf(
                                            *upstream, request_.prompt->model)
@@ -550,6 +555,7 @@
   if (upstream_.empty())
     return;
   RecordMoveOutcome(result);
+  RecordAnswerTime(result);
   EndSaves(result);
   if (pending_prefill_tokens_ > 0)
     gateway_.upstreams_.FinishPrefill(upstream_, pending_prefill_tokens_);
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -139,6 +139,8 @@
   void RecordSentPrompt();
   // Learns from the first event of the current send.
   void RecordFirstEvent();
+  // Learns from the time of an answer to a request without a prompt.
+  void RecordAnswerTime(SendResult result);
   // Learns from the time since the previous event.
   void RecordGap(double gap_ms);
   void AddForecast(LogLine& line) const;
@@ -302,6 +304,7 @@
   TimePoint last_event_at_;
   bool outcome_recorded_ = false;  // for the version of the current send
   std::int64_t pending_prefill_tokens_ = 0;
+  int requests_there_ = 0;                // at sending time
   std::optional<SendForecast> forecast_;  // of a prompt
   std::optional<estimates::FirstEventPrediction> predicted_;
   std::optional<UpstreamId> home_;  // likely caches the shared parts
--- a/src/endivecart/gateway/forwarding_prediction.cc
+++ b/src/endivecart/gateway/forwarding_prediction.cc
@@ -20,6 +20,9 @@
 constexpr double kBytesPerMsPerMbps = 125;
 // Time in which an engine finds that another one lacks a part.
 constexpr double kHomeDelayMs = 1;
+// A home that is less likely to have a part is not asked for it: one that has
+// just failed costs some hundred ms.
+constexpr double kMinHomeRate = 0.2;
 
 const routes::CacheStore* FindStore(
     const routes::RoutingConfiguration& configuration,
@@ -87,6 +90,8 @@
       [](const routes::Service& s) { return s.store.has_value(); });
   const estimates::LinkSharing stores{gateway_.Rank().hosts,
                                       static_cast<int>(count)};
+  const double home_rate =
+      gateway_.cache_hits_.Rate(service_, CacheOdds::kHome);
   std::vector<std::string> links;
   const auto source_at = [&](const std::string& link,
                              const estimates::LinkSharing& sharing) {
@@ -118,7 +123,8 @@
         part.sources.push_back(source);
       }
     }
-    if (part.sources.empty() && home.id != candidate.id) {
+    if (part.sources.empty() && home.id != candidate.id &&
+        home_rate >= kMinHomeRate) {
       FetchSource source = source_at(home.id.str(), {});
       source.delay_ms = kHomeDelayMs;
       source.ms_per_token =
@@ -317,10 +323,19 @@
 void Forwarding::RecordGap(double gap_ms) {
   if (relay_ || !request_.prompt)
     return;
-  gateway_.speeds_.AddGap(
-      service_, upstream_,
-      gateway_.upstreams_.RequestsAt(upstream_, gateway_.follower_), gap_ms,
-      gateway_.loop_.Now());
+  const TimePoint now = gateway_.loop_.Now();
+  const int requests =
+      gateway_.upstreams_.RequestsAt(upstream_, gateway_.follower_);
+  gateway_.speeds_.AddGap(service_, upstream_, requests, gap_ms, now);
+  gateway_.concurrency_limits_.Add(upstream_, requests, gap_ms, now);
+}
+
+void Forwarding::RecordAnswerTime(SendResult result) {
+  if (result != SendResult::kAnswered || request_.prompt || IsStream())
+    return;
+  const TimePoint now = gateway_.loop_.Now();
+  gateway_.concurrency_limits_.Add(upstream_, requests_there_ + 1,
+                                   MillisBetween(sent_at_, now), now);
 }
 
 void Forwarding::AddForecast(LogLine& line) const {
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -312,6 +312,7 @@
   upstreams_.Expire();
   speeds_.Expire(loop_.Now());
   links_.Expire(loop_.Now());
+  concurrency_limits_.Expire(loop_.Now());
   cache_hits_.Expire(loop_.Now());
   limits_.Expire(loop_.Now());
   named_waits_.Expire(loop_.Now());
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -174,6 +174,7 @@
   ColdStartLimiter cold_start_limiter_;
   estimates::SpeedEstimator speeds_;
   estimates::LinkModel links_;
+  estimates::ConcurrencyLimits concurrency_limits_;
   estimates::CacheHits cache_hits_;
   DurationEstimator durations_;
   std::optional<TimePoint> stop_at_;
--- a/src/endivecart/scheduling/placement.cc
+++ b/src/endivecart/scheduling/placement.cc
@@ -104,12 +104,17 @@
   return known == 0 ? 1 : sum / known;
 }
 
+// Returns the number of requests beyond which an upstream gets no more done.
+double SustainedBy(const Candidate& candidate) {
+  const double slots = std::max(candidate.slots, 1);
+  return std::min(slots, std::max(candidate.sustained.value_or(slots), 1.0));
+}
+
 double PlainCostMs(const Candidate& candidate, double typical_latency_ms) {
   const double latency_ms =
       candidate.latency_ms > 0 ? candidate.latency_ms : typical_latency_ms;
   return std::max(latency_ms, 1.0) *
-             (1 + static_cast<double>(candidate.requests) /
-                      std::max(candidate.slots, 1)) +
+             (1 + candidate.requests / SustainedBy(candidate)) +
          (candidate.is_near ? 0 : kOtherDomainPenaltyMs) +
          (candidate.is_suspect ? kSuspectPenaltyMs : 0);
 }
@@ -164,7 +169,10 @@
     const Candidate& candidate = candidates[option.index];
     const Prospect prospect =
         task.predict(candidate, option.odds, candidates[order.front()]);
-    const double on_time = ProbabilityOnTime(prospect, task);
+    double on_time = ProbabilityOnTime(prospect, task);
+    // Beyond what an engine sustains, all requests there take longer.
+    if (candidate.sustained)
+      on_time *= std::min(1.0, *candidate.sustained / (candidate.requests + 1));
     const double score = on_time * kOnTimeValueMs -
                          CostMs(prospect, candidate.requests, on_time) -
                          (option.index == order.front() ? 0 : kMinGainMs);
--- a/src/endivecart/scheduling/placement.h
+++ b/src/endivecart/scheduling/placement.h
@@ -30,6 +30,8 @@
   std::int64_t held_tokens = 0;
   double latency_ms =
       0;  // recent mean of requests without a prompt; 0: unknown
+  // Requests in progress that it sustains, if that is known to be a limit.
+  std::optional<double> sustained;
 
   bool operator==(const Candidate&) const = default;
 };
--- a/src/endivecart/scheduling/placement_unittest.cc
+++ b/src/endivecart/scheduling/placement_unittest.cc
@@ -158,6 +158,25 @@
   BOOST_TEST(PlaceByLoad(candidates, 0)->index == 2u);
 }
 
+// Covers an upstream that is slow from half full on.
+BOOST_AUTO_TEST_CASE(requests_avoid_an_upstream_beyond_what_it_sustains) {
+  auto candidates = MakeCandidates(2);
+  for (Candidate& candidate : candidates) {
+    candidate.latency_ms = 30;
+    candidate.requests = 6;
+  }
+  candidates[0].sustained = 2;
+  std::mt19937_64 random(5);
+  int first = 0;
+  for (int i = 0; i < 1000; ++i)
+    first += PlaceByLoad(candidates, random())->index == 0 ? 1 : 0;
+  BOOST_TEST(first < 350);
+  for (int i = 0; i < 20; ++i) {
+    const auto prompt = MakePrompt("p" + std::to_string(i));
+    BOOST_TEST(Place(candidates, prompt, 0)->index == 1u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(
     a_full_engine_takes_no_more_and_an_idle_engine_takes_any_prompt) {
   Candidate candidate;
