Concurrency limits: levels without samples cost nothing

Cause: each choice computes the limit of every upstream, 22 levels each. Change: levels that never had enough samples are passed over first. Run: tests of estimates and scheduling, 48 of 48 passed.

--- a/src/endivecart/estimates/concurrency_limits.cc
+++ b/src/endivecart/estimates/concurrency_limits.cc
@@ -45,7 +45,7 @@
   double best_requests = 0;
   bool has_higher = false;
   for (const Level& level : it->second) {
-    if (SamplesNow(level, now) < kMinSamples)
+    if (level.samples < kMinSamples || SamplesNow(level, now) < kMinSamples)
       continue;
     const double work = level.requests / level.time_ms;
     has_higher = work < best_work * kMinGain;
