--- a/src/endivecart/gateway/forwarding_waiting.cc
+++ b/src/endivecart/gateway/forwarding_waiting.cc
@@ -16,8 +16,8 @@
 
 Millis Forwarding::PredictedService() const {
   const double prefill_ms =
-      static_cast<double>(PromptTokens()) /
-      gateway_.prefill_rates_.EstimateFor(service_).prompt_tokens_per_ms;
+      static_cast<double>(PromptTokens()) *
+      gateway_.speeds_.PrefillMsPerToken(service_);
   return Millis(static_cast<Millis::rep>(prefill_ms)) +
          gateway_.service_times_.ShortestFirstEvent(route_.name);
 }
@@ -26,8 +26,8 @@
   const TimePoint now = gateway_.loop_.Now();
   const TimePoint first = first_event_of_send_at_.value_or(now);
   const double prefill_ms =
-      static_cast<double>(PromptTokens()) /
-      gateway_.prefill_rates_.EstimateFor(service_).prompt_tokens_per_ms;
+      static_cast<double>(PromptTokens()) *
+      gateway_.speeds_.PrefillMsPerToken(service_);
   const double first_ms =
       std::max(MillisBetween(sent_at_, first) - prefill_ms, 0.0);
   gateway_.service_times_.Add(route_.name,
