Gateway: retries and streams that have begun do not join the backlog

Cause: a request that was sent before joined the waiting ones whenever its service had any, although it had waited already; a stream that was being resumed paused for that time, and could be refused.

Change: only the first send of a request joins them without trying an upstream.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -118,8 +118,9 @@
     StartRelayedCall(*relay);
     return;
   }
-  if (gateway_.wait_queue_.HasBacklog(service_.str())) {
-    // It may not overtake those that wait and go before it.
+  if (sends_ == 0 && gateway_.wait_queue_.HasBacklog(service_.str())) {
+    // It may not overtake those that wait and go before it. Retries have waited
+    // already, and a stream that has begun must go on.
     Wait();
     gateway_.AdmitSoon();
     return;
