--- a/src/endivecart/gateway/forwarding_prediction.cc
+++ b/src/endivecart/gateway/forwarding_prediction.cc
@@ -175,6 +175,7 @@
   scheduling::FetchTarget target;
   target.link_wait_ms = gateway_.links_.WaitMs(candidate.id.str(), {}, now);
   target.queue_ms = cached.queue_ms;
+  target.other_requests = candidate.requests;
   target.ms_per_token =
       speeds.PrefillMsPerToken(service_) * speeds.SlownessOf(candidate.id, now);
   forecast.fetch = scheduling::ChooseFetches(
--- a/src/endivecart/scheduling/fetch_choice.cc
+++ b/src/endivecart/scheduling/fetch_choice.cc
@@ -13,8 +13,11 @@
 // How much longer than expected a fetch may take, in units of the prefill that
 // replaces it. Prefill also delays the other requests at the engine.
 constexpr double kPatience = 2;
+// Cost of a ms of prefill for each other request at the engine: about half of
+// them wait for a token in that time, the others are still queued.
+constexpr double kCostToOthers = 0.5;
 
-// Times until the chosen parts have arrived and the others can be prefilled.
+// The cost, as a delay, of fetching the chosen parts and prefilling the others.
 class FetchPlan {
  public:
   FetchPlan(const std::vector<FetchablePart>& parts, const FetchTarget& target)
@@ -29,10 +32,11 @@
     Update();
   }
 
-  double EndMs() const {
+  double CostMs() const {
     const double prefill_ms =
         static_cast<double>(choice_.prefill_tokens) * target_.ms_per_token;
-    return std::max(target_.queue_ms, choice_.transfer_ms) + prefill_ms;
+    return std::max(target_.queue_ms, choice_.transfer_ms) +
+           prefill_ms * (1 + kCostToOthers * target_.other_requests);
   }
 
  private:
@@ -100,13 +104,13 @@
     const auto source = plan.choice().sources[i];
     if (!source)
       continue;
-    const double before_ms = plan.EndMs();
+    const double cost_before = plan.CostMs();
     plan.Set(i, std::nullopt);
-    if (plan.EndMs() > before_ms)
+    if (plan.CostMs() > cost_before)
       plan.Set(i, source);
   }
-  return plan.EndMs() < prefill_all.EndMs() ? plan.choice()
-                                            : prefill_all.choice();
+  return plan.CostMs() < prefill_all.CostMs() ? plan.choice()
+                                              : prefill_all.choice();
 }
 
 Millis FetchTimeLimit(double expected_ms,
--- a/src/endivecart/scheduling/fetch_choice.h
+++ b/src/endivecart/scheduling/fetch_choice.h
@@ -34,6 +34,7 @@
   double link_wait_ms = 0;  // expected, until its link is free
   double queue_ms = 0;      // until it can begin to prefill
   double ms_per_token = 0;  // of prefill
+  int other_requests = 0;   // in progress there, which prefill delays
 
   bool operator==(const FetchTarget&) const = default;
 };
@@ -59,9 +60,9 @@
   bool operator==(const FetchChoice&) const = default;
 };
 
-// Chooses the parts to fetch such that all parts are at the engine as soon as
-// possible. A part is fetched only if that ends sooner than its prefill; while
-// other prompts are prefilled before this one, transfers cost nothing.
+// Chooses the parts to fetch such that this request and those at the engine are
+// delayed least: a fetch delays only this request, prefill also the others.
+// While other prompts are prefilled before this one, transfers cost nothing.
 FetchChoice ChooseFetches(const std::vector<FetchablePart>& parts,
                           const FetchTarget& target);
 
