--- a/src/endivecart/diagnosis/request_timeline.cc
+++ b/src/endivecart/diagnosis/request_timeline.cc
@@ -56,8 +56,7 @@
        "no upstream could accept it: the field upstreams of "
        "gateway.no_upstream gives the reasons"},
       {"no_room",
-       "no engine had enough memory for it within its time limit; see "
-       "gateway.wait, gateway.no_prospect and gateway.backlog"},
+       "no engine had enough memory for it while it waited; see gateway.wait"},
       {"unreachable", "could not connect to the upstreams that it was sent to"},
       {"refused", "upstreams replied that they had not executed it"},
       {"broken",
--- a/src/endivecart/gateway/cache_view.cc
+++ b/src/endivecart/gateway/cache_view.cc
@@ -9,26 +9,25 @@
 
 // Prefilling a shorter part takes no longer than fetching it.
 constexpr std::int64_t kMinTokens = 64;
+// An undelayed fetch takes less than this.
+constexpr Millis kMinFetchTimeout{100};
+// Fetching may take the latency target divided by this; the rest is left for
+// prefill and a reserve.
+constexpr int kFetchTargetDivisor = 2;
+// Prefill is expensive if it takes more than the latency target divided by
+// this; it then also delays all other requests at the engine.
+constexpr int kExpensivePrefillDivisor = 10;
 
 }  // namespace
 
-void SetFetches(CachePlan& plan,
-                std::vector<std::optional<settings::Endpoint>> fetch,
-                const std::optional<settings::Endpoint>& home) {
-  bool has_fetch = false;
-  bool needs_deadline = false;
-  for (std::size_t i = 0; i < fetch.size(); ++i) {
-    const bool is_home = home && fetch[i] == home;
-    if (!is_home && (i >= plan.fetch.size() || !plan.fetch[i]))
-      fetch[i].reset();
-    has_fetch |= fetch[i].has_value();
-    needs_deadline |= fetch[i] && !is_home;
-  }
-  if (!has_fetch)
-    fetch.clear();
-  if (!needs_deadline)
-    plan.fetch_until_ms.reset();
-  plan.fetch = std::move(fetch);
+Millis FetchTimeout(Millis elapsed,
+                    Millis latency_target,
+                    Millis prefill_time) {
+  if (latency_target <= elapsed ||
+      prefill_time > latency_target / kExpensivePrefillDivisor)
+    return fleet::CacheCatalog::kFetchLimit;
+  return std::clamp(latency_target / kFetchTargetDivisor - elapsed,
+                    kMinFetchTimeout, fleet::CacheCatalog::kFetchLimit);
 }
 
 void CacheView::Apply(const wire::CacheUpdate& update,
@@ -112,34 +111,6 @@
   return best;
 }
 
-std::vector<std::vector<CacheHolder>> CacheView::Holders(
-    const Prompt& prompt,
-    const std::string& label,
-    const std::function<bool(const DomainId&)>& may_hold,
-    TimePoint now) const {
-  std::vector<std::vector<CacheHolder>> holders;
-  // A fetch without a deadline might meet a part that was freed meanwhile.
-  if (stores_.empty() || servers_clock_ms_ == 0 ||
-      now - known_until_ > fleet::CacheCatalog::kUpdateLease) {
-    return holders;
-  }
-  holders.resize(prompt.parts.size());
-  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-    if (prompt.parts[i].tokens < kMinTokens)
-      continue;
-    const auto it = parts_.find(fleet::CacheKey({label, prompt.parts[i].id}));
-    if (it == parts_.end())
-      continue;
-    for (const std::uint32_t index : it->second) {
-      if (index < stores_.size() && stores_[index].readable &&
-          may_hold(stores_[index].domain)) {
-        holders[i].push_back({stores_[index].address, stores_[index].domain});
-      }
-    }
-  }
-  return holders;
-}
-
 CachePlan CacheView::Plan(const Prompt& prompt,
                           const std::string& label,
                           const std::function<bool(const DomainId&)>& may_hold,
--- a/src/endivecart/gateway/cache_view.h
+++ b/src/endivecart/gateway/cache_view.h
@@ -38,20 +38,13 @@
   bool operator==(const CachePlan&) const = default;
 };
 
-// A store that holds a part.
-struct CacheHolder {
-  settings::Endpoint address;
-  DomainId domain;
-
-  bool operator==(const CacheHolder&) const = default;
-};
-
-// Changes the plan to fetch each part from the address in `fetch`; a part
-// without one is neither fetched nor saved. Addresses other than `home`, which
-// needs no deadline, are used only for parts that the plan fetches.
-void SetFetches(CachePlan& plan,
-                std::vector<std::optional<settings::Endpoint>> fetch,
-                const std::optional<settings::Endpoint>& home);
+// Returns how long a request may wait for cache fetches. `elapsed` is the time
+// since it was accepted, `latency_target` the time in which it is to be
+// answered (0: none), `prefill_time` the time to prefill its shared parts.
+// Guards against slow store links: a fetch is given up after half of the
+// target, because prefill is then more likely to meet it. Requests that are
+// expensive to prefill or already late get the maximum fetch time.
+Millis FetchTimeout(Millis elapsed, Millis latency_target, Millis prefill_time);
 
 // This host's view of the cache stores, built from the leader's updates. A view
 // whose lease has expired is not used.
@@ -73,14 +66,6 @@
                  Millis fetch_timeout,
                  TimePoint now) const;
 
-  // Returns for each part of the prompt the stores from which Plan() may fetch
-  // it; empty if nothing can be fetched.
-  std::vector<std::vector<CacheHolder>> Holders(
-      const Prompt& prompt,
-      const std::string& label,
-      const std::function<bool(const DomainId&)>& may_hold,
-      TimePoint now) const;
-
   const fleet::CachePosition& position() const { return position_; }
   std::size_t parts() const { return parts_.size(); }
   // Returns the age of the knowledge from which fetches are planned.
--- a/src/endivecart/gateway/caller_request.h
+++ b/src/endivecart/gateway/caller_request.h
@@ -7,16 +7,30 @@
 #include <vector>
 
 #include "endivecart/base/base.h"
-#include "endivecart/estimates/estimates.h"
+#include "endivecart/gateway/server_load.h"
 #include "endivecart/limits/limits.h"
 #include "endivecart/net/net.h"
-#include "endivecart/scheduling/scheduling.h"
 
 namespace endivecart::gateway {
 
-using estimates::ServerLoad;
-using scheduling::Prompt;
-using scheduling::PromptPart;
+// A part of a prompt. All parts but the last may be shared with other prompts.
+struct PromptPart {
+  std::string id;
+  std::int64_t tokens = 0;
+
+  bool operator==(const PromptPart&) const = default;
+};
+
+struct Prompt {
+  ModelId model;
+  std::int64_t input_tokens = 0;
+  std::int64_t max_output_tokens = 0;
+  // The caller's estimate; unreliable.
+  std::optional<std::int64_t> expected_output_tokens;
+  std::vector<PromptPart> parts;  // in order; may be empty
+
+  bool operator==(const Prompt&) const = default;
+};
 
 // A caller's request, independent of the dialect in which it was received.
 struct CallerRequest {
--- a/src/endivecart/scheduling/capacity_estimator.cc
+++ b/src/endivecart/gateway/capacity_estimator.cc
@@ -1,19 +1,11 @@
-#include "endivecart/scheduling/capacity_estimator.h"
+#include "endivecart/gateway/capacity_estimator.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "endivecart/scheduling/placement.h"
+#include "endivecart/gateway/placement.h"
 
-namespace endivecart::scheduling {
-
-namespace {
-
-// Share of the free tokens that all hosts together aim to fill. The rest
-// absorbs the random differences between what they expect and what arrives.
-constexpr double kFilledShare = 0.8;
-
-}  // namespace
+namespace endivecart::gateway {
 
 double CapacityEstimator::Demand::DecayedTo(TimePoint now) const {
   return tokens * std::exp(-MillisBetween(at, now) /
@@ -45,23 +37,27 @@
       DemandUpToRank(rank, now) * std::max(hosts - 1, 0);
   if (engines == 0 || others_demand <= 0)
     return probabilities;
-  double free = 0;
-  for (const std::int64_t tokens : free_tokens)
-    free += static_cast<double>(std::max<std::int64_t>(tokens, 0));
-  const double to_fill = free * kFilledShare;
-  if (to_fill >= others_demand)
-    return probabilities;
-  // Each prompt draws for each engine, and goes to one of those that it may
-  // use. If it may use S of them on average, 1 - exp(-S) of the prompts find
-  // one. That share of the demand is to fill the free tokens.
-  const double options = -std::log(1 - to_fill / others_demand);
-  for (std::size_t i = 0; i < engines; ++i) {
-    probabilities[i] = std::min(
-        1.0,
-        options / free *
-            static_cast<double>(std::max<std::int64_t>(free_tokens[i], 0)));
+  const auto considered =
+      static_cast<double>(std::min(engines, kConsideredEngines));
+  // Demand of other hosts at each engine, if they consider all engines equally.
+  const double demand_per_engine =
+      others_demand * considered / static_cast<double>(engines);
+  // A prompt goes to one of the considered engines that it may use: the more of
+  // these, the less demand reaches each. Two iterations are accurate enough.
+  double expected_options = 1;
+  for (int round = 0; round < 2; ++round) {
+    double sum = 0;
+    for (std::size_t i = 0; i < engines; ++i) {
+      const auto free =
+          static_cast<double>(std::max<std::int64_t>(free_tokens[i], 0));
+      probabilities[i] =
+          std::min(1.0, free * expected_options / demand_per_engine);
+      sum += probabilities[i];
+    }
+    expected_options =
+        1 + (considered - 1) * sum / static_cast<double>(engines);
   }
   return probabilities;
 }
 
-}  // namespace endivecart::scheduling
+}  // namespace endivecart::gateway
--- a/src/endivecart/scheduling/capacity_estimator.h
+++ b/src/endivecart/gateway/capacity_estimator.h
@@ -1,5 +1,5 @@
-#ifndef ENDIVECART_SCHEDULING_CAPACITY_ESTIMATOR_H_
-#define ENDIVECART_SCHEDULING_CAPACITY_ESTIMATOR_H_
+#ifndef ENDIVECART_GATEWAY_CAPACITY_ESTIMATOR_H_
+#define ENDIVECART_GATEWAY_CAPACITY_ESTIMATOR_H_
 
 #include <cstdint>
 #include <map>
@@ -7,7 +7,7 @@
 
 #include "endivecart/base/base.h"
 
-namespace endivecart::scheduling {
+namespace endivecart::gateway {
 
 // Estimates which free capacity of engines this host may use. Many hosts share
 // the engines and learn of each other's load with a delay: if one engine seems
@@ -23,7 +23,7 @@
   static constexpr Millis kUpdateDelay{250};
 
   // Adds the demand of a prompt that needs `tokens` of capacity, each time that
-  // it is tried. `rank`: see scheduling::RankOf().
+  // it is tried. `rank`: see RankOf().
   void Add(int rank, std::int64_t tokens, TimePoint now);
   // Returns for each engine the probability with which a prompt may use its
   // free tokens. `hosts` is the number of hosts that send to the engines.
@@ -48,6 +48,6 @@
   std::map<int, Demand> demands_;  // by rank
 };
 
-}  // namespace endivecart::scheduling
+}  // namespace endivecart::gateway
 
-#endif  // ENDIVECART_SCHEDULING_CAPACITY_ESTIMATOR_H_
+#endif  // ENDIVECART_GATEWAY_CAPACITY_ESTIMATOR_H_
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -22,15 +22,16 @@
 constexpr int kMaxExtraSends = 3;
 // With less time left than this, a retry cannot succeed.
 constexpr Millis kMinRetryTime{20};
-// An upstream that named a longer wait than this part of the time left is not
-// waited for; the rest is left for running the request.
+constexpr Millis kDefaultRetryAfter{300};
+// A request is queued for at most its remaining time divided by this; the rest
+// is left for running it, or for a retry by the caller.
 constexpr int kMaxWaitDivisor = 3;
 
 quarantine::PartList AllParts(quarantine::PartList request_keys,
                               const std::optional<Prompt>& prompt) {
   if (prompt) {
     // First the keys: the number of parts is limited.
-    for (std::string& part : scheduling::SharedPartsOf(*prompt))
+    for (std::string& part : SharedPartsOf(*prompt))
       request_keys.push_back(std::move(part));
   }
   return quarantine::PartKeys(request_keys);
@@ -84,7 +85,6 @@
     if (const auto self = weak.lock(); self && self->call_)
       self->call_->SetPaused(false);
   });
-  used_before_ = gateway_.service_times_.TimeUsedBefore(route_.name, limit);
   service_ = gateway_.ChooseService(route_);
   move_draw_ = std::uniform_real_distribution<double>(0, 1)(gateway_.random_);
   // The host that sends it to an upstream counts it.
@@ -122,13 +122,6 @@
     StartRelayedCall(*relay);
     return;
   }
-  if (sends_ == 0 && gateway_.wait_queue_.HasBacklog(service_.str())) {
-    // It may not overtake those that wait and go before it. Retries have waited
-    // already, and a stream that has begun must go on.
-    Wait();
-    gateway_.AdmitSoon();
-    return;
-  }
   const auto upstream = ChooseUpstream();
   if (upstream) {
     StartCall(*upstream);
@@ -156,6 +149,52 @@
   return false;
 }
 
+void Forwarding::Wait() {
+  const TimePoint now = gateway_.loop_.Now();
+  ticket_ = gateway_.request_queue_.Add(Rank(), service_.str(), now);
+  gateway_.waiting_[*ticket_] = weak_from_this();
+  const Millis max_wait = TimeLeft() / kMaxWaitDivisor;
+  LogLine("gateway.wait")
+      .Add("request", request_.id.str())
+      .Add("waiting", std::uint64_t{gateway_.request_queue_.size()})
+      .Add("at_most_ms", max_wait.count())
+      .Info();
+  const auto weak = weak_from_this();
+  wait_timer_ = gateway_.loop_.After(max_wait, [weak](TimePoint) {
+    const auto self = weak.lock();
+    if (self && self->ticket_) {
+      self->StopWaiting();
+      self->GiveUp("no_room");
+    }
+  });
+}
+
+void Forwarding::StopWaiting() {
+  if (!ticket_)
+    return;
+  gateway_.request_queue_.Remove(*ticket_);
+  gateway_.waiting_.erase(*ticket_);
+  ticket_.reset();
+  wait_timer_.reset();
+}
+
+bool Forwarding::TryDispatch() {
+  const auto self = shared_from_this();
+  if (gateway_.part_monitor_.IsQuarantined(parts_) || ChooseRelay()) {
+    StopWaiting();
+    Send();
+    return true;
+  }
+  const auto upstream = ChooseUpstream();
+  if (!upstream)
+    return false;
+  if (KeepForCaller()) {
+    StopWaiting();
+    StartCall(*upstream);
+  }
+  return true;
+}
+
 void Forwarding::MarkCapacity(std::vector<Candidate>& candidates,
                               const routes::Service* service,
                               int hosts) const {
@@ -168,9 +207,9 @@
   free_tokens.reserve(candidates.size());
   for (Candidate& candidate : candidates) {
     candidate.has_capacity =
-        scheduling::HasCapacityFor(candidate, HeldTokens(), cache_tokens);
+        HasCapacityFor(candidate, HeldTokens(), cache_tokens);
     free_tokens.push_back(candidate.has_capacity && !candidate.is_suspect
-                              ? scheduling::FreeTokens(candidate, cache_tokens)
+                              ? FreeTokens(candidate, cache_tokens)
                               : 0);
   }
   const auto probabilities =
@@ -184,7 +223,7 @@
 }
 
 std::int64_t Forwarding::HeldTokens() const {
-  return request_.prompt ? scheduling::HeldTokensOf(*request_.prompt) : 0;
+  return request_.prompt ? HeldTokensOf(*request_.prompt) : 0;
 }
 
 int Forwarding::Urgency() const {
@@ -193,7 +232,7 @@
 }
 
 int Forwarding::Rank() const {
-  return scheduling::RankOf(Urgency(), route_.priority);
+  return RankOf(Urgency(), route_.priority);
 }
 
 CustomerId Forwarding::IsolatedCustomer() const {
@@ -231,10 +270,6 @@
     candidates = find();
   }
   PreferOwnRegion(candidates);
-  for (Candidate& candidate : candidates) {
-    candidate.sustained = gateway_.concurrency_limits_.LimitOf(
-        candidate.id, gateway_.loop_.Now());
-  }
   return candidates;
 }
 
@@ -270,9 +305,13 @@
   is_full_ = false;
   time_to_permit_.reset();
   while (!candidates.empty()) {
-    const auto choice = request_.prompt ? PlaceThisPrompt(candidates)
-                                        : scheduling::PlaceByLoad(
-                                              candidates, gateway_.random_());
+    const auto choice =
+        request_.prompt
+            ? PlacePrompt(candidates, *request_.prompt,
+                          IsolatedCustomer().str(),
+                          gateway_.prefill_rates_.EstimateFor(service_),
+                          gateway_.random_())
+            : PlaceByLoad(candidates, gateway_.random_());
     if (!choice) {
       is_full_ = true;
       return std::nullopt;
@@ -287,7 +326,9 @@
     home_.reset();
     if (choice->home)
       home_ = candidates[*choice->home].id;
-    pending_prefill_tokens_ = forecast_ ? forecast_->expected_tokens : 0;
+    pending_prefill_tokens_ = PromptTokens();
+    if (request_.prompt && !choice->home)
+      pending_prefill_tokens_ -= SharedTokensOf(*request_.prompt);
     return Chosen{id,
                   choice->expected_wait_ms,
                   candidates[choice->index].requests,
@@ -329,15 +370,17 @@
   out.cache_label = fleet::CacheLabel(request_.prompt->model, weights_version_,
                                       IsolatedCustomer());
   CachePlan plan = PlanForLabel(out.cache_label);
-  if (forecast_) {
-    const auto* home = home_ ? gateway_.upstreams_.Find(*home_) : nullptr;
-    SetFetches(plan, forecast_->fetch_from,
-               home ? std::optional(home->last.address) : std::nullopt);
-  }
   KeepPermittedSaves(plan);
   out.save_cache_to = std::move(plan.save);
   out.fetch_cache_from = std::move(plan.fetch);
   out.fetch_until_ms = plan.fetch_until_ms;
+  const auto* home = home_ ? gateway_.upstreams_.Find(*home_) : nullptr;
+  if (home == nullptr || !out.fetch_cache_from.empty())
+    return;
+  // The home may have evicted parts from its memory; these are prefilled.
+  out.fetch_cache_from.resize(request_.prompt->parts.size());
+  for (std::size_t i = 0; i + 1 < out.fetch_cache_from.size(); ++i)
+    out.fetch_cache_from[i] = home->last.address;
 }
 
 CachePlan Forwarding::PlanForLabel(const std::string& label) const {
@@ -345,7 +388,9 @@
   return gateway_.cache_.Plan(
       *request_.prompt, label,
       [this](const DomainId& domain) { return IsAllowedIn(domain); },
-      FetchTimeout(), now);
+      FetchTimeout(std::chrono::duration_cast<Millis>(now - accepted_at_),
+                   route_.latency_target, PrefillTime()),
+      now);
 }
 
 std::string Forwarding::LastEventIdToSend() const {
@@ -353,6 +398,12 @@
                         : request_.last_event_id;
 }
 
+Millis Forwarding::PrefillTime() const {
+  return Millis(static_cast<std::int64_t>(
+      static_cast<double>(SharedTokensOf(*request_.prompt)) /
+      gateway_.prefill_rates_.EstimateFor(service_).prompt_tokens_per_ms));
+}
+
 bool Forwarding::SatisfiesInvariants(const Chosen& chosen,
                                      const UpstreamRequest& request) const {
   SendContext context;
@@ -400,11 +451,10 @@
     };
     line.Add("at_home", home_ ? "no" : "yes")
         .Add("prompt_tokens", PromptTokens())
-        .Add("shared_parts", scheduling::SharedPartsText(*request_.prompt))
+        .Add("shared_parts", SharedPartsText(*request_.prompt))
         .Add("label", request.cache_label)
         .Add("parts_fetched", std::int64_t{count(request.fetch_cache_from)})
         .Add("parts_saved", std::int64_t{count(request.save_cache_to)});
-    AddForecast(line);
     if (!request.fetch_cache_from.empty()) {
       const fleet::CachePosition& position = gateway_.cache_.position();
       line.Add("cache_term", position.term)
@@ -439,8 +489,8 @@
   const auto* upstream = gateway_.upstreams_.Find(id);
   ResetSend();
   upstream_ = id;
-  requests_there_ = chosen.requests_there;
   const bool was_sent_there = !tried_.insert(id).second;
+  requests_there_ = chosen.requests_there;
   weights_version_ = request_.prompt ? gateway_.upstreams_.WeightsOf(
                                            *upstream, request_.prompt->model)
                                      : 0;
@@ -455,7 +505,6 @@
     return;
   }
   LogSend(chosen, request);
-  RecordSentPrompt();
   net::CallOptions options;
   options.connect_timeout =
       std::min(kConnectTimeout, std::max(TimeLeft(), Millis(1)));
@@ -520,7 +569,6 @@
   if (upstream_.empty())
     return;
   RecordMoveOutcome(result);
-  RecordAnswerTime(result);
   EndSaves(result);
   if (pending_prefill_tokens_ > 0)
     gateway_.upstreams_.FinishPrefill(upstream_, pending_prefill_tokens_);
@@ -534,6 +582,31 @@
   gateway_.AdmitSoon();
 }
 
+void Forwarding::GiveUp(const char* reason) {
+  if (started_) {
+    exchange_->Abort();
+    Finish(0, reason);
+    return;
+  }
+  if (run_state_ == RunState::kNotRun) {
+    Refuse(503, reason,
+           std::max(kDefaultRetryAfter, time_to_permit_.value_or(Millis(0))));
+  } else {
+    Refuse(502, reason, std::nullopt);
+  }
+}
+
+void Forwarding::Refuse(int status,
+                        const std::string& reason,
+                        std::optional<Millis> retry_after) {
+  CheckInvariant(run_state_ == RunState::kNotRun || !GuaranteesNotRun(status),
+                 Invariant::kNotRunIsTrue, request_.id.str());
+  gateway_.RespondWithRefusal(
+      *exchange_, {status, reason, retry_after, request_.id},
+      ticket_from_relay_ && run_state_ == RunState::kNotRun);
+  Finish(status, reason.c_str());
+}
+
 void Forwarding::OnDeadline() {
   EndNow("time_limit");
 }
@@ -568,7 +641,7 @@
     exchange_->Abort();
     Finish(0, reason);
   } else if (run_state_ == RunState::kNotRun) {
-    Refuse(503, reason, RetryAfter());
+    Refuse(503, reason, kDefaultRetryAfter);
   } else {
     Refuse(504, reason, std::nullopt);
   }
@@ -613,7 +686,6 @@
       timing.events = events_;
     }
     gateway_.durations_.Add(route_.name, timing);
-    RecordServiceTime();
   }
   LogLine line("gateway.done");
   line.Add("request", request_.id.str())
@@ -630,10 +702,6 @@
         .Add("first_event_ms",
              started_ ? MillisBetween(accepted_at_, first_event_at_) : 0.0);
   }
-  if (forecast_ && first_event_of_send_at_) {
-    AddForecast(line);
-    line.Add("seen_ms", MillisBetween(sent_at_, *first_event_of_send_at_));
-  }
   line.Info();
   gateway_.metrics_.Add("endivecart_requests_total",
                         "outcome=\"" + std::string(outcome) + "\"");
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -62,14 +62,6 @@
   std::optional<TimePoint> UncountedSince() const;
   // Tries to send a queued request. Returns whether it was sent.
   bool TryDispatch();
-  // Refuses a queued request that would have to wait for too long.
-  void RefuseWaiting(Millis retry_after, Millis expected_wait);
-  // Returns the prediction for the best engine at the last choice, whether or
-  // not it had capacity; nullopt if none was usable.
-  const std::optional<estimates::FirstEventPrediction>& PredictedFirstEvent()
-      const {
-    return predicted_;
-  }
 
  private:
   // Whether a request without an answer may have been run by an upstream.
@@ -95,15 +87,9 @@
   // Records the end of a send that may have carried saves.
   void EndSaves(SendResult result);
   void ReleaseSaves();
-  // Queues the request until an upstream has capacity, or until it can't be
-  // answered within its time limit any more.
+  // Queues the request until an upstream has capacity or the maximum wait is
+  // over.
   void Wait();
-  scheduling::WaitingRequest AsWaiting() const;
-  // Predicted time from sending to the first event.
-  Millis PredictedService() const;
-  void RecordServiceTime();
-  // When the caller should return if the request is refused now.
-  Millis RetryAfter() const;
   void StopWaiting();
   // Sets `has_capacity` of each candidate for this prompt, by its free memory
   // and a random draw with the probability of CapacityEstimator.
@@ -114,50 +100,6 @@
   // Returns whether the request and the cache of its prompt may be in `domain`.
   bool IsAllowedIn(const DomainId& domain) const;
   void PreferOwnRegion(std::vector<Candidate>& candidates) const;
-  // What the first event of a prompt depends on at one engine.
-  struct SendForecast {
-    scheduling::Prospect prospect;
-    estimates::CacheOdds odds = estimates::CacheOdds::kOther;
-    estimates::PromptWork if_cached;
-    estimates::PromptWork if_not_cached;
-    std::int64_t expected_tokens = 0;  // to prefill
-    scheduling::FetchChoice fetch;
-    // For each part, the store or engine from which it is fetched.
-    std::vector<std::optional<settings::Endpoint>> fetch_from;
-  };
-  using PartHolders = std::vector<std::vector<CacheHolder>>;
-
-  // Returns the stores that hold the prompt's parts for this upstream.
-  PartHolders HoldersFor(const UpstreamId& upstream) const;
-  SendForecast ForecastAt(const Candidate& candidate,
-                          estimates::CacheOdds odds,
-                          const Candidate& home,
-                          const PartHolders& holders) const;
-  // Returns the prompt's parts as the candidate may fetch them: from the stores
-  // in `holders`, see HoldersFor(), or else from their home.
-  std::vector<scheduling::FetchablePart> FetchableParts(
-      const Candidate& candidate,
-      const Candidate& home,
-      const PartHolders& holders) const;
-  // Fills in `fetch_from`.
-  void SetFetchAddresses(SendForecast& forecast,
-                         const Candidate& home,
-                         const PartHolders& holders) const;
-  std::optional<scheduling::PlacementChoice> PlaceThisPrompt(
-      const std::vector<Candidate>& candidates);
-  std::optional<Millis> TimeToTarget() const;
-  // Returns the key under which sent prompts with these parts are remembered.
-  std::string SharedCacheKey() const;
-  // Records the transfers and the place of a prompt that is being sent.
-  void RecordSentPrompt();
-  // Learns from the first event of the current send.
-  void RecordFirstEvent();
-  // Learns from the time of an answer to a request without a prompt.
-  void RecordAnswerTime(SendResult result);
-  // Learns from the time since the previous event.
-  void RecordGap(double gap_ms);
-  void AddForecast(LogLine& line) const;
-
   // The upstream for the next send, and the state on which the choice was
   // based.
   struct Chosen {
@@ -262,11 +204,12 @@
   bool MayRepeat() const;
   Millis TimeLeft() const;
   std::int64_t HeldTokens() const;
-  Millis FetchTimeout() const;
+  // Estimated time to prefill the prompt's shared parts.
+  Millis PrefillTime() const;
   // The customer's priority, or the route's if it has none; 0 is the most
   // urgent.
   int Urgency() const;
-  // Order in the queue; see scheduling::RankOf().
+  // Order in the queue; see RankOf().
   int Rank() const;
   // The customer if its cache is isolated from others, otherwise empty.
   CustomerId IsolatedCustomer() const;
@@ -284,12 +227,11 @@
   routes::ServiceId service_;
   double move_draw_ = 0;  // in [0, 1); selects the version during a move
   const TimePoint accepted_at_;
-  Millis used_before_{0};          // by earlier attempts of the caller
   bool caller_was_there_ = false;  // when looked at for the next send
   TimePoint deadline_;
   std::unique_ptr<TimerSubscription> deadline_timer_;
   std::unique_ptr<TimerSubscription> wait_timer_;
-  std::optional<scheduling::WaitQueue::Ticket> ticket_;
+  std::optional<RequestQueue::Ticket> ticket_;
   bool is_full_ = false;            // upstreams exist, but none has capacity
   UpstreamCounts upstream_counts_;  // at the last choice
   // Of the limited upstreams at the last choice; nullopt if there was none.
@@ -321,9 +263,7 @@
   TimePoint last_event_at_;
   bool outcome_recorded_ = false;  // for the version of the current send
   std::int64_t pending_prefill_tokens_ = 0;
-  int requests_there_ = 0;                // at sending time
-  std::optional<SendForecast> forecast_;  // of a prompt
-  std::optional<estimates::FirstEventPrediction> predicted_;
+  int requests_there_ = 0;          // at sending time
   std::optional<UpstreamId> home_;  // likely caches the shared parts
   net::HttpResponseHead head_;
   bool head_received_ = false;
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -68,13 +68,8 @@
     gateway_.upstreams_.RecordWeights(upstream_, request_.prompt->model,
                                       *metadata.weights_version);
   }
-  if (metadata.server_load) {
+  if (metadata.server_load)
     gateway_.upstreams_.RecordServerLoad(upstream_, *metadata.server_load);
-    if (const auto percent = metadata.server_load->work_percent) {
-      gateway_.speeds_.AddReportedSlowness(
-          upstream_, static_cast<double>(*percent) / 100, gateway_.loop_.Now());
-    }
-  }
   if (metadata.has_bad_server_load)
     gateway_.CountBadServerLoad(upstream_);
   gateway_.OnRequestLimit(upstream_, metadata, sent_at_);
@@ -132,21 +127,20 @@
 }
 
 void Forwarding::ForwardEvent(const StreamEvent& event) {
-  const TimePoint now = gateway_.loop_.Now();
-  if (events_of_send_ > 0)
-    RecordGap(MillisBetween(last_event_at_, now));
-  last_event_at_ = now;
+  last_event_at_ = gateway_.loop_.Now();
   if (!first_event_of_send_at_) {
     first_event_of_send_at_ = last_event_at_;
     CountUsage(last_event_at_);
     if (!relay_)
       gateway_.upstreams_.RecordAnswer(upstream_);
-    RecordFirstEvent();
   }
   ++events_of_send_;
   RecordSpeedOfRun();
   if (pending_prefill_tokens_ > 0) {
     gateway_.upstreams_.FinishPrefill(upstream_, pending_prefill_tokens_);
+    gateway_.prefill_rates_.Add(service_, pending_prefill_tokens_,
+                                MillisBetween(sent_at_, gateway_.loop_.Now()),
+                                requests_there_);
     pending_prefill_tokens_ = 0;
   }
   if (!started_) {
@@ -313,7 +307,7 @@
       .Add("ms", MillisBetween(sent_at_, gateway_.loop_.Now()))
       .Add("alike", request_keys_.front());
   if (request_.prompt)
-    line.Add("shared_parts", scheduling::SharedPartsText(*request_.prompt));
+    line.Add("shared_parts", SharedPartsText(*request_.prompt));
   line.Warn();
   EndSend(result);
 }
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -37,10 +37,9 @@
       retry_limiter_(options_.retry_ratio, options_.retry_window),
       random_(options_.seed),
       usage_(options_.usage_window),
-      wait_queue_(StableHash(options_.host.str(), options_.seed)),
       admit_timer_(loop.Every(kAdmitInterval,
                               [this](TimePoint) {
-                                if (!wait_queue_.empty())
+                                if (!request_queue_.empty())
                                   Admit();
                               })),
       reach_timer_(
@@ -62,11 +61,8 @@
   std::set<std::string> names;
   for (const routes::Route& route : routes_->configuration().routes)
     names.insert(route.name);
-  const auto exists = [&names](const std::string& name) {
-    return names.contains(name);
-  };
-  durations_.KeepOnly(exists);
-  service_times_.KeepOnly(exists);
+  durations_.KeepOnly(
+      [&names](const std::string& name) { return names.contains(name); });
 }
 
 bool Gateway::CanFinish(const routes::Route& route,
@@ -275,7 +271,7 @@
 }
 
 void Gateway::AdmitSoon() {
-  if (wait_queue_.empty() || admit_soon_)
+  if (request_queue_.empty() || admit_soon_)
     return;
   admit_soon_ = loop_.After(Millis(0), [this](TimePoint) {
     admit_soon_.reset();
@@ -284,47 +280,12 @@
 }
 
 void Gateway::Admit() {
-  wait_queue_.Admit(
-      [this](scheduling::WaitQueue::Ticket ticket) {
+  request_queue_.Admit(
+      [this](RequestQueue::Ticket ticket) {
         const auto forwarding = waiting_.at(ticket).lock();
         return forwarding != nullptr && forwarding->TryDispatch();
       },
       loop_.Now());
-  RefuseHopeless();
-}
-
-void Gateway::RefuseHopeless() {
-  for (const auto& refusal : wait_queue_.Refusals(loop_.Now())) {
-    const auto it = waiting_.find(refusal.ticket);
-    const auto forwarding = it == waiting_.end() ? nullptr : it->second.lock();
-    if (forwarding)
-      forwarding->RefuseWaiting(refusal.retry_after, refusal.expected_wait);
-  }
-}
-
-void Gateway::ReportBacklog() {
-  metrics_.Set("endivecart_waiting_requests", "",
-               static_cast<double>(wait_queue_.size()));
-  for (const auto& figures : wait_queue_.TakeFigures(loop_.Now())) {
-    const std::string labels = "service=\"" + figures.group + "\",rank=\"" +
-                               std::to_string(figures.rank) + "\"";
-    metrics_.Add("endivecart_backlog_admitted_total", labels, figures.admitted);
-    metrics_.Add("endivecart_backlog_refused_total", labels, figures.refused);
-    metrics_.Observe("endivecart_backlog_longest_wait_ms", labels,
-                     figures.longest_wait_ms);
-    LogLine("gateway.backlog")
-        .Add("service", figures.group)
-        .Add("rank", figures.rank)
-        .Add("waiting", figures.waiting)
-        .Add("late", figures.late)
-        .Add("tokens", figures.work_tokens)
-        .Add("oldest_ms", figures.oldest_ms)
-        .Add("admitted", figures.admitted)
-        .Add("refused", figures.refused)
-        .Add("longest_wait_ms", figures.longest_wait_ms)
-        .Add("tokens_per_ms", figures.tokens_per_ms)
-        .Info();
-  }
 }
 
 void Gateway::ReachTick() {
@@ -349,14 +310,9 @@
 }
 
 void Gateway::Tick() {
-  ReportBacklog();
   metrics_.Set("endivecart_quarantines", "",
                static_cast<double>(part_monitor_.quarantines()));
   upstreams_.Expire();
-  speeds_.Expire(loop_.Now());
-  links_.Expire(loop_.Now());
-  concurrency_limits_.Expire(loop_.Now());
-  cache_hits_.Expire(loop_.Now());
   limits_.Expire(loop_.Now());
   named_waits_.Expire(loop_.Now());
   reach_.Expire(loop_.Now());
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -15,18 +15,20 @@
 #include "endivecart/gateway/cache_save_claims.h"
 #include "endivecart/gateway/cache_view.h"
 #include "endivecart/gateway/caller_request.h"
+#include "endivecart/gateway/capacity_estimator.h"
 #include "endivecart/gateway/cold_start_limiter.h"
 #include "endivecart/gateway/duration_estimator.h"
 #include "endivecart/gateway/follower_wiring.h"
 #include "endivecart/gateway/move_tracker.h"
+#include "endivecart/gateway/prefill_rate_estimator.h"
 #include "endivecart/gateway/reach_prober.h"
 #include "endivecart/gateway/region_map.h"
 #include "endivecart/gateway/relayed_request.h"
+#include "endivecart/gateway/request_queue.h"
 #include "endivecart/gateway/retry_limiter.h"
 #include "endivecart/gateway/upstream_tracker.h"
 #include "endivecart/net/net.h"
 #include "endivecart/routes/routes.h"
-#include "endivecart/scheduling/scheduling.h"
 
 namespace endivecart::gateway {
 
@@ -157,12 +159,7 @@
                       TimePoint sent_at);
   // Records the wait that an upstream named with a refusal.
   void OnNamedWait(const UpstreamId& upstream, const AnswerMetadata& metadata);
-  // Sends queued requests as far as there is capacity, and refuses those that
-  // can't be answered within their time limit.
   void Admit();
-  void RefuseHopeless();
-  // Logs who waits, was admitted and was refused.
-  void ReportBacklog();
   // Looks for silent upstreams, and probes upstreams if necessary.
   void ReachTick();
 
@@ -186,24 +183,20 @@
   int relay_port_ = 0;
   RetryLimiter retry_limiter_;
   ColdStartLimiter cold_start_limiter_;
-  estimates::SpeedEstimator speeds_;
-  estimates::LinkModel links_;
-  estimates::ConcurrencyLimits concurrency_limits_;
-  estimates::CacheHits cache_hits_;
+  PrefillRateEstimator prefill_rates_;
   DurationEstimator durations_;
   std::optional<TimePoint> stop_at_;
   TimePoint callers_know_at_ = TimePoint::max();
-  scheduling::CapacityEstimator capacity_estimator_;
+  CapacityEstimator capacity_estimator_;
   std::mt19937_64 random_;
   const fleet::FleetFollower* follower_ = nullptr;
   fleet::DecisionsPtr decisions_;
   routes::RouteTablePtr routes_;
   fleet::WeightsAges weights_ages_;
   std::set<std::shared_ptr<Forwarding>> active_;
+  RequestQueue request_queue_;
+  std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
   duties::UsageCounter usage_;
-  scheduling::ServiceTimes service_times_;
-  scheduling::WaitQueue wait_queue_;
-  std::map<scheduling::WaitQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
   std::optional<TimePoint> bad_server_load_logged_at_;
   std::unique_ptr<TimerSubscription> admit_soon_;
   std::unique_ptr<TimerSubscription> admit_timer_;
--- a/src/endivecart/scheduling/placement.cc
+++ b/src/endivecart/gateway/placement.cc
@@ -1,26 +1,21 @@
-#include "endivecart/scheduling/placement.h"
+#include "endivecart/gateway/placement.h"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <numeric>
 
-namespace endivecart::scheduling {
+#include "endivecart/quarantine/quarantine.h"
+
+namespace endivecart::gateway {
 
 namespace {
 
 // Homes of one key: the first, and one that takes over when the first is busy.
+constexpr std::size_t kHomesPerKey = 2;
 // The other candidates are drawn at random. Two suffice to avoid busy ones;
 // with more, hosts that share the same delayed view would choose the same one.
-constexpr std::size_t kHomesPerKey = 2;
 static_assert(kConsideredEngines == kHomesPerKey + 2);
-// An answer in time is worth this much delay of this and other requests.
-constexpr double kOnTimeValueMs = 3000;
-// Standard deviation of normally distributed errors by their mean size.
-constexpr double kDeviationPerMeanError = 1.25;
-// Gain for which a prompt leaves its first home: similar prompts then find
-// their cache in one place.
-constexpr double kMinGainMs = 8;
 // Fraction of an engine's memory for running requests; the rest is for the
 // cache.
 constexpr double kRunningShare = 0.75;
@@ -33,57 +28,21 @@
 // request without a prompt.
 constexpr double kMaxCostRatio = 10;
 
-// A candidate that is considered for a prompt.
-struct Option {
-  std::size_t index = 0;
-  CacheOdds odds = CacheOdds::kOther;
-};
-
-// Draws up to `count` candidates with capacity from `order`.
-void DrawOthers(const std::vector<Candidate>& candidates,
-                std::vector<std::size_t> order,
-                std::size_t count,
-                std::uint64_t random,
-                std::vector<Option>& options) {
-  for (std::size_t at = 0; at < order.size() && count > 0; ++at) {
-    std::swap(order[at], order[at + random % (order.size() - at)]);
-    random = StableHash("", random);
-    if (!candidates[order[at]].has_capacity)
-      continue;
-    options.push_back({order[at], CacheOdds::kOther});
-    --count;
-  }
+double LoadMs(const Candidate& candidate, const SpeedEstimate& speed) {
+  return static_cast<double>(candidate.prompt_tokens) /
+             speed.prompt_tokens_per_ms +
+         candidate.requests * speed.ms_per_request +
+         (candidate.is_suspect ? kSuspectPenaltyMs : 0);
 }
 
-// Returns the candidates with capacity that are considered, the homes first.
-std::vector<Option> ConsideredFor(const std::vector<Candidate>& candidates,
-                                  const std::vector<std::size_t>& order,
-                                  const PlacementTask& task) {
-  std::vector<Option> options;
-  std::vector<std::size_t> others;
-  std::size_t drawn = std::min(order.size(), kConsideredEngines);
-  for (std::size_t rank = 0; rank < order.size(); ++rank) {
-    const Candidate& candidate = candidates[order[rank]];
-    const bool was_sent =
-        std::find(task.sent_before.begin(), task.sent_before.end(),
-                  candidate.id) != task.sent_before.end();
-    if (rank >= kHomesPerKey && !was_sent) {
-      others.push_back(order[rank]);
-    } else if (candidate.has_capacity) {
-      options.push_back(
-          {order[rank], was_sent ? CacheOdds::kSentBefore : CacheOdds::kHome});
-      drawn -= rank < kHomesPerKey ? 1 : 0;
-    }
+// Reduces `order` to the homes and a few of the others, drawn by `random`.
+void SelectConsidered(std::vector<std::size_t>& order, std::uint64_t random) {
+  const std::size_t left = std::min(order.size(), kConsideredEngines);
+  for (std::size_t at = kHomesPerKey; at < left; ++at) {
+    std::swap(order[at], order[at + random % (order.size() - at)]);
+    random = StableHash("", random);
   }
-  DrawOthers(candidates, std::move(others), drawn, task.random, options);
-  return options;
-}
-
-// The delay of this prompt and of those beside it, which wait for its prefill.
-// Where the prompt is late anyway, the delay of each of the others counts.
-double CostMs(const Prospect& prospect, int requests, double on_time) {
-  const estimates::FirstEventPrediction& event = prospect.first_event;
-  return event.total_ms() + event.prefill_ms * (1 + (1 - on_time) * requests);
+  order.resize(left);
 }
 
 // Returns a number in [0, 1) from uniformly distributed bits.
@@ -104,17 +63,12 @@
   return known == 0 ? 1 : sum / known;
 }
 
-// Returns the number of requests beyond which an upstream gets no more done.
-double SustainedBy(const Candidate& candidate) {
-  const double slots = std::max(candidate.slots, 1);
-  return std::min(slots, std::max(candidate.sustained.value_or(slots), 1.0));
-}
-
 double PlainCostMs(const Candidate& candidate, double typical_latency_ms) {
   const double latency_ms =
       candidate.latency_ms > 0 ? candidate.latency_ms : typical_latency_ms;
   return std::max(latency_ms, 1.0) *
-             (1 + candidate.requests / SustainedBy(candidate)) +
+             (1 + static_cast<double>(candidate.requests) /
+                      std::max(candidate.slots, 1)) +
          (candidate.is_near ? 0 : kOtherDomainPenaltyMs) +
          (candidate.is_suspect ? kSuspectPenaltyMs : 0);
 }
@@ -136,55 +90,68 @@
   return order;
 }
 
-double ProbabilityOnTime(const Prospect& prospect, const PlacementTask& task) {
-  double probability = 1;
-  if (task.time_left_ms) {
-    const double slack_ms =
-        *task.time_left_ms - prospect.first_event.total_ms();
-    const double deviation_ms =
-        std::max(prospect.first_event.error_ms, 1.0) * kDeviationPerMeanError;
-    probability = std::erfc(-slack_ms / deviation_ms / std::sqrt(2.0)) / 2;
-  }
-  if (task.gap_target_ms > 0 && prospect.gap_ms > task.gap_target_ms)
-    probability *= task.gap_target_ms / prospect.gap_ms;
-  return probability;
+std::string SharedKeyOf(const Prompt& prompt) {
+  if (prompt.parts.empty())
+    return "";
+  const std::size_t last = prompt.parts.size() - 1;
+  return prompt.parts[last == 0 ? 0 : last - 1].id;
+}
+
+std::int64_t SharedTokensOf(const Prompt& prompt) {
+  std::int64_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+    tokens += prompt.parts[i].tokens;
+  return tokens;
+}
+
+std::vector<std::string> SharedPartsOf(const Prompt& prompt) {
+  std::vector<std::string> ids;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+    ids.push_back(prompt.parts[i].id);
+  return ids;
+}
+
+std::string SharedPartsText(const Prompt& prompt) {
+  return quarantine::Joined(SharedPartsOf(prompt));
 }
 
 std::optional<PlacementChoice> PlacePrompt(
     const std::vector<Candidate>& candidates,
-    const PlacementTask& task) {
+    const Prompt& prompt,
+    const std::string& cache_label,
+    const SpeedEstimate& speed,
+    std::uint64_t random) {
   if (candidates.empty())
     return std::nullopt;
-  auto order =
-      RankByKey(candidates, task.cache_label + "/" + SharedKeyOf(*task.prompt));
+  auto order = RankByKey(candidates, cache_label + "/" + SharedKeyOf(prompt));
   // A suspect upstream is considered only if all are suspect.
   const auto suspect = std::stable_partition(
       order.begin(), order.end(),
       [&](std::size_t index) { return !candidates[index].is_suspect; });
   if (suspect != order.begin())
     order.erase(suspect, order.end());
+  SelectConsidered(order, random);
+  const auto shared = static_cast<double>(SharedTokensOf(prompt));
+  const auto all = static_cast<double>(prompt.input_tokens);
   PlacementChoice choice;
-  double best = -std::numeric_limits<double>::infinity();
-  for (const Option& option : ConsideredFor(candidates, order, task)) {
-    const Candidate& candidate = candidates[option.index];
-    const Prospect prospect =
-        task.predict(candidate, option.odds, candidates[order.front()]);
-    double on_time = ProbabilityOnTime(prospect, task);
-    // Beyond what an engine sustains, all requests there take longer.
-    if (candidate.sustained)
-      on_time *= std::min(1.0, *candidate.sustained / (candidate.requests + 1));
-    const double score = on_time * kOnTimeValueMs -
-                         CostMs(prospect, candidate.requests, on_time) -
-                         (option.index == order.front() ? 0 : kMinGainMs);
-    if (score > best) {
-      best = score;
-      choice.index = option.index;
-      choice.prediction = prospect.first_event;
+  double least = std::numeric_limits<double>::infinity();
+  for (std::size_t rank = 0; rank < order.size(); ++rank) {
+    const Candidate& candidate = candidates[order[rank]];
+    if (!candidate.has_capacity)
+      continue;
+    const double tokens_to_prefill = rank < kHomesPerKey ? all - shared : all;
+    const double rank_penalty = rank == 0 ? 0 : speed.ms_per_request;
+    const double cost = LoadMs(candidate, speed) +
+                        tokens_to_prefill / speed.prompt_tokens_per_ms +
+                        rank_penalty;
+    if (cost < least) {
+      least = cost;
+      choice.index = order[rank];
     }
   }
-  if (std::isinf(best))
+  if (std::isinf(least))
     return std::nullopt;
-  choice.expected_wait_ms = choice.prediction.total_ms();
+  choice.expected_wait_ms = least;
   if (choice.index != order.front())
     choice.home = order.front();
   return choice;
@@ -203,6 +170,11 @@
          candidate.held_tokens;
 }
 
+std::int64_t HeldTokensOf(const Prompt& prompt) {
+  return prompt.input_tokens +
+         prompt.expected_output_tokens.value_or(prompt.max_output_tokens / 2);
+}
+
 std::optional<PlacementChoice> PlaceByLoad(
     const std::vector<Candidate>& candidates,
     std::uint64_t random) {
@@ -232,4 +204,4 @@
   return choice;
 }
 
-}  // namespace endivecart::scheduling
+}  // namespace endivecart::gateway
--- a/src/endivecart/scheduling/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -1,19 +1,14 @@
-#ifndef ENDIVECART_SCHEDULING_PLACEMENT_H_
-#define ENDIVECART_SCHEDULING_PLACEMENT_H_
+#ifndef ENDIVECART_GATEWAY_PLACEMENT_H_
+#define ENDIVECART_GATEWAY_PLACEMENT_H_
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "endivecart/base/base.h"
-#include "endivecart/estimates/estimates.h"
-#include "endivecart/scheduling/prompt.h"
+#include "endivecart/gateway/caller_request.h"
 
-namespace endivecart::scheduling {
-
-using estimates::CacheOdds;
+namespace endivecart::gateway {
 
 // An upstream to which a request may go, with its known load.
 struct Candidate {
@@ -30,19 +25,25 @@
   std::int64_t held_tokens = 0;
   double latency_ms =
       0;  // recent mean of requests without a prompt; 0: unknown
-  // Requests in progress that it sustains, if that is known to be a limit.
-  std::optional<double> sustained;
 
   bool operator==(const Candidate&) const = default;
 };
 
+// Estimated speed of a service's engines.
+struct SpeedEstimate {
+  double prompt_tokens_per_ms = 20;  // initial value; see PrefillRateEstimator
+  // Delay that one more request causes to each other one: a few batch steps.
+  double ms_per_request = 8;
+
+  bool operator==(const SpeedEstimate&) const = default;
+};
+
 struct PlacementChoice {
   std::size_t index = 0;  // of the candidate
   // The candidate that likely caches the shared parts; nullopt if it is the
   // chosen one.
   std::optional<std::size_t> home;
   double expected_wait_ms = 0;
-  estimates::FirstEventPrediction prediction;  // of a prompt
 
   bool operator==(const PlacementChoice&) const = default;
 };
@@ -53,45 +54,32 @@
 std::vector<std::size_t> RankByKey(const std::vector<Candidate>& candidates,
                                    const std::string& key);
 
-// What is expected of a prompt at one engine.
-struct Prospect {
-  estimates::FirstEventPrediction first_event;
-  double gap_ms = 0;  // between events of all streams there
-
-  bool operator==(const Prospect&) const = default;
-};
-
-// A prompt to be placed.
-struct PlacementTask {
-  const Prompt* prompt = nullptr;
-  std::string cache_label;
-  // Engines to which this host has sent such a prompt lately.
-  std::vector<UpstreamId> sent_before;
-  std::optional<double> time_left_ms;  // until the latency target
-  double gap_target_ms = 0;            // 0: none
-  // `home`: the first home of the shared prefix; maybe the candidate itself.
-  std::function<Prospect(const Candidate&, CacheOdds, const Candidate& home)>
-      predict;
-  std::uint64_t random = 0;
-};
-
-// Returns the probability that the first event is there in time and that the
-// gaps between events are within their target; 1 if there are no targets.
-double ProbabilityOnTime(const Prospect& prospect, const PlacementTask& task);
-
-// Places a prompt where it is most likely on time; if that differs little,
-// where it delays itself and others least. Considered are the homes of its
-// shared prefix, which likely cache it, engines to which this host has sent it,
-// and a few others with capacity, drawn by `random`: hosts learn of each
-// other's load with a delay, so if they took the best candidate of all, every
-// host would choose the same one until the next update. Returns nullopt if no
-// candidate has capacity.
+// Returns the placement key of a prompt's shared prefix: the id of the last
+// part that other prompts may share.
+std::string SharedKeyOf(const Prompt& prompt);
+// Returns the tokens of the parts up to and including that one.
+std::int64_t SharedTokensOf(const Prompt& prompt);
+
+// Returns the ids of the parts that other prompts may share.
+std::vector<std::string> SharedPartsOf(const Prompt& prompt);
+// The same joined by commas, for logs.
+std::string SharedPartsText(const Prompt& prompt);
+
+// Places a prompt at a home of its shared prefix, which likely caches it,
+// unless that home is so busy that prefilling the prompt elsewhere finishes
+// sooner. The alternatives are a few candidates drawn by `random`: hosts learn
+// of each other's load with a delay, so if they took the least loaded candidate
+// of all, or any with capacity, every host would choose the same one until the
+// next update. Returns nullopt if none of the considered candidates has
+// capacity.
 std::optional<PlacementChoice> PlacePrompt(
     const std::vector<Candidate>& candidates,
-    const PlacementTask& task);
+    const Prompt& prompt,
+    const std::string& cache_label,
+    const SpeedEstimate& speed,
+    std::uint64_t random);
 
-// Number of engines considered for one prompt, if as many have capacity; and
-// those to which this host has sent such a prompt.
+// Maximum number of engines considered for one prompt.
 inline constexpr std::size_t kConsideredEngines = 4;
 
 // Returns the tokens of an engine's memory that are left for more prompts; may
@@ -104,6 +92,10 @@
 bool HasCapacityFor(const Candidate& candidate,
                     std::int64_t tokens,
                     std::int64_t cache_tokens);
+// Returns the tokens of cache that a prompt uses at its end, including its
+// expected output.
+std::int64_t HeldTokensOf(const Prompt& prompt);
+
 // Places a request without a prompt at random, with probabilities in inverse
 // proportion to the expected latency at each candidate (requests per slot, a
 // penalty for other failure domains). Such requests are shorter than the time
@@ -115,6 +107,6 @@
     const std::vector<Candidate>& candidates,
     std::uint64_t random);
 
-}  // namespace endivecart::scheduling
+}  // namespace endivecart::gateway
 
-#endif  // ENDIVECART_SCHEDULING_PLACEMENT_H_
+#endif  // ENDIVECART_GATEWAY_PLACEMENT_H_
--- a/src/endivecart/scheduling/plain_service_unittest.cc
+++ b/src/endivecart/gateway/plain_service_unittest.cc
@@ -2,9 +2,9 @@
 #include <queue>
 #include <random>
 
-#include "endivecart/scheduling/scheduling.h"
+#include "endivecart/gateway/placement.h"
 
-namespace endivecart::scheduling {
+namespace endivecart::gateway {
 namespace {
 
 // Many hosts share a service with few servers. Each host reports its requests
@@ -141,8 +141,8 @@
   PlainServiceOutcome outcome_;
 };
 
-BOOST_AUTO_TEST_SUITE(scheduling_plain_service,
-                      *boost::unit_test::label("scheduling"))
+BOOST_AUTO_TEST_SUITE(gateway_plain_service,
+                      *boost::unit_test::label("gateway"))
 
 // Pattern: hundreds of callers' hosts, five servers at three fifths of their
 // capacity, views a quarter of a second old. If each host chose the server that
@@ -207,4 +207,4 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
-}  // namespace endivecart::scheduling
+}  // namespace endivecart::gateway
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -1,9 +1,15 @@
 #include <boost/test/unit_test.hpp>
+#include <deque>
+#include <random>
 
 #include "endivecart/gateway/cache_view.h"
+#include "endivecart/gateway/capacity_estimator.h"
 #include "endivecart/gateway/cold_start_limiter.h"
 #include "endivecart/gateway/event_splitter.h"
+#include "endivecart/gateway/placement.h"
+#include "endivecart/gateway/prefill_rate_estimator.h"
 #include "endivecart/gateway/region_map.h"
+#include "endivecart/gateway/request_queue.h"
 #include "endivecart/gateway/retry_limiter.h"
 
 namespace endivecart::gateway {
@@ -13,6 +19,16 @@
   return TimePoint(Millis(1000000 + millis));
 }
 
+std::vector<Candidate> MakeCandidates(int count) {
+  std::vector<Candidate> candidates(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    candidates[static_cast<std::size_t>(i)].id =
+        UpstreamId("u" + std::to_string(i));
+    candidates[static_cast<std::size_t>(i)].slots = 10;
+  }
+  return candidates;
+}
+
 Prompt MakePrompt(const std::string& subject) {
   Prompt prompt;
   prompt.model = ModelId("m");
@@ -114,6 +130,276 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_placement, *boost::unit_test::label("gateway"))
+
+BOOST_AUTO_TEST_CASE(a_returning_prompt_goes_to_the_same_upstream) {
+  const auto candidates = MakeCandidates(12);
+  const auto first = PlacePrompt(candidates, MakePrompt("p"), "", {}, 0);
+  auto other = MakePrompt("p");
+  other.parts.back().id = "another request";
+  BOOST_TEST(PlacePrompt(candidates, other, "", {}, 0)->index == first->index);
+  BOOST_TEST(!first->home.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_shared_parts_for_logs_leave_out_the_last_part) {
+  Prompt prompt;
+  BOOST_TEST(SharedPartsText(prompt) == "");
+  prompt.parts = {{"a", 1}, {"b", 1}, {"own", 1}};
+  BOOST_TEST(SharedPartsText(prompt) == "a,b");
+}
+
+BOOST_AUTO_TEST_CASE(no_other_prompts_move_when_an_upstream_is_removed) {
+  const auto all = MakeCandidates(12);
+  auto fewer = all;
+  fewer.pop_back();
+  int moved = 0;
+  for (int i = 0; i < 500; ++i) {
+    const auto prompt = MakePrompt("p" + std::to_string(i));
+    const auto before = all[PlacePrompt(all, prompt, "", {}, 0)->index].id;
+    const auto after = fewer[PlacePrompt(fewer, prompt, "", {}, 0)->index].id;
+    moved += before != after && before != all.back().id ? 1 : 0;
+  }
+  BOOST_TEST(moved == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_with_a_busy_home_goes_to_another_upstream) {
+  auto candidates = MakeCandidates(4);
+  const auto prompt = MakePrompt("p");
+  const std::size_t home = PlacePrompt(candidates, prompt, "", {}, 0)->index;
+  candidates[home].prompt_tokens = 1000000;
+  const auto choice = PlacePrompt(candidates, prompt, "", {}, 0);
+  BOOST_TEST(choice->index != home);
+  BOOST_TEST(choice->home.value() == home);
+}
+
+BOOST_AUTO_TEST_CASE(a_suspect_upstream_is_used_only_if_all_are_suspect) {
+  auto candidates = MakeCandidates(3);
+  candidates[0].is_suspect = candidates[1].is_suspect = true;
+  for (int i = 0; i < 50; ++i) {
+    const auto prompt = MakePrompt("p" + std::to_string(i));
+    BOOST_TEST(PlacePrompt(candidates, prompt, "", {}, 0)->index == 2u);
+    BOOST_TEST(PlaceByLoad(candidates, static_cast<std::uint64_t>(i))->index ==
+               2u);
+  }
+}
+
+// Simulates hosts that know their own load immediately and that of the other
+// hosts only after an interval. Each interval has `requests` prompts that share
+// little; they end with the next interval. Returns the maximum number of
+// requests that one upstream got within an interval.
+int MostAtOneUpstream(int hosts, int upstreams, int requests) {
+  const auto none = MakeCandidates(upstreams);
+  auto shared_view = none;
+  std::mt19937_64 random(7);
+  int most = 0;
+  for (int interval = 0; interval < 40; ++interval) {
+    std::vector<std::vector<Candidate>> seen(static_cast<std::size_t>(hosts),
+                                             shared_view);
+    auto now = none;
+    for (int i = 0; i < requests; ++i) {
+      Prompt prompt = MakePrompt("p" + std::to_string(random() % 200));
+      prompt.input_tokens = 800;
+      prompt.parts = {{"head", 100}, {prompt.parts[1].id, 500}, {"own", 200}};
+      auto& view = seen[random() % seen.size()];
+      const std::size_t index =
+          PlacePrompt(view, prompt, "", {}, random())->index;
+      for (Candidate* candidate : {&view[index], &now[index]}) {
+        ++candidate->requests;
+        candidate->prompt_tokens += prompt.input_tokens;
+      }
+      most = std::max(most, now[index].requests);
+    }
+    shared_view = now;
+  }
+  return most;
+}
+
+BOOST_AUTO_TEST_CASE(
+    hosts_with_delayed_updates_do_not_all_choose_the_same_upstream) {
+  // No upstream gets more than a sixth of what all hosts send.
+  BOOST_TEST(MostAtOneUpstream(70, 45, 132) <= 132 / 6);
+}
+
+BOOST_AUTO_TEST_CASE(plain_requests_prefer_the_least_loaded_upstream) {
+  auto candidates = MakeCandidates(3);
+  for (Candidate& candidate : candidates)
+    candidate.latency_ms = 30;
+  candidates[0].requests = 8;
+  candidates[1].requests = 8;
+  BOOST_TEST(PlaceByLoad(candidates, 0)->index == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_full_engine_takes_no_more_and_an_idle_engine_takes_any_prompt) {
+  Candidate candidate;
+  candidate.requests = 3;
+  candidate.held_tokens = 60000;
+  BOOST_TEST(!HasCapacityFor(candidate, 12000, 90000));
+  BOOST_TEST(HasCapacityFor(candidate, 3000, 90000));
+  candidate.requests = 0;
+  BOOST_TEST(HasCapacityFor(candidate, 200000, 90000));
+}
+
+// Guards against overfilled engines when prompts of 12,000 tokens arrive at
+// twice the rate that engines of 90,000 tokens can hold, and each one runs for
+// as long as eight others take to arrive.
+BOOST_AUTO_TEST_CASE(a_burst_does_not_fill_an_engine_beyond_its_memory) {
+  auto candidates = MakeCandidates(3);
+  const auto prompt = MakePrompt("p");
+  std::int64_t sent = 0;
+  for (int i = 0; i < 100; ++i) {
+    for (Candidate& candidate : candidates) {
+      if (!HasCapacityFor(candidate, HeldTokensOf(prompt), 90000))
+        continue;
+      ++sent;
+      ++candidate.requests;
+      candidate.held_tokens += HeldTokensOf(prompt);
+    }
+  }
+  for (const Candidate& candidate : candidates)
+    BOOST_TEST(candidate.held_tokens <= 90000);
+  BOOST_TEST(sent >= 9);
+}
+
+// Simulates hosts that learn of each other's load once an interval, with more
+// demand than capacity. A prompt that finds no capacity is retried with the
+// next update, at most eight times. An admitted prompt runs for four intervals.
+class CrowdedEngines {
+ public:
+  static constexpr int kHosts = 70;
+  static constexpr std::size_t kEngines = 45;
+  static constexpr std::int64_t kCacheTokens = 93000;
+
+  // `coming`: number of prompts of each rank, of 12,000 tokens, per interval.
+  void Run(int intervals, const std::vector<int>& coming) {
+    for (int i = 0; i < intervals; ++i) {
+      now_ += CapacityEstimator::kUpdateDelay;
+      AdvanceInterval();
+      std::vector<Waiting> looking = std::exchange(waiting_, {});
+      for (std::size_t rank = 0; rank < coming.size(); ++rank) {
+        for (int n = 0; n < coming[rank]; ++n) {
+          looking.push_back({static_cast<int>(rank), random_() % kHosts});
+        }
+      }
+      std::shuffle(looking.begin(), looking.end(), random_);
+      for (const Waiting& prompt : looking)
+        TryPlace(prompt);
+    }
+  }
+
+  std::int64_t most_held() const { return most_held_; }
+  int admitted(int rank) { return admitted_[rank]; }
+  // Mean utilisation of the memory that prompts may use, from 0 to 1.
+  double MeanUse() const { return use_ / static_cast<double>(intervals_); }
+
+ private:
+  struct Waiting {
+    int rank = 0;
+    std::size_t host = 0;
+    int attempts = 0;
+  };
+
+  void AdvanceInterval() {
+    auto engines = MakeCandidates(static_cast<int>(kEngines));
+    stays_.push_front({});
+    stays_.resize(4);
+    double held = 0;
+    for (const auto& sent : stays_) {
+      for (const std::size_t index : sent) {
+        ++engines[index].requests;
+        engines[index].held_tokens += HeldTokensOf(prompt_);
+        held += static_cast<double>(HeldTokensOf(prompt_));
+      }
+    }
+    use_ += held / (0.75 * kCacheTokens * kEngines);
+    ++intervals_;
+    now_held_ = engines;
+    seen_.assign(kHosts, engines);
+  }
+
+  void TryPlace(const Waiting& prompt) {
+    auto& view = seen_[prompt.host];
+    CapacityEstimator& estimator = estimators_[prompt.host];
+    estimator.Add(prompt.rank, HeldTokensOf(prompt_), now_);
+    std::vector<std::int64_t> free;
+    for (const Candidate& engine : view) {
+      free.push_back(HasCapacityFor(engine, HeldTokensOf(prompt_), kCacheTokens)
+                         ? FreeTokens(engine, kCacheTokens)
+                         : 0);
+    }
+    const auto probabilities =
+        estimator.AdmissionProbabilities(prompt.rank, free, kHosts, now_);
+    std::uniform_real_distribution<double> draw(0, 1);
+    for (std::size_t i = 0; i < view.size(); ++i)
+      view[i].has_capacity = free[i] > 0 && draw(random_) < probabilities[i];
+    // Drawn one by one: the order in which arguments are evaluated is
+    // unspecified.
+    const std::uint64_t tie_breaker = random_();
+    const Prompt placed = MakePrompt("p" + std::to_string(random_() % 300));
+    const auto choice = PlacePrompt(view, placed, "", {}, tie_breaker);
+    if (!choice) {
+      if (prompt.attempts < 8)
+        waiting_.push_back({prompt.rank, prompt.host, prompt.attempts + 1});
+      return;
+    }
+    for (Candidate* engine :
+         {&view[choice->index], &now_held_[choice->index]}) {
+      ++engine->requests;
+      engine->held_tokens += HeldTokensOf(prompt_);
+    }
+    most_held_ = std::max(most_held_, now_held_[choice->index].held_tokens);
+    stays_.front().push_back(choice->index);
+    ++admitted_[prompt.rank];
+  }
+
+  const Prompt prompt_ = MakePrompt("p");
+  std::mt19937_64 random_{11};
+  TimePoint now_ = At(0);
+  std::vector<CapacityEstimator> estimators_{kHosts};
+  std::vector<std::vector<Candidate>> seen_;
+  std::vector<Candidate> now_held_;
+  std::deque<std::vector<std::size_t>> stays_;
+  std::vector<Waiting> waiting_;
+  std::map<int, int> admitted_;
+  std::int64_t most_held_ = 0;
+  double use_ = 0;
+  int intervals_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(
+    hosts_with_delayed_updates_do_not_fill_an_engine_far_beyond_its_memory) {
+  CrowdedEngines engines;
+  engines.Run(60, {100});  // about 60 fit
+  BOOST_TEST(engines.most_held() <= 2 * CrowdedEngines::kCacheTokens);
+  BOOST_TEST(engines.MeanUse() >= 0.6);
+}
+
+BOOST_AUTO_TEST_CASE(urgent_prompts_get_capacity_first) {
+  CrowdedEngines engines;
+  engines.Run(60, {25, 75});
+  BOOST_TEST(engines.admitted(0) >= 60 * 25 * 95 / 100);
+}
+
+BOOST_AUTO_TEST_CASE(a_single_host_may_use_all_capacity) {
+  CapacityEstimator estimator;
+  estimator.Add(0, 100000, At(0));
+  BOOST_TEST(estimator.AdmissionProbabilities(0, {1, 5}, 1, At(0)) ==
+                 std::vector<double>({1, 1}),
+             boost::test_tools::per_element());
+  // The number of hosts is not known yet.
+  BOOST_TEST(estimator.AdmissionProbabilities(0, {1}, 0, At(0)) ==
+                 std::vector<double>{1},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_customers_priority_precedes_the_routes_priority) {
+  BOOST_TEST(RankOf(0, 9) < RankOf(1, 0));
+  BOOST_TEST(RankOf(1, 0) < RankOf(1, 2));
+  BOOST_TEST(RankOf(1, 50) < RankOf(2, 0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(gateway_regions, *boost::unit_test::label("gateway"))
 
 BOOST_AUTO_TEST_CASE(the_regions_of_route_and_customer_both_apply) {
@@ -173,7 +459,21 @@
              7000u + 100u + fleet::CacheCatalog::kFetchLimit.count());
 }
 
-BOOST_AUTO_TEST_CASE(a_fetch_times_out_when_it_is_told_to) {
+// Guards against missed latency targets when the links of some stores become
+// slow and fetches queue up there.
+BOOST_AUTO_TEST_CASE(a_fetch_times_out_while_prefill_still_meets_the_target) {
+  BOOST_TEST(FetchTimeout(Millis(0), Millis(800), Millis(40)).count() == 400);
+  BOOST_TEST(FetchTimeout(Millis(250), Millis(800), Millis(40)).count() == 150);
+  BOOST_TEST(FetchTimeout(Millis(700), Millis(800), Millis(40)).count() == 100);
+  BOOST_CHECK(FetchTimeout(Millis(0), Millis(60000), Millis(40)) ==
+              kMaxFetchTime);
+  // Already late, or without a target.
+  BOOST_CHECK(FetchTimeout(Millis(800), Millis(800), Millis(40)) ==
+              kMaxFetchTime);
+  BOOST_CHECK(FetchTimeout(Millis(0), Millis(0), Millis(40)) == kMaxFetchTime);
+  // Expensive to prefill.
+  BOOST_CHECK(FetchTimeout(Millis(0), Millis(800), Millis(90)) ==
+              kMaxFetchTime);
   CacheView view;
   view.Apply(MakeCacheUpdate(true), At(0), At(0));
   const auto plan =
@@ -181,41 +481,6 @@
   BOOST_TEST(plan.fetch_until_ms.value() == 7000u + 100u + 400u);
 }
 
-// Guards against a fetch from a store without a deadline.
-BOOST_AUTO_TEST_CASE(only_parts_that_are_planned_are_fetched_from_a_store) {
-  CacheView view;
-  view.Apply(MakeCacheUpdate(true), At(0), At(0));
-  const auto all =
-      view.Plan(MakePrompt("p"), kLabel, kAnywhere, Millis(400), At(100));
-  const settings::Endpoint store{"10.0.0.2", 80};
-  const settings::Endpoint home{"10.0.0.9", 80};
-  CachePlan plan = all;
-  SetFetches(plan, {store, store, std::nullopt}, home);
-  BOOST_TEST(!plan.fetch.at(0).has_value());  // no store is known to hold it
-  BOOST_TEST(plan.fetch.at(1)->ToString() == "10.0.0.2:80");
-  BOOST_TEST(plan.fetch_until_ms.has_value());
-  plan = all;
-  SetFetches(plan, {home, std::nullopt, std::nullopt}, home);
-  BOOST_TEST(plan.fetch.at(0)->ToString() == "10.0.0.9:80");
-  BOOST_TEST(!plan.fetch.at(1).has_value());
-  BOOST_TEST(!plan.fetch_until_ms.has_value());
-  plan = all;
-  SetFetches(plan, {std::nullopt, std::nullopt, std::nullopt}, home);
-  BOOST_TEST(plan.fetch.empty());
-}
-
-BOOST_AUTO_TEST_CASE(the_holders_are_those_from_which_parts_are_fetched) {
-  CacheView view;
-  view.Apply(MakeCacheUpdate(true), At(0), At(0));
-  const auto holders =
-      view.Holders(MakePrompt("p"), kLabel, kAnywhere, At(100));
-  BOOST_TEST(holders.at(0).empty());
-  BOOST_TEST(holders.at(1).at(0).address.ToString() == "10.0.0.2:80");
-  BOOST_TEST(holders.at(1).at(0).domain.str() == "b");
-  BOOST_TEST(
-      view.Holders(MakePrompt("p"), kLabel, kAnywhere, At(5000)).empty());
-}
-
 BOOST_AUTO_TEST_CASE(an_expired_update_is_not_used) {
   CacheView view;
   view.Apply(MakeCacheUpdate(true), At(0), At(0));
@@ -326,5 +591,100 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(gateway_speed, *boost::unit_test::label("gateway"))
+
+// Returns the estimated rate after prompts of 2,000 to 12,000 tokens. A third
+// of them need four times the expected prefill because their cache was evicted,
+// and half of them find the engine busy.
+double LearnRate(double tokens_per_ms) {
+  PrefillRateEstimator estimator;
+  const routes::ServiceId service("s");
+  for (int i = 0; i < 300; ++i) {
+    const int tokens = 2000 + i % 11 * 1000;
+    const int read = i % 3 == 0 ? tokens * 4 : tokens;
+    const int there = i % 2;
+    estimator.Add(service, tokens, 14 + read / tokens_per_ms + there * 500,
+                  there);
+  }
+  return estimator.EstimateFor(service).prompt_tokens_per_ms;
+}
+
+BOOST_AUTO_TEST_CASE(the_estimate_converges_for_slow_and_fast_engines) {
+  for (const double rate : {5.0, 24.0, 48.0, 200.0}) {
+    const double learned = LearnRate(rate);
+    BOOST_TEST(learned > rate * 0.6, rate << " learned as " << learned);
+    BOOST_TEST(learned < rate * 1.1, rate << " learned as " << learned);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(each_service_has_its_own_estimate) {
+  PrefillRateEstimator estimator;
+  estimator.Add(routes::ServiceId("a"), 5000, 50, 0);
+  BOOST_CHECK(estimator.EstimateFor(routes::ServiceId("b")) == SpeedEstimate());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(gateway_waiting, *boost::unit_test::label("gateway"))
+
+// Admits the requests for which `fits` holds and returns their tickets.
+template <class Fits>
+std::vector<std::uint64_t> AdmitAll(RequestQueue& queue,
+                                    Fits fits,
+                                    TimePoint now) {
+  std::vector<std::uint64_t> admitted;
+  queue.Admit(
+      [&](RequestQueue::Ticket ticket) {
+        if (!fits(ticket))
+          return false;
+        queue.Remove(ticket);
+        admitted.push_back(ticket);
+        return true;
+      },
+      now);
+  return admitted;
+}
+
+BOOST_AUTO_TEST_CASE(the_most_urgent_request_goes_first) {
+  RequestQueue queue;
+  const auto late = queue.Add(2, "s", At(0));
+  const auto urgent = queue.Add(0, "s", At(1));
+  const auto order = AdmitAll(
+      queue, [](auto) { return true; }, At(2));
+  BOOST_TEST(order == (std::vector<std::uint64_t>{urgent, late}),
+             boost::test_tools::per_element());
+  BOOST_TEST(queue.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_large_request_is_not_overtaken_by_small_ones_forever) {
+  RequestQueue queue;
+  const auto large = queue.Add(1, "s", At(0));
+  const auto small = queue.Add(1, "s", At(10));
+  const auto fits = [&](auto ticket) { return ticket != large; };
+  BOOST_TEST(AdmitAll(queue, fits, At(100)).size() == 1u);
+  const auto next = queue.Add(1, "s", At(120));
+  const auto other = queue.Add(2, "s", At(120));
+  // A request that waits too long blocks only its own rank.
+  const auto admitted = AdmitAll(queue, fits, At(400));
+  BOOST_TEST(admitted == std::vector<std::uint64_t>{other},
+             boost::test_tools::per_element());
+  BOOST_TEST(queue.size() == 2u);
+  (void)small;
+  (void)next;
+}
+
+BOOST_AUTO_TEST_CASE(a_request_blocks_none_for_other_upstreams) {
+  RequestQueue queue;
+  const auto stuck = queue.Add(1, "full", At(0));
+  queue.Add(1, "full", At(10));
+  const auto other = queue.Add(1, "s", At(10));
+  const auto fits = [&](auto ticket) { return ticket != stuck; };
+  const auto admitted = AdmitAll(queue, fits, At(400));
+  BOOST_TEST(admitted == std::vector<std::uint64_t>{other},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace endivecart::gateway
--- a/src/endivecart/estimates/server_load.cc
+++ b/src/endivecart/gateway/server_load.cc
@@ -1,27 +1,21 @@
-#include "endivecart/estimates/server_load.h"
+#include "endivecart/gateway/server_load.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace endivecart::estimates {
+namespace endivecart::gateway {
 
 namespace {
 
 // More than any server has; larger numbers are errors.
 constexpr int kMaxRequests = 1000000;
-// No machine is ten times as fast as usual, or works at all a hundred times
-// slower.
-constexpr int kMinWorkPercent = 10;
-constexpr int kMaxWorkPercent = 10000;
 
 }  // namespace
 
 bool IsPlausible(const ServerLoad& load) {
   return load.slots > 0 && load.slots <= kMaxRequests && load.running >= 0 &&
          load.running <= load.slots && load.waiting >= 0 &&
-         load.waiting <= kMaxRequests &&
-         (!load.work_percent || (*load.work_percent >= kMinWorkPercent &&
-                                 *load.work_percent <= kMaxWorkPercent));
+         load.waiting <= kMaxRequests;
 }
 
 int EstimateRequests(int known, const ReportedLoad& report) {
@@ -36,4 +30,4 @@
   return std::max(report.own_now, static_cast<int>(std::lround(estimate)));
 }
 
-}  // namespace endivecart::estimates
+}  // namespace endivecart::gateway
--- a/src/endivecart/estimates/server_load.h
+++ b/src/endivecart/gateway/server_load.h
@@ -1,11 +1,9 @@
-#ifndef ENDIVECART_ESTIMATES_SERVER_LOAD_H_
-#define ENDIVECART_ESTIMATES_SERVER_LOAD_H_
-
-#include <optional>
+#ifndef ENDIVECART_GATEWAY_SERVER_LOAD_H_
+#define ENDIVECART_GATEWAY_SERVER_LOAD_H_
 
 #include "endivecart/base/base.h"
 
-namespace endivecart::estimates {
+namespace endivecart::gateway {
 
 // The load that an upstream reported along with an answer: requests of all
 // hosts.
@@ -13,9 +11,6 @@
   int running = 0;
   int waiting = 0;  // for a slot
   int slots = 0;
-  // How long work takes there at this moment; 100: as usual. Changes many times
-  // a second.
-  std::optional<int> work_percent;
 
   bool operator==(const ServerLoad&) const = default;
 };
@@ -46,6 +41,6 @@
 // another report, of its own last answer, and adds what it sent since.
 int EstimateRequests(int known, const ReportedLoad& report);
 
-}  // namespace endivecart::estimates
+}  // namespace endivecart::gateway
 
-#endif  // ENDIVECART_ESTIMATES_SERVER_LOAD_H_
+#endif  // ENDIVECART_GATEWAY_SERVER_LOAD_H_
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -235,20 +235,13 @@
   }
   if (record.server_load_at == TimePoint{})
     return;
-  candidate.requests = estimates::EstimateRequests(
+  candidate.requests = EstimateRequests(
       candidate.requests,
       {record.server_load,
        std::chrono::duration_cast<Millis>(now_() - record.server_load_at),
        record.requests_at_server_load, record.requests});
 }
 
-int UpstreamTracker::RequestsAt(const UpstreamId& id,
-                                const fleet::FleetFollower* others) const {
-  const auto* load = others ? others->RemoteLoad(id) : nullptr;
-  return RecordOf(id).requests +
-         (load ? static_cast<int>(load->requests()) : 0);
-}
-
 void UpstreamTracker::RecordServerLoad(const UpstreamId& id,
                                        const ServerLoad& load) {
   Record& record = records_[id];
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -8,17 +8,13 @@
 #include <string>
 #include <vector>
 
-#include "endivecart/estimates/estimates.h"
 #include "endivecart/fleet/fleet.h"
+#include "endivecart/gateway/placement.h"
 #include "endivecart/limits/limits.h"
-#include "endivecart/scheduling/scheduling.h"
 #include "endivecart/upstreams/upstreams.h"
 
 namespace endivecart::gateway {
 
-using estimates::ServerLoad;
-using scheduling::Candidate;
-
 // How one send to an upstream ended, for rating the upstream.
 enum class SendResult {
   kAnswered,     // complete answer that is no server error
@@ -109,9 +105,6 @@
                                     const fleet::FleetFollower* others,
                                     UpstreamCounts* counts) const;
   const upstreams::AnnouncedUpstream* Find(const UpstreamId& id) const;
-  // Returns the known number of requests in progress there, of all hosts.
-  int RequestsAt(const UpstreamId& id,
-                 const fleet::FleetFollower* others) const;
   bool IsCold(const UpstreamId& id) const;
   bool IsSilent(const UpstreamId& id) const;
   // Records that the upstream has sent this host data.
