--- a/src/endivecart/transport/message_bus.cc
+++ b/src/endivecart/transport/message_bus.cc
@@ -88,6 +88,40 @@
   BusCounters counters;
 };
 
+std::string_view EnvelopeKindName(wire::Envelope::BodyCase kind) {
+  switch (kind) {
+    case wire::Envelope::kShareAsk:
+      return "share_ask";
+    case wire::Envelope::kShareReply:
+      return "share_reply";
+    case wire::Envelope::kRaft:
+      return "raft";
+    case wire::Envelope::kFollowPoll:
+      return "follow_poll";
+    case wire::Envelope::kFollowReply:
+      return "follow_reply";
+    case wire::Envelope::kProposeRequest:
+      return "propose_request";
+    case wire::Envelope::kProposeReply:
+      return "propose_reply";
+    case wire::Envelope::kMoveReport:
+      return "move_report";
+    case wire::Envelope::kFleetPoll:
+      return "fleet_poll";
+    case wire::Envelope::kFleetNews:
+      return "fleet_update";
+    case wire::Envelope::kCacheSaveClaim:
+      return "cache_save_claim";
+    case wire::Envelope::kCacheSaveGrant:
+      return "cache_save_grant";
+    case wire::Envelope::kCacheSaveRelease:
+      return "cache_save_release";
+    case wire::Envelope::BODY_NOT_SET:
+      break;
+  }
+  return "unknown";
+}
+
 BusOptions BusOptionsFor(const settings::HostSettings& settings) {
   BusOptions options;
   options.self = settings.host;
@@ -155,6 +189,9 @@
     LogLine("transport.refused").Add("claimed", envelope.from()).Warn();
     return;
   }
+  KindCounters& kind = counters.by_kind[envelope.body_case()];
+  ++kind.received_messages;
+  kind.received_bytes += body.size();
   receiver(envelope);
 }
 
@@ -270,6 +307,9 @@
   }
   ++data_->counters.sent_messages;
   data_->counters.sent_bytes += bytes.size();
+  KindCounters& kind = data_->counters.by_kind[envelope.body_case()];
+  ++kind.sent_messages;
+  kind.sent_bytes += bytes.size();
   return true;
 }
 
--- a/src/endivecart/transport/message_bus.h
+++ b/src/endivecart/transport/message_bus.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "endivecart/base/base.h"
@@ -49,6 +51,16 @@
 // Returns the options of a host whose settings list all other hosts.
 BusOptions BusOptionsFor(const settings::HostSettings& settings);
 
+// Messages of one kind, by the body of their envelope.
+struct KindCounters {
+  std::uint64_t sent_messages = 0;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received_messages = 0;
+  std::uint64_t received_bytes = 0;
+
+  bool operator==(const KindCounters&) const = default;
+};
+
 struct BusCounters {
   std::uint64_t sent_messages = 0;
   std::uint64_t sent_bytes = 0;
@@ -56,10 +68,14 @@
   std::uint64_t received_messages = 0;
   std::uint64_t received_bytes = 0;
   std::uint64_t refused_messages = 0;  // malformed, or sender mismatch
+  // Of the kinds that have occurred; see EnvelopeKindName().
+  std::map<wire::Envelope::BodyCase, KindCounters> by_kind;
 
   bool operator==(const BusCounters&) const = default;
 };
 
+std::string_view EnvelopeKindName(wire::Envelope::BodyCase kind);
+
 // Sends and receives envelopes. Messages may be lost; callers that resend may
 // cause duplicates and late delivery. Messages from one peer arrive in order.
 // Hosts with CURVE keys authenticate by them; connections with unknown keys are
