Net: a full server may close the connection that has been idle for longest

With thousands of upstreams that hold connections, a control host reached its 2,000 connections and refused all others, operators' included. A server can now close the longest idle connection for a new one. Only for clients that may repeat their requests; off by default.

--- a/src/endivecart/net/http_server.cc
+++ b/src/endivecart/net/http_server.cc
@@ -520,7 +520,11 @@
               kAcceptRetryDelay, [data](TimePoint) { Accept(data); });
           return;
         }
-        if (data->sessions.size() < data->limits.max_connections) {
+        const HttpServerLimits& limits = data->limits;
+        const bool has_room =
+            data->sessions.size() < limits.max_connections ||
+            (limits.closes_idle_when_full && CloseLongestIdle(*data));
+        if (has_room) {
           SetConnectionOptions(socket);
           std::make_shared<Session>(data, std::move(socket))->Start();
         } else {
@@ -551,6 +555,20 @@
     session->Close();
 }
 
+bool HttpServer::CloseLongestIdle(Data& data) {
+  Session* longest = nullptr;
+  for (Session* session : data.sessions) {
+    if (session->idle() &&
+        (longest == nullptr || session->idle_since() < longest->idle_since())) {
+      longest = session;
+    }
+  }
+  if (longest == nullptr)
+    return false;
+  longest->shared_from_this()->Close();
+  return true;
+}
+
 void HttpServer::StopAccepting() {
   ErrorCode ignored;  // the acceptor may already be closed
   data_->acceptor.close(ignored);
--- a/src/endivecart/net/http_server.h
+++ b/src/endivecart/net/http_server.h
@@ -22,6 +22,10 @@
   Millis header_timeout{10000};  // from first byte to complete header
   Millis body_timeout{30000};    // from the header to the complete body
   Millis idle_timeout{15000};    // between requests, and for a stalled reader
+  // Whether the connection that has been idle for longest makes room for a new
+  // one beyond max_connections, which is refused otherwise. Only for clients
+  // that may repeat their requests.
+  bool closes_idle_when_full = false;
 
   bool operator==(const HttpServerLimits&) const = default;
 };
@@ -96,6 +100,9 @@
  private:
   class Session;
   struct Data;
+  // Closes the connection that has been idle for longest. Returns false if none
+  // is idle.
+  static bool CloseLongestIdle(Data& data);
   explicit HttpServer(std::shared_ptr<Data> data);
   static void Accept(const std::shared_ptr<Data>& data);
 
--- a/src/endivecart/net/net_unittest.cc
+++ b/src/endivecart/net/net_unittest.cc
@@ -244,6 +244,35 @@
   BOOST_TEST(caller.ended());
 }
 
+// Guards against operators who are kept out of a control host by thousands of
+// idle connections of upstreams.
+BOOST_FIXTURE_TEST_CASE(a_full_server_closes_the_connection_idle_for_longest,
+                        EchoServer) {
+  HttpServerLimits limits;
+  limits.max_connections = 2;
+  limits.closes_idle_when_full = true;
+  server->SetLimits(limits);
+  RawCaller oldest(loop, server->port());
+  RunUntil([&] { return server->connections() == 1; });
+  RunFor(Millis(5));
+  RawCaller busy(loop, server->port());
+  hold = true;
+  busy.Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([&] { return held.size() == 1; });
+  RawCaller third(loop, server->port());
+  third.Write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([&] { return held.size() == 2; });
+  BOOST_TEST(held.size() == 2u);
+  RunUntil([&] { return oldest.ended(); });
+  BOOST_TEST(oldest.ended());
+  // Both requests are in progress, so there is nothing to close.
+  RawCaller fourth(loop, server->port());
+  RunUntil([&] { return fourth.ended(); });
+  BOOST_TEST(fourth.ended());
+  BOOST_TEST(!busy.ended());
+  BOOST_TEST(!third.ended());
+}
+
 BOOST_FIXTURE_TEST_CASE(responses_close_connections_once_keep_alive_is_disabled,
                         EchoServer) {
   server->DisableKeepAlive();
