--- a/src/endivecart/fleet/decision_log.h
+++ b/src/endivecart/fleet/decision_log.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <string>
 
+#include "endivecart/duties/duties.h"
 #include "endivecart/fleet/decisions.h"
+#include "endivecart/fleet/save_grant_log.h"
 
 namespace endivecart::fleet {
 
@@ -12,8 +14,11 @@
 // idempotent.
 class DecisionLog {
  public:
-  // Applies one serialized FleetCommand and returns whether it changed
-  // anything. A command that can't be parsed is logged and ignored.
+  // To be called for each entry of the log, with a command or without, before
+  // it is applied.
+  void OnEntry(std::uint64_t term) { save_grants_.OnEntry(term); }
+  // Applies one serialized FleetCommand and returns whether it changed the
+  // decisions. A command that can't be parsed is logged and ignored.
   bool Apply(const std::string& command, std::uint64_t index);
 
   // Returns the serialized state.
@@ -22,6 +27,10 @@
   bool Restore(const std::string& state);
 
   const Decisions& decisions() const { return decisions_; }
+  const SaveGrantLog& save_grants() const { return save_grants_; }
+  // Kept beside the decisions: only control processes need it, and it changes
+  // with every usage window.
+  const duties::UsageLog& usage_log() const { return usage_log_; }
 
  private:
   bool ReplaceRouting(const wire::ReplaceRoutingCommand& command);
@@ -31,6 +40,8 @@
   bool NameWeights(const wire::NameWeightsCommand& command);
 
   Decisions decisions_;
+  SaveGrantLog save_grants_;
+  duties::UsageLog usage_log_;
 };
 
 }  // namespace endivecart::fleet
--- a/src/endivecart/fleet/entry_limit.cc
+++ b/src/endivecart/fleet/entry_limit.cc
@@ -13,7 +13,8 @@
 
 std::size_t CountEntries(const wire::FleetPoll& poll) {
   return TotalSize(poll.loads(), poll.move_reports(), poll.limits(),
-                   poll.failures(), poll.saves(), poll.quarantine().runs(),
+                   poll.failures(), poll.saves(), poll.waiting(),
+                   poll.usage().records(), poll.quarantine().runs(),
                    poll.quarantine().sound(), poll.quarantine().quarantines(),
                    poll.reach().services());
 }
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -81,6 +81,10 @@
   }
   if (hooks_.failures)
     *poll.mutable_failures() = ToWire(hooks_.failures(), hooks_.now());
+  if (hooks_.waiting) {
+    for (wire::WaitingRecord& waiting : hooks_.waiting())
+      *poll.add_waiting() = std::move(waiting);
+  }
 }
 
 void FleetFollower::AddPositions(const HostId& host,
@@ -120,6 +124,7 @@
     if (out.wants_loads())
       AddLoads(host, out);
     AddPositions(host, control, out);
+    AddUsage(control, out);
     control.polled_at = hooks_.now();
     control.poll_number = poll.number();
     hooks_.send(host, std::move(envelope));
@@ -133,6 +138,20 @@
              : std::max(options_.poll_interval, primary->second.poll_interval);
 }
 
+void FleetFollower::AddUsage(ControlHost& control,
+                             wire::FleetPoll& poll) const {
+  control.usage_sent = 0;
+  if (!options_.serves_callers || !hooks_.usage_since)
+    return;
+  auto changes = hooks_.usage_since(control.usage_answered);
+  if (!changes)
+    return;
+  control.usage_sent = changes->change;
+  *poll.mutable_usage() = std::move(changes->report);
+  if (hooks_.unix_ms)
+    poll.set_unix_ms(hooks_.unix_ms());
+}
+
 bool FleetFollower::IsAnswerPending(const ControlHost& control) const {
   // Only for hosts in contact: one that is just starting may have missed the
   // poll.
@@ -185,9 +204,14 @@
           .Warn();
     }
   }
+  const bool answers_last_poll = update.answered_poll() != 0 &&
+                                 update.answered_poll() == control.poll_number;
+  if (answers_last_poll)
+    control.usage_answered = control.usage_sent;
   if (control.feed_incarnation != update.feed_incarnation()) {
     control.feed_incarnation = update.feed_incarnation();
     control.feed_cursor = 0;
+    control.usage_answered = 0;
   }
   // After a lost update the cursor stays, so that the next poll asks for what
   // is missing.
@@ -218,6 +242,12 @@
     for (const std::string& upstream : update.resting_upstreams())
       quiesced_.emplace(upstream);
     quiesced_updated_at_ = now;
+    if (answers_last_poll && hooks_.on_true_time) {
+      hooks_.on_true_time(update.has_true_unix_ms()
+                              ? std::optional(update.true_unix_ms())
+                              : std::nullopt,
+                          control.polled_at);
+    }
   }
   if (update.has_quarantine() && hooks_.on_quarantine)
     hooks_.on_quarantine(FromWire(update.quarantine(), now));
@@ -226,9 +256,6 @@
   if (update.relays_size() > 0 && hooks_.on_relays)
     hooks_.on_relays(FromWire(update.relays(), now));
   if (update.has_cache() && hooks_.on_cache) {
-    const bool answers_last_poll =
-        update.answered_poll() != 0 &&
-        update.answered_poll() == control.poll_number;
     hooks_.on_cache(update.cache(),
                     answers_last_poll ? control.polled_at : TimePoint{});
   }
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -33,6 +33,12 @@
   bool operator==(const FleetFollowerOptions&) const = default;
 };
 
+// The usage that changed after some change, and the number of the latest one.
+struct UsageChanges {
+  wire::UsageReport report;
+  std::uint64_t change = 0;
+};
+
 // Follows all control hosts (voters and spares), polling one of them, the
 // primary, more often. A decision or announcement that reaches any of them
 // reaches this process. Keeps the last known state while none answers.
@@ -79,6 +85,18 @@
     std::function<std::vector<quarantine::UpstreamFailures>()> failures;
     std::function<void(const quarantine::FailureRuling&)> on_failures;
     std::function<TimePoint()> now;
+    // Called with each answer of the leader: what it says of the true Unix time
+    // in ms (nullopt: usage is not wanted; 0: not known yet), and when the poll
+    // was sent that it answers. Optional.
+    std::function<void(std::optional<std::uint64_t>, TimePoint asked_at)>
+        on_true_time;
+    // Returns the usage that changed after this change, or nullopt if usage is
+    // not wanted. Optional.
+    std::function<std::optional<UsageChanges>(std::uint64_t since)> usage_since;
+    // This machine's wall clock, in ms; may be wrong. Optional.
+    std::function<std::uint64_t()> unix_ms;
+    // Returns the requests that wait for scaled services. Optional.
+    std::function<std::vector<wire::WaitingRecord>()> waiting;
   };
 
   // A control host that is silent for longer is considered unreachable.
@@ -137,6 +155,9 @@
     // By which it says when it heard upstreams, to other control hosts.
     ReceivedNames names;
     TimePoint asked_for_all_at{};
+    // The latest change of the usage in the last poll, and in those answered.
+    std::uint64_t usage_sent = 0;
+    std::uint64_t usage_answered = 0;
   };
 
   void Poll();
@@ -149,6 +170,7 @@
   // that announces itself, as it does after a long time without contact.
   void RequestAllAnnouncements(ControlHost& control);
   void AddLoads(const HostId& primary, wire::FleetPoll& poll);
+  void AddUsage(ControlHost& control, wire::FleetPoll& poll) const;
   // Returns whether an earlier poll may still be answered. A second answer
   // would only repeat the contents of the first.
   bool IsAnswerPending(const ControlHost& control) const;
--- a/src/endivecart/fleet/load_table.cc
+++ b/src/endivecart/fleet/load_table.cc
@@ -117,6 +117,18 @@
     UpdateVersion(entry);
 }
 
+wire::UpstreamLoad LoadTable::TotalOf(const UpstreamId& upstream) const {
+  wire::UpstreamLoad load;
+  const auto number = names_.Find(upstream.str());
+  if (!number || *number >= entries_.size())
+    return load;
+  const LoadSum& sum = entries_[*number].sum;
+  load.set_requests(Clamped(sum.requests));
+  load.set_prompt_tokens(Clamped(sum.prompt_tokens));
+  load.set_held_tokens(Clamped(sum.held_tokens));
+  return load;
+}
+
 void LoadTable::UpdateSilent(const upstreams::UpstreamRegistry& registry,
                              TimePoint now) {
   if (silent_updated_at_ != TimePoint{} &&
--- a/src/endivecart/fleet/load_table_unittest.cc
+++ b/src/endivecart/fleet/load_table_unittest.cc
@@ -234,6 +234,25 @@
   BOOST_TEST(Answer(1010) < 40u);
 }
 
+// Guards against scale requests by sums that were rounded for receivers.
+BOOST_FIXTURE_TEST_CASE(the_total_of_an_upstream_is_exact_while_coarse,
+                        Differences) {
+  table.SetCoarse(true);
+  wire::UpstreamLoad load = Load(1, 2);
+  load.set_prompt_tokens(100);
+  load.set_held_tokens(600);
+  table.Set(HostId("a"), {load});
+  Answer(0);
+  load.set_held_tokens(601);
+  table.Set(HostId("a"), {load});
+  table.Set(HostId("b"), {Load(1, 1)});
+  const wire::UpstreamLoad total = table.TotalOf(UpstreamId(Name(1)));
+  BOOST_TEST(total.requests() == 3u);
+  BOOST_TEST(total.prompt_tokens() == 100u + Load(1, 1).prompt_tokens());
+  BOOST_TEST(total.held_tokens() == 601u + Load(1, 1).held_tokens());
+  BOOST_TEST(table.TotalOf(UpstreamId("unknown")).requests() == 0u);
+}
+
 BOOST_FIXTURE_TEST_CASE(reports_by_number_need_the_same_names, Differences) {
   Answer(0);
   const auto number = received.NumberOf(UpstreamId(Name(3)));
--- a/src/endivecart/fleet/poll_queue_unittest.cc
+++ b/src/endivecart/fleet/poll_queue_unittest.cc
@@ -246,7 +246,9 @@
   poll.add_loads();
   poll.add_limits();
   poll.mutable_quarantine()->add_sound();
-  BOOST_TEST(CountEntries(poll) == 3u);
+  poll.add_waiting();
+  poll.mutable_usage()->add_records();
+  BOOST_TEST(CountEntries(poll) == 5u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/endivecart/fleet/upstream_names.cc
+++ b/src/endivecart/fleet/upstream_names.cc
@@ -10,6 +10,12 @@
   return it->second;
 }
 
+std::optional<std::uint32_t> UpstreamNames::Find(
+    const std::string& upstream) const {
+  const auto it = numbers_.find(upstream);
+  return it == numbers_.end() ? std::nullopt : std::optional(it->second);
+}
+
 void UpstreamNames::Restart() {
   ++epoch_;
   names_.clear();
--- a/src/endivecart/fleet/upstream_names.h
+++ b/src/endivecart/fleet/upstream_names.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,7 @@
   const std::string& at(std::size_t number) const { return names_.at(number); }
   // Adds the name if it is new.
   std::uint32_t NumberOf(const std::string& upstream);
+  std::optional<std::uint32_t> Find(const std::string& upstream) const;
   // Begins a new, empty list.
   void Restart();
 
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -85,6 +85,17 @@
       OnBadAnswer("too_large");
       return;
     }
+    // A string that grows may double its memory.
+    const std::size_t size = body_.size() + bytes.size();
+    if (!exchange_->TryHold(size > body_.capacity() ? 2 * size
+                                                    : body_.capacity())) {
+      // Not the upstream's fault.
+      call_.reset();
+      run_state_ = RunState::kMayHaveRun;
+      EndSend(SendResult::kAbandoned);
+      GiveUp("no_room_for_answer");
+      return;
+    }
     body_ += bytes;
     return;
   }
@@ -119,6 +130,7 @@
   last_event_at_ = gateway_.loop_.Now();
   if (!first_event_of_send_at_) {
     first_event_of_send_at_ = last_event_at_;
+    CountUsage(last_event_at_);
     if (!relay_)
       gateway_.upstreams_.RecordAnswer(upstream_);
   }
@@ -234,6 +246,8 @@
     return;
   }
   ++runs_;
+  if (!IsStream())
+    CountUsage(sent_at_);
   // A relay has retried already.
   if (server_error && head_.status != 504 && !relay_ &&
       MayRetry(SendEffect::kMayHaveRun)) {
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -5,11 +5,13 @@
 #include <vector>
 
 #include "endivecart/node/auxiliary_servers.h"
-#include "endivecart/node/body_room.h"
 #include "endivecart/node/cache_store_controller.h"
+#include "endivecart/node/connection_room.h"
 #include "endivecart/node/control_metrics.h"
 #include "endivecart/node/disk_thread.h"
+#include "endivecart/node/duty_parts.h"
 #include "endivecart/node/incarnation.h"
+#include "endivecart/node/operator_calls.h"
 #include "endivecart/node/upstream_client.h"
 #include "endivecart/node/weights_controller.h"
 
@@ -27,7 +29,6 @@
 constexpr Millis kProposalTimeout{900};
 // The port for the log's messages follows that of all others.
 constexpr int kLogPortOffset = 1;
-constexpr std::size_t kMaxConnections = 2000;
 constexpr char kQuarantineFile[] = "quarantines";
 // Large enough for a routing configuration with thousands of routes.
 constexpr std::size_t kMaxCallBytes = 32UL << 20;
@@ -55,7 +56,8 @@
                 hooks,
                 settings.name,
                 {settings.bounds.order_lease}),
-        caches(loop, upstream_client, hooks) {}
+        caches(loop, upstream_client, hooks),
+        connection_budget(MakeConnectionBudget(settings.memory_mb)) {}
 
   Result<bool, NodeError> Open();
   Result<bool, NodeError> OpenStorage();
@@ -68,8 +70,8 @@
   void VoterTick(TimePoint now);
   void PushTick(TimePoint now);
   void OnEnvelope(const wire::Envelope& envelope);
-  void OnSaveClaim(const HostId& from, const wire::CacheSaveClaim& claim);
-  void OnCall(const net::HttpExchangePtr& exchange);
+  void OnCallerPoll(const HostId& from, const wire::FleetPoll& poll);
+  fleet::CacheSaveBatches::Hooks SaveHooks();
   void RunLeaderTasks();
   void EndMoves();
 
@@ -92,6 +94,8 @@
   std::optional<fleet::FleetFollower> follower;
   std::optional<fleet::OperatorService> operator_service;
   fleet::MoveCoordinator moves;
+  std::unique_ptr<DutyParts> duties;  // null: there are none
+  const net::ConnectionBudgetPtr connection_budget;
   std::unique_ptr<net::HttpServer> operators;
   std::unique_ptr<net::HttpServer> metrics_server;
   std::vector<std::unique_ptr<TimerSubscription>> timers;
@@ -127,10 +131,13 @@
   if (!opened)
     return Fail(NodeError{NodeErrorCode::kTransport, opened.error().detail});
   log_bus = std::move(*opened);
+  duties = DutyParts::Make(loop, settings, hooks, metrics);
   OpenFeed();
   OpenVoter();
   OpenFollower();
-  caches.Start(storage->is_founder() && voter->HasEmptyLog());
+  caches.Start(storage->is_founder() && voter->HasEmptyLog(), SaveHooks());
+  if (duties)
+    duties->Start(*voter, *feed, roster, stopping);
   operator_service.emplace(
       *voter, roster, *feed, [this] { return loop.Now(); }, UnixMillis);
   feed->PushDecisions(voter->decisions());
@@ -197,6 +204,11 @@
     return voter->IsConfirmedLeader() ? caches.UpdateSince(position)
                                       : std::nullopt;
   };
+  if (settings.HasDuty(settings::Duty::kUsage)) {
+    feed_hooks.true_unix_ms = [this] {
+      return voter && voter->IsConfirmedLeader() ? duties->TrueUnixMs() : 0;
+    };
+  }
   feed_hooks.on_move_report = [this](const HostId& host,
                                      const wire::ServiceMoveReport& report) {
     moves.OnReport(host, report);
@@ -293,21 +305,23 @@
 
 Result<bool, NodeError> VoterNode::Parts::OpenServers() {
   net::HttpServerLimits limits;
-  limits.max_connections = kMaxConnections;
+  limits.max_connections = OwnConnectionLimits().operators;
   limits.max_body_bytes = kMaxCallBytes;
-  // Thousands of upstreams may hold connections to each control host, and would
-  // keep operators out.
-  limits.closes_idle_when_full = true;
   auto listening = net::HttpServer::Listen(
       loop, *settings.operators, limits,
-      [this](const net::HttpExchangePtr& exchange) { OnCall(exchange); },
-      MakeBodyBudget(settings.memory_mb));
+      [this](const net::HttpExchangePtr& exchange) {
+        AnswerOperatorCall({loop, hooks, *connection_budget, *operator_service,
+                            metrics, settings.operators->port},
+                           exchange);
+      },
+      MakeConnectionBudget(settings.memory_mb));
   if (!listening)
     return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
   operators = std::move(*listening);
   if (!settings.metrics)
     return true;
-  listening = ListenForMetrics(loop, *settings.metrics, metrics);
+  listening =
+      ListenForMetrics(loop, *settings.metrics, metrics, connection_budget);
   if (!listening)
     return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
   metrics_server = std::move(*listening);
@@ -327,6 +341,7 @@
     feed->Expire();
     roster.Expire(now);
     RecordControlMetrics(*log_bus, *bus, *feed, *polls, metrics);
+    RecordConnectionBudget(*connection_budget, metrics);
   }));
 }
 
@@ -364,59 +379,48 @@
     const wire::FleetPoll& poll = envelope.fleet_poll();
     if (!poll.member().empty())
       voter->OnMember(control::MemberId(poll.member()));
-    // The ledger of saves must know of every poll, also of those that are
-    // answered late or not at all.
-    const bool is_usable =
-        fleet::CountEntries(poll) <= fleet::EntryLimit::kMaxPollEntries;
-    if (poll.serves_callers() && is_usable)
-      caches.OnCallerPoll(from, poll);
+    OnCallerPoll(from, poll);
     polls->Add(from, poll);
     if (!poll.serves_callers())
       follower->UpdateControlHosts({from});
   } else if (envelope.has_fleet_news()) {
     follower->OnUpdate(from, envelope.fleet_news());
   } else if (envelope.has_cache_save_claim()) {
-    OnSaveClaim(from, envelope.cache_save_claim());
+    if (voter->IsConfirmedLeader())
+      caches.OnSaveClaim(from, envelope.cache_save_claim());
   } else if (envelope.has_cache_save_release()) {
     caches.OnSaveRelease(from, envelope.cache_save_release());
   }
 }
 
-void VoterNode::Parts::OnSaveClaim(const HostId& from,
-                                   const wire::CacheSaveClaim& claim) {
-  if (!voter->IsConfirmedLeader())
+// The ledger of saves and the usage table must know of every poll, also of
+// those that are answered late or not at all.
+void VoterNode::Parts::OnCallerPoll(const HostId& from,
+                                    const wire::FleetPoll& poll) {
+  if (!poll.serves_callers() ||
+      fleet::CountEntries(poll) > fleet::EntryLimit::kMaxPollEntries)
     return;
-  wire::Envelope envelope;
-  *envelope.mutable_cache_save_grant() = caches.OnSaveClaim(from, claim);
-  bus->Send(from, std::move(envelope));
+  caches.OnCallerPoll(from, poll);
+  if (duties)
+    duties->OnCallerPoll(from, poll);
 }
 
-void VoterNode::Parts::OnCall(const net::HttpExchangePtr& exchange) {
-  const auto call = hooks.decode_call(exchange->request());
-  if (!call) {
-    exchange->Respond(hooks.not_found_response());
-    return;
-  }
-  operator_service->Handle(
-      *call, [this, exchange](const fleet::OperatorReply& reply) {
-        const std::string& target = exchange->request().target;
-        LogLine line("node.call");
-        line.Add("call", target)
-            .Add("outcome", fleet::OperatorOutcomeName(reply.outcome))
-            .Add("detail", reply.detail)
-            .Add("ms", MillisBetween(exchange->received_at(), loop.Now()));
-        if (reply.outcome == fleet::OperatorOutcome::kDone) {
-          line.Debug();
-        } else {
-          line.Info();
-        }
-        metrics.Add("endivecart_calls_total",
-                    "outcome=\"" +
-                        std::string(fleet::OperatorOutcomeName(reply.outcome)) +
-                        "\"");
-        exchange->Respond(hooks.encode_reply(reply, exchange->request(),
-                                             settings.operators->port));
-      });
+fleet::CacheSaveBatches::Hooks VoterNode::Parts::SaveHooks() {
+  fleet::CacheSaveBatches::Hooks save_hooks;
+  save_hooks.propose = [this](const wire::FleetCommand& command,
+                              std::function<void(bool)> done) {
+    voter->Propose(command, kProposalTimeout,
+                   [done = std::move(done)](fleet::ProposalResult result) {
+                     done(result == fleet::ProposalResult::kDecided);
+                   });
+  };
+  save_hooks.answer = [this](const HostId& host,
+                             const wire::CacheSaveGrant& grant) {
+    wire::Envelope envelope;
+    *envelope.mutable_cache_save_grant() = grant;
+    bus->Send(host, std::move(envelope));
+  };
+  return save_hooks;
 }
 
 void VoterNode::Parts::RunLeaderTasks() {
@@ -424,8 +428,11 @@
   if (weights.Tick(voter->decisions(), roster, is_confirmed_leader,
                    voter->term()))
     feed->RequestPush();
-  caches.Tick(voter->decisions(), roster, is_confirmed_leader, voter->term());
+  caches.Tick(voter->decisions(), voter->save_grants(), roster,
+              is_confirmed_leader, voter->term());
   EndMoves();
+  if (duties)
+    duties->Tick();
 }
 
 void VoterNode::Parts::EndMoves() {
