--- a/src/endivecart/fleet/load_table_unittest.cc
+++ b/src/endivecart/fleet/load_table_unittest.cc
@@ -92,7 +92,7 @@
     std::generate(loads.begin(), loads.end(), [host, i = 0]() mutable {
       return Load((host * 7 + i++ * 11) % kUpstreams, 1);
     });
-    table.Set(HostId("h" + std::to_string(host)), std::move(loads));
+    table.Set(HostId("h" + std::to_string(host)), loads);
   }
   Answer("h0", 0);  // includes the names
   BOOST_TEST(Answer("h0", 10) < 10u * kUpstreams);
