--- a/src/endivecart/fleet/usage_reports_unittest.cc
+++ b/src/endivecart/fleet/usage_reports_unittest.cc
@@ -111,10 +111,6 @@
       hooks.cache_update = [](const CachePosition&) {
         return std::optional<wire::CacheUpdate>();
       };
-      hooks.on_caller_poll = [this](const HostId& from,
-                                    const wire::FleetPoll& poll) {
-        OnPoll(from, poll);
-      };
       if (fleet.wants_usage_) {
         hooks.true_unix_ms = [this]() -> std::uint64_t {
           return fleet.Leader() == id ? time.UnixMs(fleet.now_).value_or(0) : 0;
@@ -122,12 +118,15 @@
       }
       return hooks;
     }
+    // Usage is recorded on arrival, before the answer.
     void OnPoll(const HostId& from, const wire::FleetPoll& poll) {
+      BOOST_REQUIRE(poll.serves_callers());
       fleet.usage_polls += poll.has_usage() || poll.unix_ms() != 0 ? 1 : 0;
       if (poll.unix_ms() != 0)
         time.OnSample(from, poll.unix_ms(), fleet.now_);
       table.OnPoll(from, poll.incarnation(), duties::EntriesOf(poll.usage()),
                    poll.usage().complete_until_ms(), fleet.now_);
+      feed.OnPoll(from, poll);
     }
     void Tick() {
       time.OnSample(id, fleet.WallClock(id == HostId("v0")), fleet.now_);
@@ -168,7 +167,7 @@
       hooks.send = [this](const HostId& to, const wire::Envelope& envelope) {
         Control& control = *fleet.controls_.at(to == HostId("v0") ? 0 : 1);
         fleet.Transmit([&control, from = id, poll = envelope.fleet_poll()] {
-          control.feed.OnPoll(from, poll);
+          control.OnPoll(from, poll);
         });
       };
       hooks.on_control_hosts = [](const std::vector<HostId>&) {};
