Fleet: followers whose polls wait still get pushed changes

Cause: at 300 hosts a control host answers polls late or not at all; a host was forgotten 5 s after its last answered poll and got no pushed decisions. Change: the arrival of a poll keeps its sender known.

--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -98,6 +98,12 @@
     told_quarantines_ = quarantines;
   }
   void OnPoll(const HostId& from, const wire::FleetPoll& poll);
+  // A poll has arrived and may be answered late or not at all: the follower is
+  // alive and still gets pushed changes.
+  void OnPollReceived(const HostId& from) {
+    if (const auto it = followers_.find(from); it != followers_.end())
+      it->second.polled_at = hooks_.now();
+  }
   // Decisions up to this index of the log were made before this process
   // started, so that only the log tells their age. Later ones are as old as
   // this process knows them: the time of day differs between hosts and jumps.
--- a/src/endivecart/fleet/fleet_following_unittest.cc
+++ b/src/endivecart/fleet/fleet_following_unittest.cc
@@ -114,6 +114,23 @@
   BOOST_TEST(control_hosts.size() == 2u);
 }
 
+// Guards against followers that miss decisions because a busy control host
+// takes longer than kFollowerTimeout to answer their polls.
+BOOST_FIXTURE_TEST_CASE(a_follower_whose_polls_wait_still_gets_decisions,
+                        FeedAndFollower) {
+  Advance(10);
+  for (int i = 0; i < 10; ++i) {
+    now += FleetFeed::kFollowerTimeout / 2;
+    feed.OnPollReceived(HostId("e"));
+    feed.OnPollReceived(HostId("unknown"));
+    feed.Expire();
+  }
+  Decide(5, 1);
+  BOOST_TEST(seen == std::vector<std::uint64_t>{5},
+             boost::test_tools::per_element());
+  BOOST_TEST(messages == 2);  // the answer to the first poll, and the push
+}
+
 // Guards against overloaded links when all hosts start at once while the log is
 // replayed: each replayed decision triggers a push and each poll an answer.
 BOOST_FIXTURE_TEST_CASE(a_document_in_transit_is_not_sent_again,
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -380,6 +380,7 @@
     if (!poll.member().empty())
       voter->OnMember(control::MemberId(poll.member()));
     OnCallerPoll(from, poll);
+    feed->OnPollReceived(from);
     polls->Add(from, poll);
     if (!poll.serves_callers())
       follower->UpdateControlHosts({from});
