--- a/src/endivecart/duties/scale_planner_unittest.cc
+++ b/src/endivecart/duties/scale_planner_unittest.cc
@@ -31,8 +31,8 @@
       const auto is_lost = [](const DomainServers& domain) {
         return domain.is_out || !domain.is_reporting;
       };
-      const auto lost = std::count_if(service.domains.begin(),
-                                      service.domains.end(), is_lost);
+      const auto lost = static_cast<int>(std::count_if(
+          service.domains.begin(), service.domains.end(), is_lost));
       for (DomainServers& domain : service.domains) {
         domain.requests =
             is_lost(domain) ? 0 : static_cast<int>(requests) / (3 - lost);
