--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -22,10 +22,6 @@
 constexpr int kMaxExtraSends = 3;
 // With less time left than this, a retry cannot succeed.
 constexpr Millis kMinRetryTime{20};
-constexpr Millis kDefaultRetryAfter{300};
-// A request is queued for at most its remaining time divided by this; the rest
-// is left for running it, or for a retry by the caller.
-constexpr int kMaxWaitDivisor = 3;
 
 quarantine::PartList AllParts(quarantine::PartList request_keys,
                               const std::optional<Prompt>& prompt) {
@@ -149,202 +145,6 @@
   return false;
 }
 
-void Forwarding::Wait() {
-  const TimePoint now = gateway_.loop_.Now();
-  ticket_ = gateway_.request_queue_.Add(Rank(), service_.str(), now);
-  gateway_.waiting_[*ticket_] = weak_from_this();
-  const Millis max_wait = TimeLeft() / kMaxWaitDivisor;
-  LogLine("gateway.wait")
-      .Add("request", request_.id.str())
-      .Add("waiting", std::uint64_t{gateway_.request_queue_.size()})
-      .Add("at_most_ms", max_wait.count())
-      .Info();
-  const auto weak = weak_from_this();
-  wait_timer_ = gateway_.loop_.After(max_wait, [weak](TimePoint) {
-    const auto self = weak.lock();
-    if (self && self->ticket_) {
-      self->StopWaiting();
-      self->GiveUp("no_room");
-    }
-  });
-}
-
-void Forwarding::StopWaiting() {
-  if (!ticket_)
-    return;
-  gateway_.request_queue_.Remove(*ticket_);
-  gateway_.waiting_.erase(*ticket_);
-  ticket_.reset();
-  wait_timer_.reset();
-}
-
-bool Forwarding::TryDispatch() {
-  const auto self = shared_from_this();
-  if (gateway_.part_monitor_.IsQuarantined(parts_) || ChooseRelay()) {
-    StopWaiting();
-    Send();
-    return true;
-  }
-  const auto upstream = ChooseUpstream();
-  if (!upstream)
-    return false;
-  if (KeepForCaller()) {
-    StopWaiting();
-    StartCall(*upstream);
-  }
-  return true;
-}
-
-void Forwarding::MarkCapacity(std::vector<Candidate>& candidates,
-                              const routes::Service* service,
-                              int hosts) const {
-  if (!request_.prompt || service == nullptr || !service->engine)
-    return;
-  const std::int64_t cache_tokens = service->engine->cache_tokens;
-  const TimePoint now = gateway_.loop_.Now();
-  gateway_.capacity_estimator_.Add(Rank(), HeldTokens(), now);
-  std::vector<std::int64_t> free_tokens;
-  free_tokens.reserve(candidates.size());
-  for (Candidate& candidate : candidates) {
-    candidate.has_capacity =
-        HasCapacityFor(candidate, HeldTokens(), cache_tokens);
-    free_tokens.push_back(candidate.has_capacity && !candidate.is_suspect
-                              ? FreeTokens(candidate, cache_tokens)
-                              : 0);
-  }
-  const auto probabilities =
-      gateway_.capacity_estimator_.AdmissionProbabilities(Rank(), free_tokens,
-                                                          hosts, now);
-  std::uniform_real_distribution<double> draw(0, 1);
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    if (!candidates[i].is_suspect && draw(gateway_.random_) >= probabilities[i])
-      candidates[i].has_capacity = false;
-  }
-}
-
-std::int64_t Forwarding::HeldTokens() const {
-  return request_.prompt ? HeldTokensOf(*request_.prompt) : 0;
-}
-
-int Forwarding::Urgency() const {
-  return customer_ ? customer_->priority.value_or(route_.priority)
-                   : route_.priority;
-}
-
-int Forwarding::Rank() const {
-  return RankOf(Urgency(), route_.priority);
-}
-
-CustomerId Forwarding::IsolatedCustomer() const {
-  return customer_ && customer_->isolated ? customer_->id : CustomerId();
-}
-
-std::vector<Candidate> Forwarding::FindCandidates(
-    UpstreamCounts& counts) const {
-  UpstreamTracker::Query query;
-  query.service = service_;
-  query.excluded = tried_;
-  if (request_.prompt) {
-    query.model = request_.prompt->model;
-    query.min_weights = gateway_.MinWeights(query.model);
-  }
-  query.waits = &gateway_.named_waits_;
-  const VersionChoice versions =
-      gateway_.moves_.Choose(service_, move_draw_, gateway_.loop_.Now());
-  query.only_version = versions.only;
-  query.except_version = versions.except;
-  query.may_run_in = [this](const DomainId& domain) {
-    return IsAllowedIn(domain);
-  };
-  const auto find = [&] {
-    return gateway_.upstreams_.Candidates(query, gateway_.follower_, &counts);
-  };
-  auto candidates = find();
-  if (candidates.empty() && !tried_.empty()) {
-    query.excluded.clear();
-    candidates = find();
-  }
-  if (candidates.empty() && query.only_version) {
-    // The new version has no upstreams yet.
-    query.only_version.reset();
-    candidates = find();
-  }
-  PreferOwnRegion(candidates);
-  return candidates;
-}
-
-bool Forwarding::IsAllowedIn(const DomainId& domain) const {
-  return gateway_.options_.regions.Allows(route_, customer_, domain);
-}
-
-// Latency between regions is high: other regions are used only if this one has
-// no usable upstream.
-void Forwarding::PreferOwnRegion(std::vector<Candidate>& candidates) const {
-  const RegionMap& regions = gateway_.options_.regions;
-  const std::string& own = regions.RegionOf(gateway_.options_.domain);
-  const auto is_here = [&](const Candidate& candidate) {
-    return regions.RegionOf(candidate.domain) == own;
-  };
-  const bool serves = std::any_of(
-      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
-        return is_here(candidate) && !candidate.is_suspect;
-      });
-  if (serves) {
-    std::erase_if(candidates, [&](const Candidate& c) { return !is_here(c); });
-  }
-}
-
-std::optional<Forwarding::Chosen> Forwarding::ChooseUpstream() {
-  auto candidates = FindCandidates(upstream_counts_);
-  const routes::Service* service =
-      routes_->configuration().FindService(service_);
-  const HostRank rank = gateway_.Rank();
-  MarkCapacity(candidates, service, rank.hosts);
-  gateway_.limits_.SetRank(rank);
-  const bool lacks_room = KeepWithinRoom(candidates);
-  is_full_ = false;
-  time_to_permit_.reset();
-  while (!candidates.empty()) {
-    const auto choice =
-        request_.prompt
-            ? PlacePrompt(candidates, *request_.prompt,
-                          IsolatedCustomer().str(),
-                          gateway_.prefill_rates_.EstimateFor(service_),
-                          gateway_.random_())
-            : PlaceByLoad(candidates, gateway_.random_());
-    if (!choice) {
-      is_full_ = true;
-      return std::nullopt;
-    }
-    const UpstreamId id = candidates[choice->index].id;
-    const bool is_cold = gateway_.upstreams_.IsCold(id);
-    if (!AcquirePermits(id, is_cold, service, rank)) {
-      candidates.erase(candidates.begin() +
-                       static_cast<std::ptrdiff_t>(choice->index));
-      continue;
-    }
-    home_.reset();
-    if (choice->home)
-      home_ = candidates[*choice->home].id;
-    pending_prefill_tokens_ = PromptTokens();
-    if (request_.prompt && !choice->home)
-      pending_prefill_tokens_ -= SharedTokensOf(*request_.prompt);
-    return Chosen{id,
-                  choice->expected_wait_ms,
-                  candidates[choice->index].requests,
-                  upstream_counts_.ToString(),
-                  is_cold,
-                  true,
-                  true};
-  }
-  is_full_ = lacks_room;
-  if (const auto wait = upstream_counts_.shortest_wait) {
-    time_to_permit_ = std::min(time_to_permit_.value_or(*wait), *wait);
-    is_full_ |= *wait < TimeLeft() / kMaxWaitDivisor;
-  }
-  return std::nullopt;
-}
-
 UpstreamRequest Forwarding::MakeUpstreamRequest(
     const UpstreamId& upstream) const {
   UpstreamRequest out;
@@ -360,50 +160,11 @@
   return out;
 }
 
-void Forwarding::PlanCache(UpstreamRequest& out) const {
-  if (weights_version_ == 0) {
-    // Cache of an unknown weights version must not be shared.
-    out.cache_label = request_.id.str();
-    return;
-  }
-  out.weights_version = weights_version_;
-  out.cache_label = fleet::CacheLabel(request_.prompt->model, weights_version_,
-                                      IsolatedCustomer());
-  CachePlan plan = PlanForLabel(out.cache_label);
-  KeepPermittedSaves(plan);
-  out.save_cache_to = std::move(plan.save);
-  out.fetch_cache_from = std::move(plan.fetch);
-  out.fetch_until_ms = plan.fetch_until_ms;
-  const auto* home = home_ ? gateway_.upstreams_.Find(*home_) : nullptr;
-  if (home == nullptr || !out.fetch_cache_from.empty())
-    return;
-  // The home may have evicted parts from its memory; these are prefilled.
-  out.fetch_cache_from.resize(request_.prompt->parts.size());
-  for (std::size_t i = 0; i + 1 < out.fetch_cache_from.size(); ++i)
-    out.fetch_cache_from[i] = home->last.address;
-}
-
-CachePlan Forwarding::PlanForLabel(const std::string& label) const {
-  const TimePoint now = gateway_.loop_.Now();
-  return gateway_.cache_.Plan(
-      *request_.prompt, label,
-      [this](const DomainId& domain) { return IsAllowedIn(domain); },
-      FetchTimeout(std::chrono::duration_cast<Millis>(now - accepted_at_),
-                   route_.latency_target, PrefillTime()),
-      now);
-}
-
 std::string Forwarding::LastEventIdToSend() const {
   return last_event_id_ ? std::to_string(*last_event_id_)
                         : request_.last_event_id;
 }
 
-Millis Forwarding::PrefillTime() const {
-  return Millis(static_cast<std::int64_t>(
-      static_cast<double>(SharedTokensOf(*request_.prompt)) /
-      gateway_.prefill_rates_.EstimateFor(service_).prompt_tokens_per_ms));
-}
-
 bool Forwarding::SatisfiesInvariants(const Chosen& chosen,
                                      const UpstreamRequest& request) const {
   SendContext context;
@@ -582,31 +343,6 @@
   gateway_.AdmitSoon();
 }
 
-void Forwarding::GiveUp(const char* reason) {
-  if (started_) {
-    exchange_->Abort();
-    Finish(0, reason);
-    return;
-  }
-  if (run_state_ == RunState::kNotRun) {
-    Refuse(503, reason,
-           std::max(kDefaultRetryAfter, time_to_permit_.value_or(Millis(0))));
-  } else {
-    Refuse(502, reason, std::nullopt);
-  }
-}
-
-void Forwarding::Refuse(int status,
-                        const std::string& reason,
-                        std::optional<Millis> retry_after) {
-  CheckInvariant(run_state_ == RunState::kNotRun || !GuaranteesNotRun(status),
-                 Invariant::kNotRunIsTrue, request_.id.str());
-  gateway_.RespondWithRefusal(
-      *exchange_, {status, reason, retry_after, request_.id},
-      ticket_from_relay_ && run_state_ == RunState::kNotRun);
-  Finish(status, reason.c_str());
-}
-
 void Forwarding::OnDeadline() {
   EndNow("time_limit");
 }
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -64,6 +64,9 @@
   bool TryDispatch();
 
  private:
+  // When callers may return if nothing better is known.
+  static constexpr Millis kDefaultRetryAfter{300};
+
   // Whether a request without an answer may have been run by an upstream.
   enum class RunState { kNotRun, kMayHaveRun };
 
@@ -91,6 +94,8 @@
   // over.
   void Wait();
   void StopWaiting();
+  // Returns how long the request may be queued from now on.
+  Millis MaxWait() const;
   // Sets `has_capacity` of each candidate for this prompt, by its free memory
   // and a random draw with the probability of CapacityEstimator.
   void MarkCapacity(std::vector<Candidate>& candidates,
