Net: small requests get in while a crowd fills the budget

In a trace, 98 connections held 14,664,029 of 14,666,666 bytes, all of them younger than kMinCloseAge, so that nothing could be closed: each new connection was closed at its start (no_room_for_connection). All 40 ordinary requests fell within 2 ms.

Change: an eighth of the budget is left to basic parts, up to 16 KB. A basic part that finds no room closes connections of any age, those without progress and those that hold the most first, and is rejected only if the requests that are being served hold the budget. Closing a connection gives its bytes back at once. A control host had two budgets, one of them without metrics; it has one.

--- a/src/endivecart/net/connection_budget.cc
+++ b/src/endivecart/net/connection_budget.cc
@@ -10,6 +10,10 @@
 
 // Large parts leave this fraction of the budget to small ones.
 constexpr std::size_t kSmallPartDivisor = 4;
+// Parts that aren't basic leave this fraction to basic ones. A crowd fills all
+// that it may use with parts of up to 64 KB: on a host of 88 MB, 98 connections
+// held the whole budget, and new ones were closed before they were read.
+constexpr std::size_t kBasicPartDivisor = 8;
 // More than is needed is freed, so that connections are chosen less often.
 constexpr std::size_t kSpareDivisor = 16;
 
@@ -21,6 +25,10 @@
   return bytes > ConnectionBudget::kMaxSmallBytes;
 }
 
+bool IsBasic(std::size_t bytes) {
+  return bytes <= ConnectionBudget::kMaxBasicBytes;
+}
+
 }  // namespace
 
 std::string_view HeldKindName(HeldKind kind) {
@@ -78,34 +86,69 @@
 }
 
 std::size_t ConnectionBudget::LimitOf(std::size_t bytes) const {
-  return IsLarge(bytes) ? bytes_ - bytes_ / kSmallPartDivisor : bytes_;
+  if (IsBasic(bytes))
+    return bytes_;
+  return IsLarge(bytes) ? bytes_ - bytes_ / kSmallPartDivisor
+                        : bytes_ - BasicShare();
+}
+
+std::size_t ConnectionBudget::BasicShare() const {
+  return bytes_ / kBasicPartDivisor;
 }
 
 bool ConnectionBudget::HasRoom(std::size_t bytes) const {
-  if (held_ > bytes_ || bytes > bytes_ - held_)
+  // Responses may pass the budget, but don't take this share.
+  if (IsBasic(bytes) && basic_ + bytes <= BasicShare())
+    return true;
+  if (held_ + bytes > bytes_)
     return false;
-  const std::size_t limit = LimitOf(bytes);
-  return !IsLarge(bytes) || (large_ <= limit && bytes <= limit - large_);
+  if (IsBasic(bytes))
+    return true;
+  return held_ - basic_ + bytes <= bytes_ - BasicShare() &&
+         (!IsLarge(bytes) || large_ + bytes <= LimitOf(bytes));
 }
 
 void ConnectionBudget::MakeRoom(std::size_t bytes) {
   if (is_making_room_ || !CanEverHold(bytes) || scans_to_skip_-- > 0)
     return;
+  const bool has_closed = CloseChosen(
+      [&](const std::vector<ConnectionView>& views) {
+        return ChooseForBytes(views, bytes + bytes_ / kSpareDivisor);
+      },
+      &BudgetedConnection::CloseForRoom);
+  scans_to_skip_ = has_closed ? 0 : kScansToSkip;
+}
+
+void ConnectionBudget::MakeRoomForRequest(std::size_t bytes) {
+  if (is_making_room_)
+    return;
+  const auto choose = [&](const std::vector<ConnectionView>& views) {
+    const std::size_t excess = held_ > bytes_ ? held_ - bytes_ : 0;
+    return ChooseForRequest(views, excess + bytes, bytes_ / kSpareDivisor);
+  };
+  // Stalled connections give nothing back at once, and are chosen only once.
+  while (!HasRoom(bytes) &&
+         CloseChosen(choose, &BudgetedConnection::CloseForRequest)) {
+  }
+}
+
+bool ConnectionBudget::CloseChosen(const Chooser& choose,
+                                   void (BudgetedConnection::*close)()) {
   is_making_room_ = true;
-  std::vector<BudgetedConnection*> connections(connections_.begin(),
-                                               connections_.end());
+  const std::vector<BudgetedConnection*> connections(connections_.begin(),
+                                                     connections_.end());
   std::vector<ConnectionView> views;
   views.reserve(connections.size());
   for (const BudgetedConnection* connection : connections)
     views.push_back(connection->View());
-  const auto chosen = ChooseForBytes(views, bytes + bytes_ / kSpareDivisor);
-  scans_to_skip_ = chosen.empty() ? kScansToSkip : 0;
+  const auto chosen = choose(views);
   for (const std::size_t index : chosen) {
     // Closing one may have closed others.
     if (connections_.contains(connections[index]))
-      connections[index]->CloseForRoom();
+      (connections[index]->*close)();
   }
   is_making_room_ = false;
+  return !chosen.empty();
 }
 
 std::optional<BudgetReservation> ConnectionBudget::TryReserve(std::size_t bytes,
@@ -122,15 +165,21 @@
   // Without the old part, which is counted again if there is no room.
   const std::size_t old_bytes = part.bytes();
   part.Release();
-  if (bytes > old_bytes && !HasRoom(bytes))
-    MakeRoom(bytes);
+  if (bytes > old_bytes && !HasRoom(bytes)) {
+    if (IsBasic(bytes)) {
+      MakeRoomForRequest(bytes);
+    } else {
+      MakeRoom(bytes);
+    }
+  }
   const bool has_room = bytes <= old_bytes || HasRoom(bytes);
   if (!has_room)
     ++rejections_;
   Resize(part, kind, has_room ? bytes : old_bytes);
   if (has_room && bytes > old_bytes && kind != HeldKind::kResponses) {
-    CheckInvariant(held_ <= bytes_, Invariant::kConnectionBudget,
-                   "a part was admitted beyond the budget");
+    CheckInvariant(
+        held_ <= bytes_ || (IsBasic(bytes) && basic_ <= BasicShare()),
+        Invariant::kConnectionBudget, "a part was admitted beyond the budget");
   }
   return has_room;
 }
@@ -150,6 +199,7 @@
 void ConnectionBudget::Hold(HeldKind kind, std::size_t bytes) {
   held_ += bytes;
   large_ += IsLarge(bytes) ? bytes : 0;
+  basic_ += IsBasic(bytes) ? bytes : 0;
   held_of_.at(static_cast<std::size_t>(kind)) += bytes;
   max_held_ = std::max(max_held_, held_);
   max_reserved_ = std::max(max_reserved_, reserved_bytes());
@@ -158,7 +208,9 @@
 void ConnectionBudget::Release(HeldKind kind, std::size_t bytes) {
   std::size_t& of_kind = held_of_.at(static_cast<std::size_t>(kind));
   const std::size_t large = IsLarge(bytes) ? bytes : 0;
-  if (!CheckInvariant(of_kind >= bytes && held_ >= bytes && large_ >= large,
+  const std::size_t basic = IsBasic(bytes) ? bytes : 0;
+  if (!CheckInvariant(of_kind >= bytes && held_ >= bytes && large_ >= large &&
+                          basic_ >= basic,
                       Invariant::kConnectionBudget,
                       "more was given back than was held")) {
     return;
@@ -166,6 +218,7 @@
   of_kind -= bytes;
   held_ -= bytes;
   large_ -= large;
+  basic_ -= basic;
 }
 
 }  // namespace endivecart::net
--- a/src/endivecart/net/connection_budget.h
+++ b/src/endivecart/net/connection_budget.h
@@ -4,10 +4,12 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string_view>
+#include <vector>
 
 #include "endivecart/net/connection_choice.h"
 #include "endivecart/net/rejection_log.h"
@@ -58,15 +60,22 @@
   virtual ConnectionView View() const = 0;
   // Gives back what the connection holds, at once unless it is stalled.
   virtual void CloseForRoom() = 0;
+  // The same without waiting for the client to read a rejection.
+  virtual void CloseForRequest() = 0;
 };
 
-// Bounds the bytes that a process holds for its connections. A part is left for
-// small requests. Where there is no room, connections are closed as
-// ChooseForBytes() says. Not thread-safe.
+// Bounds the bytes that a process holds for its connections. A share is left to
+// small parts, and one to basic parts. Where there is no room, connections are
+// closed as ChooseForBytes() says, and for basic parts as ChooseForRequest()
+// says: a basic part is rejected only if the requests that are being served
+// hold the budget. Not thread-safe.
 class ConnectionBudget : public std::enable_shared_from_this<ConnectionBudget> {
  public:
   // Parts of up to this size are small.
   static constexpr std::size_t kMaxSmallBytes = 64UL << 10;
+  // Parts of up to this size are also basic: a connection, its request with
+  // some 20 fields, a short body, a short answer.
+  static constexpr std::size_t kMaxBasicBytes = 16UL << 10;
 
   static std::shared_ptr<ConnectionBudget> Create(std::size_t bytes);
 
@@ -82,6 +91,8 @@
   void Resize(BudgetReservation& part, HeldKind kind, std::size_t bytes);
   // Whether a part of this size has room while nothing else is held.
   bool CanEverHold(std::size_t bytes) const { return bytes <= LimitOf(bytes); }
+  // Returns the share that only basic parts may use.
+  std::size_t BasicShare() const;
 
   void Add(BudgetedConnection* connection) { connections_.insert(connection); }
   void Remove(BudgetedConnection* connection) {
@@ -110,12 +121,19 @@
   // Closes connections until there is room for a part of this size, if that is
   // possible.
   void MakeRoom(std::size_t bytes);
+  // The same for a basic part, at once.
+  void MakeRoomForRequest(std::size_t bytes);
+  using Chooser = std::function<std::vector<std::size_t>(
+      const std::vector<ConnectionView>&)>;
+  // Returns whether any connection was chosen.
+  bool CloseChosen(const Chooser& choose, void (BudgetedConnection::*close)());
   void Hold(HeldKind kind, std::size_t bytes);
   void Release(HeldKind kind, std::size_t bytes);
 
   const std::size_t bytes_;
   std::size_t held_ = 0;
   std::size_t large_ = 0;  // in parts that aren't small
+  std::size_t basic_ = 0;  // in basic parts
   std::array<std::size_t, static_cast<std::size_t>(HeldKind::kCount)>
       held_of_{};
   std::size_t max_held_ = 0;
--- a/src/endivecart/net/connection_budget_unittest.cc
+++ b/src/endivecart/net/connection_budget_unittest.cc
@@ -206,6 +206,26 @@
                            [](const auto& s) { return IsRejected(*s); }) > 0);
 }
 
+// Guards against ordinary callers who are closed or rejected while a crowd of
+// young connections fills the budget: 40 of 40 were.
+BOOST_FIXTURE_TEST_CASE(small_requests_are_served_beside_a_young_crowd,
+                        BudgetedServer) {
+  std::string head = "GET / HTTP/1.1\r\nHost: a\r\n";
+  for (int i = 0; i < 200; ++i)
+    head += "a:b\r\n";
+  const std::size_t rejections = budget->rejections();
+  for (std::size_t i = 0; budget->rejections() == rejections; ++i)
+    senders.push_back(Call(head));
+  // Idle strangers take what is left to basic parts.
+  for (int i = 0; i < 60; ++i)
+    senders.push_back(Call(""));
+  for (std::size_t i = 1; i <= 60; ++i) {
+    const auto caller = Call("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    RunUntil([&] { return held.size() == i || caller->ended(); });
+    BOOST_REQUIRE(held.size() == i);
+  }
+}
+
 // Guards against LOST: responses to pipelined requests pile up for a client
 // that reads nothing.
 BOOST_FIXTURE_TEST_CASE(a_pipelined_request_waits_for_a_client_that_reads,
--- a/src/endivecart/net/connection_choice_unittest.cc
+++ b/src/endivecart/net/connection_choice_unittest.cc
@@ -67,6 +67,45 @@
   BOOST_TEST(ChooseForSlots({connections[2]}, 1).empty());
 }
 
+// Guards against a small request that is rejected because the crowd that fills
+// the budget is younger than kMinCloseAge.
+BOOST_AUTO_TEST_CASE(young_senders_of_much_give_way_to_a_small_request) {
+  const std::vector<ConnectionView> connections = {
+      View(ConnectionStage::kServed, 1 << 20, 9000),
+      View(ConnectionStage::kStalled, 1 << 20, 500, true),
+      View(ConnectionStage::kIdle, 4096, 12'000, true),
+      View(ConnectionStage::kReceiving, 4096, 50),
+      View(ConnectionStage::kReceiving, 70'000, 50)};
+  BOOST_CHECK(ChooseForRequest(connections, 4096, 0) ==
+              std::vector<std::size_t>{4});
+  BOOST_CHECK((ChooseForRequest(connections, 2 << 20, 0) ==
+               std::vector<std::size_t>{4, 3, 2, 1}));
+}
+
+// Guards against a small request that is closed, unread, for the next one.
+BOOST_AUTO_TEST_CASE(what_is_freed_beyond_need_spares_half_of_the_young) {
+  std::vector<ConnectionView> connections;
+  for (int i = 0; i < 8; ++i)
+    connections.push_back(View(ConnectionStage::kIdle, 4096, 8 - i));
+  BOOST_CHECK((ChooseForRequest(connections, 4096, 1 << 20) ==
+               std::vector<std::size_t>{0, 1, 2, 3}));
+}
+
+// Guards against new callers that are closed, unread, for those after them
+// while stalled readers keep almost all connections, or are refused.
+BOOST_AUTO_TEST_CASE(the_newest_strangers_outlast_stalled_readers) {
+  std::vector<ConnectionView> connections(
+      32, View(ConnectionStage::kStalled, 40'000, 500, true));
+  connections[7].age = Millis(900);
+  for (const std::size_t i : {3, 5}) {
+    connections[i] = View(ConnectionStage::kIdle, 4096, 0);
+    connections[i].number = i;
+  }
+  BOOST_CHECK(ChooseForSlots(connections, 4) == std::vector<std::size_t>{7});
+  connections[9] = View(ConnectionStage::kReceiving, 4096, 0);
+  BOOST_CHECK(ChooseForSlots(connections, 4) == std::vector<std::size_t>{9});
+}
+
 // Guards against a choice that frees less than it could, or the wrong ones.
 BOOST_AUTO_TEST_CASE(random_choices_free_enough_and_spare_the_served) {
   std::mt19937_64 random(5);
--- a/src/endivecart/net/http_session.cc
+++ b/src/endivecart/net/http_session.cc
@@ -70,6 +70,7 @@
     : server_(std::move(state)),
       socket_(std::move(socket)),
       address_(server_->peer.address().to_string()),
+      number_(++server_->accepted),
       limits_(server_->limits) {
   server_->sessions.insert(this);
   if (server_->budget)
--- a/src/endivecart/net/http_session.h
+++ b/src/endivecart/net/http_session.h
@@ -50,6 +50,7 @@
   bool close_after_response = false;
   bool closed = false;
   std::size_t active = 0;
+  std::uint64_t accepted = 0;
   std::set<HttpSession*> sessions;
   std::unique_ptr<TimerSubscription> accept_retry;
   std::unique_ptr<TimerSubscription> stall_check;
@@ -80,6 +81,7 @@
 
   ConnectionView View() const override;
   void CloseForRoom() override;
+  void CloseForRequest() override;
   // Closes at once, so that another connection can be accepted.
   void CloseForSlot();
 
@@ -110,6 +112,10 @@
   Millis BodyTimeout(std::uint64_t length) const;
   void RefuseAndClose(int status);
   void RefuseForRoom();
+  // Sends a rejection as far as that is possible without waiting, and closes.
+  void RejectAtOnce();
+  // Posted, as another request's handler may be running.
+  void PostClose();
   void LogBodyRejection();
   void Dispatch();
   // Counts what the connection holds. Returns false if there is no room, or if
@@ -126,6 +132,7 @@
   std::shared_ptr<HttpServerState> server_;
   boost::asio::ip::tcp::socket socket_;
   const std::string address_;
+  const std::uint64_t number_;
   const HttpServerLimits limits_;
   Stage stage_ = Stage::kIdle;
   TimePoint stage_since_{};
@@ -136,6 +143,7 @@
   bool reading_ = false;
   // Its memory is in use up the stack, so that it can't make room for itself.
   bool in_use_ = false;
+  bool is_close_posted_ = false;
   std::unique_ptr<RequestParser> parser_;
   std::size_t counted_fields_ = 0;
   std::size_t request_bytes_ = 0;  // of the fields and their copies
--- a/src/endivecart/net/http_session_output.cc
+++ b/src/endivecart/net/http_session_output.cc
@@ -57,7 +57,8 @@
       view.stage = ConnectionStage::kLingering;
       break;
   }
-  if (in_use_)
+  // Closing it gives nothing back, or nothing more.
+  if (in_use_ || is_close_posted_)
     view.stage = ConnectionStage::kServed;
   const TimePoint since =
       unsent_ > 0 ? std::max(stage_since_, write_progress_at_) : stage_since_;
@@ -67,6 +68,7 @@
                     held_answer_.bytes() +
                     (parser_ ? parser_->body_room_bytes() : 0);
   view.was_answered = was_answered_;
+  view.number = number_;
   return view;
 }
 
@@ -76,16 +78,34 @@
   if (stage_ == Stage::kHeader || stage_ == Stage::kBody) {
     RefuseAndClose(503);
   } else if (stage_ == Stage::kBusy) {
-    // Posted, as another request's handler may be running.
-    server_->loop.Post([self] { self->Close(); });
+    PostClose();
   } else {
     Close();
   }
 }
 
+void HttpSession::PostClose() {
+  is_close_posted_ = true;
+  server_->loop.Post([self = shared_from_this()] { self->Close(); });
+}
+
+void HttpSession::CloseForRequest() {
+  const auto self = shared_from_this();
+  server_->Report("closed_for_request");
+  if (stage_ == Stage::kBusy) {
+    PostClose();
+  } else {
+    RejectAtOnce();
+  }
+}
+
 void HttpSession::CloseForSlot() {
   const auto self = shared_from_this();
   server_->Report("closed_for_connection");
+  RejectAtOnce();
+}
+
+void HttpSession::RejectAtOnce() {
   if ((stage_ == Stage::kHeader || stage_ == Stage::kBody) && unsent_ == 0) {
     // There is no time for a lingering close, so the client may not get it.
     const std::string response = RejectionText(503);
@@ -204,6 +224,15 @@
   server_->sessions.erase(this);
   if (server_->budget)
     server_->budget->Remove(this);
+  // Pending operations keep the session until the loop's next turn. What waits
+  // to be written is in use until then.
+  if (!in_use_) {
+    parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+  }
+  held_ = BudgetReservation();
+  held_answer_ = BudgetReservation();
   ErrorCode ignored;  // a failed close can't be handled
   // Otherwise the kernel would keep what a client that doesn't read has queued.
   if (unsent_ > 0)
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -314,7 +314,7 @@
                             metrics, settings.operators->port},
                            exchange);
       },
-      MakeConnectionBudget(settings.memory_mb));
+      connection_budget);
   if (!listening)
     return Fail(NodeError{NodeErrorCode::kListen, listening.error().detail});
   operators = std::move(*listening);
