--- a/src/endivecart/net/connection_choice_unittest.cc
+++ b/src/endivecart/net/connection_choice_unittest.cc
@@ -85,6 +85,7 @@
 // Guards against a small request that is closed, unread, for the next one.
 BOOST_AUTO_TEST_CASE(what_is_freed_beyond_need_spares_half_of_the_young) {
   std::vector<ConnectionView> connections;
+  connections.reserve(8);
   for (int i = 0; i < 8; ++i)
     connections.push_back(View(ConnectionStage::kIdle, 4096, 8 - i));
   BOOST_CHECK((ChooseForRequest(connections, 4096, 1 << 20) ==
