Cache saves: a part is not claimed again just after its save was sent

Cause: a store that is full may drop a part at once; each prompt with it then claimed and saved it again, on links that fetches need. Change: a host pauses for 10 s after a save that an upstream may have got.

--- a/src/endivecart/gateway/cache_save_claims.cc
+++ b/src/endivecart/gateway/cache_save_claims.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Expired entries are removed when there are more.
-constexpr std::size_t kMaxDenied = 10000;
+constexpr std::size_t kMaxPaused = 10000;
 
 wire::CacheSaveRecord RecordOf(const SavePart& part, std::uint64_t number) {
   wire::CacheSaveRecord record;
@@ -35,8 +35,8 @@
   std::copy_if(parts.begin(), parts.end(),
                std::back_inserter(pending.claimed.parts),
                [&](const SavePart& part) {
-                 const auto it = denied_until_.find(part.key);
-                 return it == denied_until_.end() || it->second <= now;
+                 const auto it = paused_parts_.find(part.key);
+                 return it == paused_parts_.end() || it->second <= now;
                });
   if (pending.claimed.empty())
     return false;
@@ -83,7 +83,7 @@
                     });
     (is_granted ? granted.parts : denied).push_back(part);
   }
-  Deny(denied);
+  Pause(denied, kDeniedPause);
   if (grant.term() != term) {
     SendRelease(granted, false);
     granted.parts.clear();
@@ -124,12 +124,12 @@
   return records;
 }
 
-void CacheSaveClaims::Deny(const std::vector<SavePart>& parts) {
+void CacheSaveClaims::Pause(const std::vector<SavePart>& parts, Millis pause) {
   const TimePoint now = timers_.Now();
   for (const SavePart& part : parts)
-    denied_until_[part.key] = now + kDeniedPause;
-  if (denied_until_.size() > kMaxDenied) {
-    std::erase_if(denied_until_,
+    paused_parts_[part.key] = now + pause;
+  if (paused_parts_.size() > kMaxPaused) {
+    std::erase_if(paused_parts_,
                   [now](const auto& entry) { return entry.second <= now; });
   }
 }
@@ -139,6 +139,7 @@
   if (it == granted_.end())
     return;
   if (was_sent) {
+    Pause(permits.parts, kSentPause);
     it->second.ends_at =
         std::min(it->second.ends_at,
                  timers_.Now() + fleet::CacheSaveLedger::kTransferWait);
--- a/src/endivecart/gateway/cache_save_claims.h
+++ b/src/endivecart/gateway/cache_save_claims.h
@@ -40,6 +40,9 @@
   // A part that was denied is not claimed again for this long: another request
   // is about to save it.
   static constexpr Millis kDeniedPause{1000};
+  // Nor is one whose save was sent: a store that is full may drop it at once,
+  // and saving it with each prompt would only occupy the links.
+  static constexpr Millis kSentPause{10000};
 
   // `first_number`: the incarnation of this process. `timers` must outlive this
   // object.
@@ -71,7 +74,8 @@
 
   void End(std::uint64_t number, const SavePermits& granted);
   void SendRelease(const SavePermits& permits, bool was_sent);
-  void Deny(const std::vector<SavePart>& parts);
+  // Claims none of the parts for `pause`.
+  void Pause(const std::vector<SavePart>& parts, Millis pause);
 
   TimerService& timers_;
   Sender send_;
@@ -84,7 +88,7 @@
   };
   std::map<std::uint64_t, Granted> granted_;  // by number of the claim
   // By key of the part.
-  std::map<std::uint64_t, TimePoint> denied_until_;
+  std::map<std::uint64_t, TimePoint> paused_parts_;
   TimePoint paused_until_{};
 };
 
--- a/src/endivecart/gateway/cache_save_claims_unittest.cc
+++ b/src/endivecart/gateway/cache_save_claims_unittest.cc
@@ -123,6 +123,17 @@
   BOOST_TEST(sent.at(1).cache_save_release().saves_size() == 2);
 }
 
+// Guards against saving a part with each prompt because its store drops it.
+BOOST_FIXTURE_TEST_CASE(a_part_that_was_sent_is_not_saved_again_and_again,
+                        Host) {
+  BOOST_TEST(Claim());
+  Answer(sent.at(0).cache_save_claim(), 2);
+  claims.Release(granted, true);
+  BOOST_TEST(!Claim());
+  timers.Advance(CacheSaveClaims::kSentPause);
+  BOOST_TEST(Claim());
+}
+
 BOOST_FIXTURE_TEST_CASE(nothing_is_claimed_without_a_leader, Host) {
   leader_is_reachable = false;
   BOOST_TEST(!Claim());
