Cached parts come from the source from which they are expected first

Cause: each part was fetched from the first store that holds it, whatever queued at that store's link; an engine was asked only if no store held any part of the prompt. Change: TransferLines models the queues at links from this host's own planned transfers, scaled by the number of hosts, and from late first events. CacheHits learns from first events whether engines still have parts. Parts that a store evicted within 5 s are not saved. Services without link rates are planned as before, but no cold, silent or otherwise versioned home is asked any more; invariants check each source.

--- a/src/endivecart/gateway/cache_view.cc
+++ b/src/endivecart/gateway/cache_view.cc
@@ -9,6 +9,10 @@
 
 // Prefilling a shorter part takes no longer than fetching it.
 constexpr std::int64_t kMinTokens = 64;
+// A part that was evicted is not saved for this long.
+constexpr Millis kEvictedPause{5000};
+// Expired entries are removed when there are more.
+constexpr std::size_t kMaxEvicted = 10000;
 // An undelayed fetch takes less than this.
 constexpr Millis kMinFetchTimeout{100};
 // Fetching may take the latency target divided by this; the rest is left for
@@ -60,8 +64,10 @@
     if (it == parts_.end())
       continue;
     std::erase(it->second, part.store());
-    if (it->second.empty())
+    if (it->second.empty()) {
       parts_.erase(it);
+      RecordEviction(part.key(), now);
+    }
   }
   for (const wire::CachedPart& part : update.added()) {
     auto& holders = parts_[part.key()];
@@ -111,6 +117,39 @@
   return best;
 }
 
+bool CacheView::WasEvicted(std::uint64_t key, TimePoint now) const {
+  const auto it = removed_at_.find(key);
+  return it != removed_at_.end() && now - it->second < kEvictedPause;
+}
+
+void CacheView::RecordEviction(std::uint64_t key, TimePoint now) {
+  removed_at_[key] = now;
+  if (removed_at_.size() > kMaxEvicted) {
+    std::erase_if(removed_at_, [now](const auto& entry) {
+      return now - entry.second >= kEvictedPause;
+    });
+  }
+}
+
+bool CacheView::Holds(const settings::Endpoint& store,
+                      const fleet::CachePartName& part) const {
+  const auto it = parts_.find(fleet::CacheKey(part));
+  return it != parts_.end() &&
+         std::any_of(
+             it->second.begin(), it->second.end(), [&](std::uint32_t index) {
+               return index < stores_.size() && stores_[index].readable &&
+                      stores_[index].address == store;
+             });
+}
+
+std::optional<DomainId> CacheView::DomainOf(
+    const settings::Endpoint& address) const {
+  const auto it = std::find_if(
+      stores_.begin(), stores_.end(),
+      [&](const Store& store) { return store.address == address; });
+  return it == stores_.end() ? std::nullopt : std::optional(it->domain);
+}
+
 CachePlan CacheView::Plan(const Prompt& prompt,
                           const std::string& label,
                           const std::function<bool(const DomainId&)>& may_hold,
@@ -120,6 +159,7 @@
   if (stores_.empty() || now - known_until_ > fleet::CacheCatalog::kUpdateLease)
     return plan;
   plan.fetch.resize(prompt.parts.size());
+  plan.holders.resize(prompt.parts.size());
   plan.save.resize(prompt.parts.size());
   bool has_fetch = false;
   for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
@@ -132,18 +172,21 @@
       // A fetch without a deadline might meet a part that was freed meanwhile.
       if (servers_clock_ms_ == 0)
         continue;
-      const auto holder = std::find_if(
-          it->second.begin(), it->second.end(), [&](std::uint32_t store) {
-            return store < stores_.size() && stores_[store].readable &&
-                   may_hold(stores_[store].domain);
-          });
-      if (holder == it->second.end())
+      for (const std::uint32_t store : it->second) {
+        if (store < stores_.size() && stores_[store].readable &&
+            may_hold(stores_[store].domain)) {
+          plan.holders[i].push_back(
+              {stores_[store].address, stores_[store].domain});
+        }
+      }
+      if (plan.holders[i].empty())
         continue;
-      plan.fetch[i] = stores_[*holder].address;
+      plan.fetch[i] = plan.holders[i].front().address;
       plan.fetchable_tokens += part.tokens;
       has_fetch = true;
-    } else if (const Store* store =
-                   is_complete_ ? StoreFor(key, may_hold) : nullptr) {
+    } else if (const Store* store = is_complete_ && !WasEvicted(key, now)
+                                        ? StoreFor(key, may_hold)
+                                        : nullptr) {
       plan.save[i] = store->address;
       plan.saved_parts.push_back(
           {i, key, static_cast<std::uint32_t>(store - stores_.data()),
@@ -153,8 +196,10 @@
   has_fetch &=
       CheckInvariant(!has_fetch || servers_clock_ms_ != 0,
                      Invariant::kCacheBlockSealed, "a fetch has no deadline");
-  if (!has_fetch)
+  if (!has_fetch) {
     plan.fetch.clear();
+    plan.holders.clear();
+  }
   if (plan.saved_parts.empty())
     plan.save.clear();
   if (has_fetch) {
--- a/src/endivecart/gateway/cache_view.h
+++ b/src/endivecart/gateway/cache_view.h
@@ -23,12 +23,23 @@
   bool operator==(const SavePart&) const = default;
 };
 
+// A store that holds a part.
+struct CacheHolder {
+  settings::Endpoint address;
+  DomainId domain;
+
+  bool operator==(const CacheHolder&) const = default;
+};
+
 // For each part of a prompt, the store from which its cache is fetched and the
 // store to which it is saved after prefill. An empty list means that no part is
 // fetched or saved.
 struct CachePlan {
   std::vector<std::optional<settings::Endpoint>> fetch;
   std::vector<std::optional<settings::Endpoint>> save;
+  // All stores from which a part may be fetched; the one in `fetch` is the
+  // first. Empty like `fetch`.
+  std::vector<std::vector<CacheHolder>> holders;
   // The entries of `save`. They need the leader's permission.
   std::vector<SavePart> saved_parts;
   // Deadline of all fetches, by the control servers' clock.
@@ -66,6 +77,12 @@
                  Millis fetch_timeout,
                  TimePoint now) const;
 
+  // Returns whether the store is known to hold the part completely.
+  bool Holds(const settings::Endpoint& store,
+             const fleet::CachePartName& part) const;
+  // Returns the domain of a store, or nullopt if there is none at this address.
+  std::optional<DomainId> DomainOf(const settings::Endpoint& address) const;
+
   const fleet::CachePosition& position() const { return position_; }
   std::size_t parts() const { return parts_.size(); }
   // Returns the age of the knowledge from which fetches are planned.
@@ -85,6 +102,12 @@
   // Replaces the stores and discards the parts of those that have lost theirs.
   void ApplyStores(const wire::CacheUpdate& update);
 
+  // Returns whether a store evicted the part just now. If the stores are too
+  // small for all parts, saving each one that is missing would only evict
+  // others, and occupy the links.
+  bool WasEvicted(std::uint64_t key, TimePoint now) const;
+  void RecordEviction(std::uint64_t key, TimePoint now);
+
   // Returns the store to which a part is saved, or nullptr if there is none.
   // Every host with the same view chooses the same store.
   const Store* StoreFor(
@@ -99,6 +122,8 @@
   TimePoint clock_at_{};
   std::uint64_t servers_clock_ms_ = 0;  // at clock_at_ or earlier
   std::vector<Store> stores_;
+  // When parts were removed from all stores, as far as that is recent.
+  std::unordered_map<std::uint64_t, TimePoint> removed_at_;
   // For each part that is completely stored, the indices of its stores.
   std::unordered_map<std::uint64_t, std::vector<std::uint32_t>> parts_;
 };
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "endivecart/gateway/send_invariants.h"
-
 namespace endivecart::gateway {
 
 namespace {
@@ -145,8 +143,7 @@
   return false;
 }
 
-UpstreamRequest Forwarding::MakeUpstreamRequest(
-    const UpstreamId& upstream) const {
+UpstreamRequest Forwarding::MakeUpstreamRequest(const UpstreamId& upstream) {
   UpstreamRequest out;
   out.caller = &request_;
   out.upstream = upstream;
@@ -190,6 +187,7 @@
   context.is_quarantined = gateway_.part_monitor_.IsQuarantined(parts_);
   context.is_trial = is_trial_;
   context.caller_was_there = caller_was_there_;
+  context.fetches = FetchContexts(request);
   context.permitted_saves = save_permits_.parts.size();
   return CheckSendInvariants(context);
 }
@@ -216,6 +214,7 @@
         .Add("label", request.cache_label)
         .Add("parts_fetched", std::int64_t{count(request.fetch_cache_from)})
         .Add("parts_saved", std::int64_t{count(request.save_cache_to)});
+    AddSources(request, line);
     if (!request.fetch_cache_from.empty()) {
       const fleet::CachePosition& position = gateway_.cache_.position();
       line.Add("cache_term", position.term)
@@ -243,6 +242,9 @@
   outcome_recorded_ = false;
   body_.clear();
   splitter_ = EventSplitter();
+  cache_label_.clear();
+  fetch_task_.reset();
+  fetches_.clear();
 }
 
 void Forwarding::StartCall(const Chosen& chosen) {
@@ -266,6 +268,8 @@
     return;
   }
   LogSend(chosen, request);
+  RecordFetches(request);
+  candidates_ = {};  // not to be kept for as long as the answer takes
   net::CallOptions options;
   options.connect_timeout =
       std::min(kConnectTimeout, std::max(TimeLeft(), Millis(1)));
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -6,9 +6,11 @@
 #include <set>
 #include <string>
 
+#include "endivecart/gateway/cache_sources.h"
 #include "endivecart/gateway/event_splitter.h"
 #include "endivecart/gateway/gateway.h"
 #include "endivecart/gateway/relayed_request.h"
+#include "endivecart/gateway/send_invariants.h"
 
 namespace endivecart::gateway {
 
@@ -145,9 +147,37 @@
   bool SatisfiesInvariants(const Chosen& chosen,
                            const UpstreamRequest& request) const;
   bool SatisfiesInvariants(const quarantine::RelayHost& relay) const;
+  // Adds the parts by the kind of their source.
+  void AddSources(const UpstreamRequest& request, LogLine& line) const;
+  // Returns the kind of each part's source, for logs and metrics.
+  std::vector<std::string_view> SourceKinds(
+      const UpstreamRequest& request) const;
   void LogSend(const Chosen& chosen, const UpstreamRequest& request) const;
-  UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream) const;
-  void PlanCache(UpstreamRequest& out) const;
+  UpstreamRequest MakeUpstreamRequest(const UpstreamId& upstream);
+  void PlanCache(UpstreamRequest& out);
+  // Plans to fetch each part from the source from which it is expected first.
+  void ChooseSources(CachePlan& plan);
+  // Returns nullopt if the engine's link is not known.
+  std::optional<FetchTask> MakeFetchTask(const CachePlan& plan) const;
+  std::vector<CacheSource> StoresWith(
+      const std::vector<CacheHolder>& holders) const;
+  // Returns those of the engines that may hold a part.
+  std::vector<CacheSource> EnginesWith(
+      std::uint64_t part,
+      const std::vector<const Candidate*>& engines,
+      const routes::EngineLimits& limits) const;
+  // Returns the candidates from which parts may be fetched.
+  std::vector<const Candidate*> FetchableEngines() const;
+  bool MayFetchFrom(const Candidate& engine) const;
+  CacheLink LinkOf(const UpstreamId& engine,
+                   const routes::EngineLimits& limits) const;
+  // Returns the state of each source in the request, for the invariants.
+  std::vector<FetchContext> FetchContexts(const UpstreamRequest& request) const;
+  // Records the planned transfers of the current send.
+  void RecordFetches(const UpstreamRequest& request);
+  // Learns from the time of the first event where the parts were.
+  void LearnFromFirstEvent();
+  std::uint64_t CacheKeyOf(std::size_t part) const;
   CachePlan PlanForLabel(const std::string& label) const;
 
   // Counts the request for its customer, unless it is known to have been
@@ -268,8 +298,12 @@
   TimePoint last_event_at_;
   bool outcome_recorded_ = false;  // for the version of the current send
   std::int64_t pending_prefill_tokens_ = 0;
-  int requests_there_ = 0;          // at sending time
-  std::optional<UpstreamId> home_;  // likely caches the shared parts
+  int requests_there_ = 0;             // at sending time
+  std::optional<UpstreamId> home_;     // likely caches the shared parts
+  std::vector<Candidate> candidates_;  // from which the upstream was chosen
+  std::string cache_label_;
+  std::optional<FetchTask> fetch_task_;  // if sources were chosen by it
+  std::vector<PlannedFetch> fetches_;
   net::HttpResponseHead head_;
   bool head_received_ = false;
   bool on_used_connection_ = false;  // one that had served another request
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -136,6 +136,8 @@
   }
   ++events_of_send_;
   RecordSpeedOfRun();
+  if (events_of_send_ == 1)
+    LearnFromFirstEvent();
   if (pending_prefill_tokens_ > 0) {
     gateway_.upstreams_.FinishPrefill(upstream_, pending_prefill_tokens_);
     gateway_.prefill_rates_.Add(service_, pending_prefill_tokens_,
--- a/src/endivecart/gateway/forwarding_choice.cc
+++ b/src/endivecart/gateway/forwarding_choice.cc
@@ -1,6 +1,7 @@
 // Choice of an upstream.
 
 #include <algorithm>
+#include <utility>
 
 #include "endivecart/gateway/forwarding.h"
 
@@ -140,9 +141,12 @@
     pending_prefill_tokens_ = PromptTokens();
     if (request_.prompt && !choice->home)
       pending_prefill_tokens_ -= SharedTokensOf(*request_.prompt);
+    const int requests_there = candidates[choice->index].requests;
+    if (request_.prompt)
+      candidates_ = std::move(candidates);
     return Chosen{id,
                   choice->expected_wait_ms,
-                  candidates[choice->index].requests,
+                  requests_there,
                   upstream_counts_.ToString(),
                   is_cold,
                   true,
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -314,6 +314,8 @@
                static_cast<double>(part_monitor_.quarantines()));
   upstreams_.Expire();
   limits_.Expire(loop_.Now());
+  transfer_lines_.Expire(loop_.Now());
+  cache_hits_.Expire(loop_.Now());
   if (follower_ != nullptr)
     capacity_estimator_.SetUpdateDelay(follower_->PollInterval());
   named_waits_.Expire(loop_.Now());
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "endivecart/duties/duties.h"
+#include "endivecart/estimates/estimates.h"
 #include "endivecart/fleet/fleet.h"
 #include "endivecart/gateway/cache_save_claims.h"
 #include "endivecart/gateway/cache_view.h"
@@ -184,6 +185,10 @@
   RetryLimiter retry_limiter_;
   ColdStartLimiter cold_start_limiter_;
   PrefillRateEstimator prefill_rates_;
+  // Of prompts none of whose parts was fetched.
+  PrefillRateEstimator unfetched_prefill_rates_;
+  estimates::TransferLines transfer_lines_;
+  estimates::CacheHits cache_hits_;
   DurationEstimator durations_;
   std::optional<TimePoint> stop_at_;
   TimePoint callers_know_at_ = TimePoint::max();
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -578,6 +578,26 @@
   BOOST_CHECK(plan(9000) == CachePlan());
 }
 
+// Guards against stores that are too small and evict parts only to take others
+// that were evicted before.
+BOOST_AUTO_TEST_CASE(an_evicted_part_is_not_saved_at_once) {
+  CacheView view;
+  auto update = MakeCacheUpdate(true);
+  view.Apply(update, At(0), At(0));
+  update.set_reset(false);
+  *update.mutable_removed() = update.added();
+  update.clear_added();
+  const auto saves = [&](int at) {
+    view.Apply(update, At(at), At(at));
+    return view.Plan(MakePrompt("p"), kLabel, kAnywhere, kMaxFetchTime, At(at))
+        .save.at(1)
+        .has_value();
+  };
+  BOOST_TEST(!saves(1));
+  BOOST_TEST(!saves(4000));
+  BOOST_TEST(saves(6000));
+}
+
 BOOST_AUTO_TEST_CASE(an_update_of_an_earlier_term_is_ignored) {
   CacheView view;
   view.Apply(MakeCacheUpdate(true), At(0), At(0));
--- a/src/endivecart/gateway/send_invariants.cc
+++ b/src/endivecart/gateway/send_invariants.cc
@@ -32,6 +32,33 @@
       Invariant::kCacheBlockSealed, context.request->caller->id.str());
 }
 
+bool CheckFetches(const SendContext& context) {
+  const UpstreamRequest& request = *context.request;
+  const std::string& id = request.caller->id.str();
+  const auto count = std::count_if(
+      request.fetch_cache_from.begin(), request.fetch_cache_from.end(),
+      [](const auto& address) { return address.has_value(); });
+  bool holds =
+      CheckInvariant(static_cast<std::size_t>(count) == context.fetches.size(),
+                     Invariant::kCacheBlockSealed, id);
+  for (const FetchContext& fetch : context.fetches) {
+    holds &= CheckInvariant(fetch.is_known, Invariant::kCacheBlockSealed, id);
+    holds &= CheckInvariant(fetch.may_hold, Invariant::kStaysInRegion, id);
+    if (fetch.is_store) {
+      holds &= CheckInvariant(
+          fetch.is_complete && request.fetch_until_ms.has_value(),
+          Invariant::kCacheBlockSealed, id);
+      continue;
+    }
+    holds &= CheckInvariant(request.weights_version == fetch.weights_version,
+                            Invariant::kVersionIsolation, id);
+    holds &=
+        CheckInvariant(fetch.is_ready && !fetch.is_cold && !fetch.is_silent,
+                       Invariant::kLeavingGetsNoWork, id);
+  }
+  return holds;
+}
+
 bool CheckCache(const SendContext& context) {
   const UpstreamRequest& request = *context.request;
   if (!request.caller->prompt)
@@ -51,7 +78,8 @@
       context.isolated_customer.empty() || is_alone ||
           request.cache_label.ends_with("." + context.isolated_customer.str()),
       Invariant::kCustomerIsolation, id);
-  return CheckSaves(context) && versions && customers;
+  const bool sources = is_alone || CheckFetches(context);
+  return CheckSaves(context) && versions && customers && sources;
 }
 
 }  // namespace
--- a/src/endivecart/gateway/send_invariants.h
+++ b/src/endivecart/gateway/send_invariants.h
@@ -7,6 +7,21 @@
 
 namespace endivecart::gateway {
 
+// The state of a place from which a part is to be fetched.
+struct FetchContext {
+  bool is_known = false;  // as a store or as an engine
+  bool is_store = false;
+  bool is_complete = false;  // a store that has the part under the label
+  bool may_hold = false;     // the prompt's cache may be in its domain
+  // Of an engine:
+  bool is_ready = false;
+  bool is_cold = false;
+  bool is_silent = false;
+  std::uint64_t weights_version = 0;
+
+  bool operator==(const FetchContext&) const = default;
+};
+
 // The state of a send just before it is started.
 struct SendContext {
   const UpstreamRequest* request = nullptr;
@@ -24,9 +39,10 @@
   bool has_room = false;               // by LimitMonitor
   bool is_waiting = false;             // the upstream told this host to wait
   bool is_quarantined = false;         // a part of the prompt crashes upstreams
-  bool is_trial = false;            // the one request that may be sent anyway
-  bool caller_was_there = false;    // its connection was open just now
-  std::size_t permitted_saves = 0;  // parts that the leader lets it save
+  bool is_trial = false;              // the one request that may be sent anyway
+  bool caller_was_there = false;      // its connection was open just now
+  std::vector<FetchContext> fetches;  // one for each part with a source
+  std::size_t permitted_saves = 0;    // parts that the leader lets it save
 };
 
 // Checks the system's invariants for one send, independently of how the
--- a/src/endivecart/gateway/send_invariants_unittest.cc
+++ b/src/endivecart/gateway/send_invariants_unittest.cc
@@ -123,6 +123,42 @@
   BOOST_TEST(Violates(Invariant::kVersionIsolation));
 }
 
+// Guards against MIXED: a part was fetched that a store had not completed.
+BOOST_AUTO_TEST_CASE(
+    from_stores_only_complete_parts_are_fetched_by_a_deadline) {
+  request.fetch_cache_from = {settings::Endpoint{"10.0.0.1", 80}};
+  BOOST_TEST(Violates(Invariant::kCacheBlockSealed));
+  request.fetch_until_ms = 1;
+  FetchContext store{true, true, true, true};
+  context.fetches = {store};
+  BOOST_TEST(CheckSendInvariants(context));
+  context.fetches[0].is_complete = false;
+  BOOST_TEST(Violates(Invariant::kCacheBlockSealed));
+  context.fetches[0] = store;
+  context.fetches[0].may_hold = false;
+  BOOST_TEST(Violates(Invariant::kStaysInRegion));
+}
+
+// Guards against MIXED and against work for engines that are about to leave.
+BOOST_AUTO_TEST_CASE(engines_are_asked_for_parts_only_while_sound) {
+  request.fetch_cache_from = {settings::Endpoint{"10.0.0.1", 80}};
+  FetchContext engine;
+  engine.is_known = engine.may_hold = engine.is_ready = true;
+  engine.weights_version = 3;
+  context.fetches = {engine};
+  BOOST_TEST(CheckSendInvariants(context));
+  context.fetches[0].weights_version = 2;
+  BOOST_TEST(Violates(Invariant::kVersionIsolation));
+  const auto violates_with = [&](bool FetchContext::*field, bool value) {
+    context.fetches[0] = engine;
+    context.fetches[0].*field = value;
+    return Violates(Invariant::kLeavingGetsNoWork);
+  };
+  BOOST_TEST(violates_with(&FetchContext::is_ready, false));
+  BOOST_TEST(violates_with(&FetchContext::is_cold, true));
+  BOOST_TEST(violates_with(&FetchContext::is_silent, true));
+}
+
 BOOST_AUTO_TEST_CASE(an_isolated_customer_uses_its_own_label) {
   context.isolated_customer = CustomerId("c");
   request.cache_label = "m.3.c";
