Only engines that may hold parts are looked at; tests of engines as sources

Cause: the state of each candidate was looked up for each prompt, several times, which costs most where a service has very many engines. Change: CacheHits names engines by id and start time, so that only the home and the engines that used a part lately are looked at.

--- a/src/endivecart/estimates/cache_hits.cc
+++ b/src/endivecart/estimates/cache_hits.cc
@@ -27,14 +27,14 @@
 }  // namespace
 
 void CacheHits::RecordUse(std::uint64_t part,
-                          const std::string& run,
+                          const EngineRun& run,
                           TimePoint now) {
   used_[part][run] = now;
 }
 
-std::vector<std::string> CacheHits::UsersOf(std::uint64_t part,
-                                            TimePoint now) const {
-  std::vector<std::string> runs;
+std::vector<EngineRun> CacheHits::UsersOf(std::uint64_t part,
+                                          TimePoint now) const {
+  std::vector<EngineRun> runs;
   const auto it = used_.find(part);
   if (it == used_.end())
     return runs;
@@ -46,7 +46,7 @@
 }
 
 CacheEvidence CacheHits::EvidenceFor(std::uint64_t part,
-                                     const std::string& run,
+                                     const EngineRun& run,
                                      bool is_home,
                                      TimePoint now) const {
   if (const auto it = used_.find(part); it != used_.end()) {
--- a/src/endivecart/estimates/cache_hits.h
+++ b/src/endivecart/estimates/cache_hits.h
@@ -4,7 +4,6 @@
 #include <array>
 #include <cstdint>
 #include <map>
-#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -24,18 +23,26 @@
   kCount,
 };
 
+// One incarnation of an engine.
+struct EngineRun {
+  UpstreamId engine;
+  std::uint64_t start_time_ms = 0;
+
+  auto operator<=>(const EngineRun&) const = default;
+};
+
 // Learns how often an engine has a part in its memory. Engines do not report
 // that; a first event that comes as early as without the part's prefill shows
 // that it was there.
 class CacheHits {
  public:
   // Records that a prompt with this part gave its first event, so that the part
-  // is in the engine's memory. `run` identifies the engine's incarnation.
-  void RecordUse(std::uint64_t part, const std::string& run, TimePoint now);
+  // is in the engine's memory.
+  void RecordUse(std::uint64_t part, const EngineRun& run, TimePoint now);
   // Returns the engines on which the part was used lately or now.
-  std::vector<std::string> UsersOf(std::uint64_t part, TimePoint now) const;
+  std::vector<EngineRun> UsersOf(std::uint64_t part, TimePoint now) const;
   CacheEvidence EvidenceFor(std::uint64_t part,
-                            const std::string& run,
+                            const EngineRun& run,
                             bool is_home,
                             TimePoint now) const;
 
@@ -64,7 +71,7 @@
 
   std::map<routes::ServiceId, Rates> rates_;
   // Time of the last use, by part and run.
-  std::unordered_map<std::uint64_t, std::map<std::string, TimePoint>> used_;
+  std::unordered_map<std::uint64_t, std::map<EngineRun, TimePoint>> used_;
 };
 
 }  // namespace endivecart::estimates
--- a/src/endivecart/estimates/transfer_lines_unittest.cc
+++ b/src/endivecart/estimates/transfer_lines_unittest.cc
@@ -61,14 +61,16 @@
 // Guards against fetches from engines that have evicted the part.
 BOOST_AUTO_TEST_CASE(an_engine_that_used_a_part_lately_likely_has_it) {
   CacheHits hits;
-  hits.RecordUse(7, "e1", At(0));
-  BOOST_CHECK(hits.EvidenceFor(7, "e1", false, At(500)) ==
+  const EngineRun e1{UpstreamId("e1"), 1};
+  hits.RecordUse(7, e1, At(0));
+  BOOST_CHECK(hits.EvidenceFor(7, e1, false, At(500)) ==
               CacheEvidence::kUsedNow);
-  BOOST_CHECK(hits.EvidenceFor(7, "e1", false, At(3000)) ==
+  BOOST_CHECK(hits.EvidenceFor(7, e1, false, At(3000)) ==
               CacheEvidence::kUsedLately);
-  BOOST_CHECK(hits.EvidenceFor(7, "e1", true, At(30000)) ==
-              CacheEvidence::kHome);
-  BOOST_CHECK(hits.EvidenceFor(7, "e2", false, At(0)) == CacheEvidence::kNone);
+  BOOST_CHECK(hits.EvidenceFor(7, e1, true, At(30000)) == CacheEvidence::kHome);
+  const EngineRun restarted{UpstreamId("e1"), 2};
+  BOOST_CHECK(hits.EvidenceFor(7, restarted, false, At(0)) ==
+              CacheEvidence::kNone);
   BOOST_TEST(hits.UsersOf(7, At(3000)).size() == 1u);
   BOOST_TEST(hits.UsersOf(7, At(5000)).empty());
 }
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -166,8 +166,10 @@
       std::uint64_t part,
       const std::vector<const Candidate*>& engines,
       const routes::EngineLimits& limits) const;
-  // Returns the candidates from which parts may be fetched.
+  // Returns the candidates that may hold parts of the prompt and from which
+  // these may be fetched.
   std::vector<const Candidate*> FetchableEngines() const;
+  estimates::EngineRun RunOf(const UpstreamId& engine) const;
   bool MayFetchFrom(const Candidate& engine) const;
   CacheLink LinkOf(const UpstreamId& engine,
                    const routes::EngineLimits& limits) const;
--- a/src/endivecart/gateway/forwarding_cache.cc
+++ b/src/endivecart/gateway/forwarding_cache.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "endivecart/gateway/forwarding.h"
@@ -121,14 +122,27 @@
 }
 
 std::vector<const Candidate*> Forwarding::FetchableEngines() const {
+  std::set<UpstreamId> ids;
+  if (home_)
+    ids.insert(*home_);
+  for (std::size_t i = 0; i + 1 < request_.prompt->parts.size(); ++i) {
+    for (const estimates::EngineRun& user :
+         gateway_.cache_hits_.UsersOf(CacheKeyOf(i), gateway_.loop_.Now()))
+      ids.insert(user.engine);
+  }
   std::vector<const Candidate*> engines;
   for (const Candidate& candidate : candidates_) {
-    if (MayFetchFrom(candidate))
+    if (ids.contains(candidate.id) && MayFetchFrom(candidate))
       engines.push_back(&candidate);
   }
   return engines;
 }
 
+estimates::EngineRun Forwarding::RunOf(const UpstreamId& engine) const {
+  const auto* upstream = gateway_.upstreams_.Find(engine);
+  return {engine, upstream == nullptr ? 0 : upstream->last.start_time_ms};
+}
+
 std::vector<CacheSource> Forwarding::StoresWith(
     const std::vector<CacheHolder>& holders) const {
   const routes::RoutingConfiguration& configuration = routes_->configuration();
@@ -151,20 +165,18 @@
     const std::vector<const Candidate*>& engines,
     const routes::EngineLimits& limits) const {
   const TimePoint now = gateway_.loop_.Now();
-  const auto users = gateway_.cache_hits_.UsersOf(part, now);
   std::vector<CacheSource> sources;
   for (const Candidate* engine : engines) {
     const bool is_home = home_ == engine->id;
-    if (!is_home && users.empty())
-      continue;
-    const std::string run = gateway_.upstreams_.RunOf(engine->id);
-    if (!is_home && std::find(users.begin(), users.end(), run) == users.end())
+    const auto evidence =
+        gateway_.cache_hits_.EvidenceFor(part, RunOf(engine->id), is_home, now);
+    if (!is_home && evidence > estimates::CacheEvidence::kUsedLately)
       continue;
     CacheSource& source = sources.emplace_back();
     source.link = LinkOf(engine->id, limits);
     source.is_store = false;
     source.is_home = is_home;
-    source.evidence = gateway_.cache_hits_.EvidenceFor(part, run, is_home, now);
+    source.evidence = evidence;
     source.probability =
         gateway_.cache_hits_.Rate(service_, source.evidence, now);
   }
@@ -199,7 +211,7 @@
         static_cast<double>(chosen->prompt_tokens) / task.prompt_tokens_per_ms;
   }
   const auto engines = FetchableEngines();
-  const std::string run = gateway_.upstreams_.RunOf(upstream_);
+  const estimates::EngineRun run = RunOf(upstream_);
   for (std::size_t i = 0; i + 1 < request_.prompt->parts.size(); ++i) {
     const std::uint64_t key = CacheKeyOf(i);
     FetchablePart& part = task.parts.emplace_back();
@@ -295,7 +307,7 @@
   const FetchTask& task = *fetch_task_;
   const TimePoint now = gateway_.loop_.Now();
   const double observed_ms = MillisBetween(sent_at_, now);
-  const std::string run = gateway_.upstreams_.RunOf(upstream_);
+  const estimates::EngineRun run = RunOf(upstream_);
   const PlannedFetch* longest = nullptr;  // from a store
   estimates::CacheEvidence evidence = estimates::CacheEvidence::kNone;
   std::int64_t uncertain_tokens = 0;
