Server load: read the fourth figure, how long work takes at this moment

Some services send a header of four numbers; it was dropped as malformed, with the three numbers in it. The fourth one is now read (100: as usual). A value outside of 10 to 10000 makes the whole header malformed, as before. A header of three numbers is read as before.

--- a/src/endivecart/gateway/server_load.cc
+++ b/src/endivecart/gateway/server_load.cc
@@ -9,13 +9,19 @@
 
 // More than any server has; larger numbers are errors.
 constexpr int kMaxRequests = 1000000;
+// No machine is ten times as fast as usual, or works at all a hundred times
+// slower.
+constexpr int kMinWorkPercent = 10;
+constexpr int kMaxWorkPercent = 10000;
 
 }  // namespace
 
 bool IsPlausible(const ServerLoad& load) {
   return load.slots > 0 && load.slots <= kMaxRequests && load.running >= 0 &&
          load.running <= load.slots && load.waiting >= 0 &&
-         load.waiting <= kMaxRequests;
+         load.waiting <= kMaxRequests &&
+         (!load.work_percent || (*load.work_percent >= kMinWorkPercent &&
+                                 *load.work_percent <= kMaxWorkPercent));
 }
 
 int EstimateRequests(int known, const ReportedLoad& report) {
--- a/src/endivecart/gateway/server_load.h
+++ b/src/endivecart/gateway/server_load.h
@@ -1,6 +1,8 @@
 #ifndef ENDIVECART_GATEWAY_SERVER_LOAD_H_
 #define ENDIVECART_GATEWAY_SERVER_LOAD_H_
 
+#include <optional>
+
 #include "endivecart/base/base.h"
 
 namespace endivecart::gateway {
@@ -11,6 +13,8 @@
   int running = 0;
   int waiting = 0;  // for a slot
   int slots = 0;
+  // How long work takes there at this moment; 100: as usual.
+  std::optional<int> work_percent;
 
   bool operator==(const ServerLoad&) const = default;
 };
--- a/src/endivecart/gateway/server_load_unittest.cc
+++ b/src/endivecart/gateway/server_load_unittest.cc
@@ -39,6 +39,9 @@
   BOOST_TEST(!IsPlausible({-1, 0, 6}));
   BOOST_TEST(!IsPlausible({1, -1, 6}));
   BOOST_TEST(!IsPlausible({1, 2000000000, 6}));
+  BOOST_TEST(IsPlausible({1, 0, 6, 250}));
+  BOOST_TEST(!IsPlausible({1, 0, 6, 0}));
+  BOOST_TEST(!IsPlausible({1, 0, 6, 10001}));
 }
 
 // Pattern: callers outside this system, or hosts that are cut off, fill a
