Estimates: speeds of upstreams, used in placement

Upstreams of one service differ in speed and change it, and placement took them for equal; it also charged 8 ms for each request in progress at an engine, while its step takes about 0.03 ms longer, which kept most prompts from their home.

The new slice learns from events, first events and plain answers how long work takes at an upstream relative to the typical one of its service, from which number of requests on more of them get no more work done, and what a request costs the others. PlacePrompt and PlaceByLoad use these figures; without samples they choose as before. Reports of upstreams count as far as steps agree.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -239,6 +239,7 @@
   on_used_connection_ = false;
   forwards_events_ = false;
   first_event_of_send_at_.reset();
+  last_step_at_.reset();
   events_of_send_ = 0;
   outcome_recorded_ = false;
   body_.clear();
@@ -260,6 +261,9 @@
   gateway_.upstreams_.StartWork(id, pending_prefill_tokens_, HeldTokens());
   const UpstreamRequest request = MakeUpstreamRequest(id);
   MarkSavesSent(request);
+  may_wait_for_cache_ = std::any_of(
+      request.fetch_cache_from.begin(), request.fetch_cache_from.end(),
+      [](const auto& address) { return address.has_value(); });
   if (!SatisfiesInvariants(chosen, request)) {
     EndSend(SendResult::kAbandoned);
     GiveUp("promise");
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -183,6 +183,11 @@
   // that the caller had left when its request was read.
   void LogCallerGone() const;
 
+  // Record how long the upstream took for the first event, for `events` that
+  // came together, and for a complete answer that is no stream.
+  void RecordFirstEventTime();
+  void RecordStepTime(std::size_t events);
+  void RecordAnswerTime();
   // Records a run that ended with its connection as evidence against its parts.
   void RecordBrokenRun();
   // Records a complete answer as evidence for them.
@@ -268,6 +273,13 @@
   TimePoint last_event_at_;
   bool outcome_recorded_ = false;  // for the version of the current send
   std::int64_t pending_prefill_tokens_ = 0;
+  // To be prefilled there until the first event, of all hosts, when the prompt
+  // was placed.
+  std::int64_t tokens_before_first_event_ = 0;
+  // Another reason than the upstream's speed may delay the first event.
+  bool may_wait_for_cache_ = false;
+  // When the last event came; nullopt: none yet, or reading was paused since.
+  std::optional<TimePoint> last_step_at_;
   int requests_there_ = 0;          // at sending time
   std::optional<UpstreamId> home_;  // likely caches the shared parts
   net::HttpResponseHead head_;
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -104,6 +104,7 @@
 }
 
 void Forwarding::OnEvents() {
+  std::size_t events = 0;
   while (call_) {
     const auto event = splitter_.Next();
     if (!event)
@@ -117,13 +118,18 @@
       return;
     }
     ForwardEvent(*event);
+    ++events;
   }
+  if (call_ && events > 0)
+    RecordStepTime(events);
   if (call_ && splitter_.pending_bytes() > kMaxEventBytes) {
     OnBadAnswer("event_too_large");
     return;
   }
-  if (call_ && exchange_->unsent_bytes() > kMaxUnsentBytes)
+  if (call_ && exchange_->unsent_bytes() > kMaxUnsentBytes) {
     call_->SetPaused(true);
+    last_step_at_.reset();
+  }
 }
 
 void Forwarding::ForwardEvent(const StreamEvent& event) {
@@ -133,6 +139,7 @@
     CountUsage(last_event_at_);
     if (!relay_)
       gateway_.upstreams_.RecordAnswer(upstream_);
+    RecordFirstEventTime();
   }
   ++events_of_send_;
   RecordSpeedOfRun();
@@ -255,8 +262,10 @@
     Send();
     return;
   }
-  if (!server_error)
+  if (!server_error) {
     RecordAnswered();
+    RecordAnswerTime();
+  }
   EndSend(server_error ? SendResult::kFailed : SendResult::kAnswered);
   if (started_) {
     exchange_->Abort();
--- a/src/endivecart/gateway/forwarding_choice.cc
+++ b/src/endivecart/gateway/forwarding_choice.cc
@@ -115,13 +115,13 @@
   const bool lacks_room = KeepWithinRoom(candidates);
   is_full_ = false;
   time_to_permit_.reset();
+  SpeedEstimate speed = gateway_.prefill_rates_.EstimateFor(service_);
+  speed.ms_per_request = gateway_.upstreams_.speeds().MsPerRequest(service_);
   while (!candidates.empty()) {
     const auto choice =
         request_.prompt
             ? PlacePrompt(candidates, *request_.prompt,
-                          IsolatedCustomer().str(),
-                          gateway_.prefill_rates_.EstimateFor(service_),
-                          gateway_.random_())
+                          IsolatedCustomer().str(), speed, gateway_.random_())
             : PlaceByLoad(candidates, gateway_.random_());
     if (!choice) {
       is_full_ = true;
@@ -140,6 +140,8 @@
     pending_prefill_tokens_ = PromptTokens();
     if (request_.prompt && !choice->home)
       pending_prefill_tokens_ -= SharedTokensOf(*request_.prompt);
+    tokens_before_first_event_ =
+        candidates[choice->index].prompt_tokens + pending_prefill_tokens_;
     return Chosen{id,
                   choice->expected_wait_ms,
                   candidates[choice->index].requests,
--- a/src/endivecart/gateway/forwarding_rating.cc
+++ b/src/endivecart/gateway/forwarding_rating.cc
@@ -2,6 +2,7 @@
 // software version that served them.
 
 #include <algorithm>
+#include <utility>
 
 #include "endivecart/gateway/forwarding.h"
 
@@ -75,6 +76,38 @@
                       upstream->last.domain, failed, CurrentSpeed());
 }
 
+void Forwarding::RecordFirstEventTime() {
+  // A resumed stream needs no prefill of the prompt as it was sent.
+  if (relay_ || !request_.prompt || may_wait_for_cache_ ||
+      !LastEventIdToSend().empty())
+    return;
+  gateway_.upstreams_.speeds().AddFirstEvent(
+      upstream_, service_, tokens_before_first_event_,
+      MillisBetween(sent_at_, last_event_at_), last_event_at_);
+}
+
+void Forwarding::RecordStepTime(std::size_t events) {
+  if (relay_)
+    return;
+  const auto before = std::exchange(last_step_at_, last_event_at_);
+  if (!before)
+    return;
+  gateway_.upstreams_.speeds().AddStep(
+      upstream_, service_,
+      gateway_.upstreams_.RequestsAt(upstream_, gateway_.follower_),
+      MillisBetween(*before, last_event_at_) / static_cast<double>(events),
+      last_event_at_);
+}
+
+void Forwarding::RecordAnswerTime() {
+  if (relay_ || request_.prompt || IsStream())
+    return;
+  const TimePoint now = gateway_.loop_.Now();
+  gateway_.upstreams_.speeds().AddAnswer(upstream_, service_,
+                                         requests_there_ + 1,
+                                         MillisBetween(sent_at_, now), now);
+}
+
 void Forwarding::RecordMoveOutcome(SendResult result) {
   switch (result) {
     case SendResult::kRefused:
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -313,6 +313,7 @@
   metrics_.Set("endivecart_quarantines", "",
                static_cast<double>(part_monitor_.quarantines()));
   upstreams_.Expire();
+  ReportSpeeds();
   limits_.Expire(loop_.Now());
   if (follower_ != nullptr)
     capacity_estimator_.SetUpdateDelay(follower_->PollInterval());
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -152,6 +152,9 @@
   routes::ServiceId ChooseService(const routes::Route& route);
   void Remove(const std::shared_ptr<Forwarding>& forwarding);
   void CountBadServerLoad(const UpstreamId& upstream);
+  // Shows what is known of upstreams' speeds in the log and on the metrics
+  // page.
+  void ReportSpeeds();
   // This host's rank among those that serve callers, as far as known.
   HostRank Rank() const;
   void OnRequestLimit(const UpstreamId& upstream,
@@ -198,6 +201,8 @@
   std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
   duties::UsageCounter usage_;
   std::optional<TimePoint> bad_server_load_logged_at_;
+  std::uint64_t reported_contradictions_ = 0;  // on the metrics page
+  std::optional<TimePoint> contradictions_logged_at_;
   std::unique_ptr<TimerSubscription> admit_soon_;
   std::unique_ptr<TimerSubscription> admit_timer_;
   std::unique_ptr<TimerSubscription> reach_timer_;
--- a/src/endivecart/gateway/placement.cc
+++ b/src/endivecart/gateway/placement.cc
@@ -27,12 +27,41 @@
 // An upstream whose expected latency exceeds the least by this factor gets no
 // request without a prompt.
 constexpr double kMaxCostRatio = 10;
+// Times of plain requests vary by more than speeds do; a smaller factor is
+// hardly evidence.
+constexpr double kClearlySlow = 1.5;
+
+// Returns the requests beyond those that the candidate sustains, with one more.
+double ExcessRequests(const Candidate& candidate) {
+  return candidate.sustained_requests
+             ? std::max(0.0,
+                        candidate.requests + 1 - *candidate.sustained_requests)
+             : 0;
+}
 
-double LoadMs(const Candidate& candidate, const SpeedEstimate& speed) {
-  return static_cast<double>(candidate.prompt_tokens) /
-             speed.prompt_tokens_per_ms +
-         candidate.requests * speed.ms_per_request +
-         (candidate.is_suspect ? kSuspectPenaltyMs : 0);
+// Returns the factor by which work takes longer because of them.
+double ExcessFactor(const Candidate& candidate) {
+  const double excess = ExcessRequests(candidate);
+  return excess == 0
+             ? 1
+             : 1 + excess / std::max(*candidate.sustained_requests, 1.0);
+}
+
+// `prefill_tokens`: of the prompt to be placed.
+double EngineCostMs(const Candidate& candidate,
+                    double prefill_tokens,
+                    const SpeedEstimate& speed) {
+  const double factor = candidate.slowness * ExcessFactor(candidate);
+  const double queue_ms = static_cast<double>(candidate.prompt_tokens) /
+                          speed.prompt_tokens_per_ms * factor;
+  // Beyond the sustained number, the others' steps take longer with each
+  // request, even if they hardly do below it.
+  const double ms_per_excess_request =
+      std::max(0.0, estimates::kInitialMsPerRequest - speed.ms_per_request);
+  const double load_ms = queue_ms + candidate.requests * speed.ms_per_request +
+                         (candidate.is_suspect ? kSuspectPenaltyMs : 0);
+  return load_ms + prefill_tokens / speed.prompt_tokens_per_ms * factor +
+         ExcessRequests(candidate) * ms_per_excess_request;
 }
 
 // Reduces `order` to the homes and a few of the others, drawn by `random`.
@@ -64,11 +93,16 @@
 }
 
 double PlainCostMs(const Candidate& candidate, double typical_latency_ms) {
-  const double latency_ms =
+  double latency_ms =
       candidate.latency_ms > 0 ? candidate.latency_ms : typical_latency_ms;
+  // The mean latency shows a sudden slowdown late. It includes lasting
+  // differences.
+  if (candidate.slowness > kClearlySlow)
+    latency_ms = std::max(latency_ms, typical_latency_ms * candidate.slowness);
   return std::max(latency_ms, 1.0) *
              (1 + static_cast<double>(candidate.requests) /
-                      std::max(candidate.slots, 1)) +
+                      std::max(candidate.slots, 1)) *
+             ExcessFactor(candidate) +
          (candidate.is_near ? 0 : kOtherDomainPenaltyMs) +
          (candidate.is_suspect ? kSuspectPenaltyMs : 0);
 }
@@ -141,9 +175,8 @@
       continue;
     const double tokens_to_prefill = rank < kHomesPerKey ? all - shared : all;
     const double rank_penalty = rank == 0 ? 0 : speed.ms_per_request;
-    const double cost = LoadMs(candidate, speed) +
-                        tokens_to_prefill / speed.prompt_tokens_per_ms +
-                        rank_penalty;
+    const double cost =
+        EngineCostMs(candidate, tokens_to_prefill, speed) + rank_penalty;
     if (cost < least) {
       least = cost;
       choice.index = order[rank];
--- a/src/endivecart/gateway/placement.h
+++ b/src/endivecart/gateway/placement.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "endivecart/estimates/estimates.h"
 #include "endivecart/gateway/caller_request.h"
 
 namespace endivecart::gateway {
@@ -25,6 +26,10 @@
   std::int64_t held_tokens = 0;
   double latency_ms =
       0;  // recent mean of requests without a prompt; 0: unknown
+  // Time of work there relative to the service's typical upstream.
+  double slowness = 1;
+  // Requests in progress from which on more of them get no more work done.
+  std::optional<double> sustained_requests;
 
   bool operator==(const Candidate&) const = default;
 };
@@ -32,8 +37,8 @@
 // Estimated speed of a service's engines.
 struct SpeedEstimate {
   double prompt_tokens_per_ms = 20;  // initial value; see PrefillRateEstimator
-  // Delay that one more request causes to each other one: a few batch steps.
-  double ms_per_request = 8;
+  // Delay that one more request causes to each other one; see UpstreamSpeeds.
+  double ms_per_request = estimates::kInitialMsPerRequest;
 
   bool operator==(const SpeedEstimate&) const = default;
 };
@@ -97,12 +102,12 @@
 std::int64_t HeldTokensOf(const Prompt& prompt);
 
 // Places a request without a prompt at random, with probabilities in inverse
-// proportion to the expected latency at each candidate (requests per slot, a
-// penalty for other failure domains). Such requests are shorter than the time
-// after which hosts learn of each other's load. If each host chose the least
-// loaded candidate, or one of those with a free slot, all would choose the same
-// one until their next poll. `random` has 64 random bits. Returns nullopt if
-// there are no candidates.
+// proportion to the expected latency at each candidate (requests per slot,
+// speed, a penalty for other failure domains). Such requests are shorter than
+// the time after which hosts learn of each other's load. If each host chose the
+// least loaded candidate, or one of those with a free slot, all would choose
+// the same one until their next poll. `random` has 64 random bits. Returns
+// nullopt if there are no candidates.
 std::optional<PlacementChoice> PlaceByLoad(
     const std::vector<Candidate>& candidates,
     std::uint64_t random);
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -216,6 +216,9 @@
       candidate.prompt_tokens = record.prompt_tokens;
       candidate.held_tokens = record.held_tokens;
       candidate.latency_ms = record.latency_ms;
+      const estimates::Speed speed = speeds_.SpeedOf(id, now);
+      candidate.slowness = speed.slowness;
+      candidate.sustained_requests = speed.sustained_requests;
       AddLoad(record, others, candidate);
       candidates.push_back(std::move(candidate));
     }
@@ -248,6 +251,21 @@
   record.server_load = load;
   record.server_load_at = now_();
   record.requests_at_server_load = record.requests;
+  const AnnouncedUpstream* upstream = registry_.Find(id);
+  if (load.work_percent && upstream != nullptr) {
+    speeds_.AddReported(id, upstream->last.service, *load.work_percent,
+                        record.server_load_at);
+  }
+}
+
+int UpstreamTracker::RequestsAt(const UpstreamId& id,
+                                const fleet::FleetFollower* others) const {
+  const Record& record = RecordOf(id);
+  Candidate candidate;
+  candidate.id = id;
+  candidate.requests = record.requests;
+  AddLoad(record, others, candidate);
+  return candidate.requests;
 }
 
 const AnnouncedUpstream* UpstreamTracker::Find(const UpstreamId& id) const {
@@ -390,6 +408,7 @@
 
 void UpstreamTracker::Expire() {
   registry_.Expire(now_());
+  speeds_.Tick(now_());
   std::erase_if(records_, [&](const auto& entry) {
     return entry.second.requests == 0 && registry_.Find(entry.first) == nullptr;
   });
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "endivecart/estimates/estimates.h"
 #include "endivecart/fleet/fleet.h"
 #include "endivecart/gateway/placement.h"
 #include "endivecart/limits/limits.h"
@@ -96,6 +97,14 @@
   // Records the load that an answer reported.
   void RecordServerLoad(const UpstreamId& id, const ServerLoad& load);
 
+  // What this host has learned of upstreams' speeds.
+  estimates::UpstreamSpeeds& speeds() { return speeds_; }
+  const estimates::UpstreamSpeeds& speeds() const { return speeds_; }
+  // Returns the estimated number of requests in progress there, of this host
+  // and, if `others` is not null, of the other hosts.
+  int RequestsAt(const UpstreamId& id,
+                 const fleet::FleetFollower* others) const;
+
   // Returns the last known version of the model's weights; 0 if unknown.
   std::uint64_t WeightsOf(const upstreams::AnnouncedUpstream& upstream,
                           const ModelId& model) const;
@@ -190,6 +199,7 @@
   fleet::DecisionsPtr decisions_;
   std::map<UpstreamId, Record> records_;
   std::map<DomainId, DomainFailures> domain_failures_;
+  estimates::UpstreamSpeeds speeds_;
   quarantine::FailureMonitor failures_;
 };
 
