Placement: the penalty for a later home is a constant of its own

It was the cost of one request. With the learned cost (about 0.3 ms) a few queued tokens would move a prompt to the second home. Comments in a stream are no steps.

--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -118,7 +118,7 @@
       return;
     }
     ForwardEvent(*event);
-    ++events;
+    events += IsComment(*event) ? 0 : 1;
   }
   if (call_ && events > 0)
     RecordStepTime(events);
--- a/src/endivecart/gateway/placement.cc
+++ b/src/endivecart/gateway/placement.cc
@@ -13,6 +13,12 @@
 
 // Homes of one key: the first, and one that takes over when the first is busy.
 constexpr std::size_t kHomesPerKey = 2;
+// Another engine than the first home must be faster by this: the first one is
+// more likely to cache the shared parts.
+constexpr double kNotFirstHomePenaltyMs = 8;
+// Beyond the number of requests that an engine sustains, each one more prolongs
+// the others' steps, even if it hardly does below.
+constexpr double kMsPerExcessRequest = 8;
 // The other candidates are drawn at random. Two suffice to avoid busy ones;
 // with more, hosts that share the same delayed view would choose the same one.
 static_assert(kConsideredEngines == kHomesPerKey + 2);
@@ -54,10 +60,8 @@
   const double factor = candidate.slowness * ExcessFactor(candidate);
   const double queue_ms = static_cast<double>(candidate.prompt_tokens) /
                           speed.prompt_tokens_per_ms * factor;
-  // Beyond the sustained number, the others' steps take longer with each
-  // request, even if they hardly do below it.
   const double ms_per_excess_request =
-      std::max(0.0, estimates::kInitialMsPerRequest - speed.ms_per_request);
+      std::max(0.0, kMsPerExcessRequest - speed.ms_per_request);
   const double load_ms = queue_ms + candidate.requests * speed.ms_per_request +
                          (candidate.is_suspect ? kSuspectPenaltyMs : 0);
   return load_ms + prefill_tokens / speed.prompt_tokens_per_ms * factor +
@@ -174,7 +178,7 @@
     if (!candidate.has_capacity)
       continue;
     const double tokens_to_prefill = rank < kHomesPerKey ? all - shared : all;
-    const double rank_penalty = rank == 0 ? 0 : speed.ms_per_request;
+    const double rank_penalty = rank == 0 ? 0 : kNotFirstHomePenaltyMs;
     const double cost =
         EngineCostMs(candidate, tokens_to_prefill, speed) + rank_penalty;
     if (cost < least) {
