--- a/src/endivecart/estimates/upstream_speeds.cc
+++ b/src/endivecart/estimates/upstream_speeds.cc
@@ -12,12 +12,13 @@
 // Answers of plain services come less often than events.
 constexpr double kStepLifetimeMs = 700;
 constexpr double kAnswerLifetimeMs = 3000;
-// A host sends a prompt to the same engine every 15 s or so.
-constexpr double kLastingLifetimeMs = 20000;
+// A host sends a prompt to the same engine every 15 s or so; with 20 s, 1.10 is
+// learned of a ratio of 1.3.
+constexpr double kLastingLifetimeMs = 40000;
 constexpr double kReportLifetimeMs = 500;
 // A sample counts as confirmed by the one before only if that is as recent.
 constexpr double kPreviousLifetimeMs = 3000;
-constexpr double kForgetAfterMs = 60000;
+constexpr double kForgetAfterMs = 120000;
 // What is older than so many lifetimes counts for nothing.
 constexpr double kMaxLifetimes = 6;
 // Weight of one sample.
--- a/src/endivecart/estimates/upstream_speeds_unittest.cc
+++ b/src/endivecart/estimates/upstream_speeds_unittest.cc
@@ -93,7 +93,7 @@
     fast += engines.Slowness(engine) / (Engines::kEngines / 2.0);
     slow += engines.Slowness(engine + 1) / (Engines::kEngines / 2.0);
   }
-  BOOST_TEST(slow / fast > 1.08, slow << " and " << fast);
+  BOOST_TEST(slow / fast > 1.12, slow << " and " << fast);
   BOOST_TEST(slow / fast < 1.35, slow << " and " << fast);
 }
 
@@ -209,7 +209,7 @@
   engines.Run(10, Usual);
   engines.speeds.Tick(engines.now());
   BOOST_TEST(!engines.speeds.Known(engines.now()).empty());
-  engines.speeds.Tick(engines.now() + Millis(61000));
+  engines.speeds.Tick(engines.now() + Millis(121000));
   BOOST_TEST(engines.speeds.Known(engines.now()).empty());
 }
 
