--- a/src/endivecart/gateway/upstream_speed_unittest.cc
+++ b/src/endivecart/gateway/upstream_speed_unittest.cc
@@ -6,6 +6,7 @@
 
 #include "endivecart/gateway/placement.h"
 #include "endivecart/gateway/upstream_tracker.h"
+#include "support/gateway_fixture.h"
 
 namespace endivecart::gateway {
 namespace {
@@ -222,6 +223,38 @@
   BOOST_TEST(tracker.speeds().Known(now).size() == 1u);
 }
 
+// Guards against answers from which nothing is learned, and against figures
+// that operators do not see.
+BOOST_FIXTURE_TEST_CASE(answers_and_steps_of_streams_reach_the_estimates,
+                        tests::GatewayFixture) {
+  auto& speeds = gateway.upstreams().speeds();
+  // The fixture has had a plain answer from each upstream.
+  BOOST_TEST(speeds.Known(loop.Now()).size() == 2u);
+  Announce(1, upstreams::UpstreamState::kDraining, 2);
+  int events = 0;
+  std::unique_ptr<TimerSubscription> timer;
+  answer = [&](auto& connection, std::size_t) {
+    tests::Reply(connection, StreamHead("1"));
+    timer = loop.Every(Millis(3), [&](TimePoint) {
+      if (++events > 30)
+        return;
+      const std::string id = std::to_string(events);
+      tests::Reply(connection, Chunk("id: " + id + "\ndata: a\n\n") +
+                                   (events == 30 ? "0\r\n\r\n" : ""));
+    });
+  };
+  BOOST_TEST(speeds.SpeedOf(UpstreamId("u0"), loop.Now()).slowness == 1);
+  BOOST_TEST(HasStatus(Send("/resumable/"), 200));
+  // Timers of a real loop are never exact.
+  BOOST_TEST(speeds.SpeedOf(UpstreamId("u0"), loop.Now()).slowness != 1);
+  gateway.Tick();
+  const std::string page = metrics.PrometheusText();
+  for (const char* series :
+       {"endivecart_upstream_slowness{upstream=\"u0\"}",
+        "endivecart_sustained_requests{upstream=\"u1\"} 0"})
+    BOOST_TEST(page.find(series) != std::string::npos, series);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
