--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -313,6 +313,7 @@
   metrics_.Set("endivecart_quarantines", "",
                static_cast<double>(part_monitor_.quarantines()));
   upstreams_.Expire();
+  ReportSpeeds();
   limits_.Expire(loop_.Now());
   transfer_lines_.Expire(loop_.Now());
   cache_hits_.Expire(loop_.Now());
