--- a/bench/main.cc
+++ b/bench/main.cc
@@ -8,6 +8,7 @@
 
 #include "endivecart/base/base.h"
 #include "experiments.h"
+#include "fleet_load.h"
 
 namespace {
 
@@ -20,8 +21,8 @@
     return cxxopts::value<std::string>()->default_value("");
   };
   options.add_options()("experiment",
-                        "returns, overhead, load, decide, moves, changes or "
-                        "calls",
+                        "returns, overhead, load, decide, moves, changes, "
+                        "calls or fleet",
                         cxxopts::value<std::string>())(
       "hosts", "URLs of the caller API, comma-separated", text())(
       "upstreams", "URLs of the stand-in upstreams", text())(
@@ -41,6 +42,16 @@
       cxxopts::value<int>()->default_value("40"))(
       "warmup", "seconds at the start that are reported separately",
       cxxopts::value<double>()->default_value("0"))(
+      "control", "IP addresses of control hosts, comma-separated; for fleet",
+      text())("operator-port", "of the control hosts; for fleet",
+              cxxopts::value<int>()->default_value("7000"))(
+      "peer-port", "of the control hosts; for fleet",
+      cxxopts::value<int>()->default_value("7100"))(
+      "entry-hosts", "for fleet", cxxopts::value<int>()->default_value("300"))(
+      "fleet-upstreams", "for fleet",
+      cxxopts::value<int>()->default_value("3000"))(
+      "limits", "upstreams whose limits each host names; for fleet",
+      cxxopts::value<int>()->default_value("0"))(
       "burst", "factor on the last customer's rate in the middle third",
       cxxopts::value<double>()->default_value("1"))("json", "print JSON lines")(
       "help", "print this help");
@@ -48,7 +59,27 @@
   return options;
 }
 
+int RunFleet(const cxxopts::ParseResult& args) {
+  bench::FleetLoad load;
+  load.control_hosts =
+      endivecart::SplitAtCommas(args["control"].as<std::string>());
+  load.operator_port = args["operator-port"].as<int>();
+  load.peer_port = args["peer-port"].as<int>();
+  load.hosts = args["entry-hosts"].as<int>();
+  load.upstreams = args["fleet-upstreams"].as<int>();
+  load.limits = args["limits"].as<int>();
+  load.seconds = args["seconds"].as<double>();
+  if (load.control_hosts.empty() || load.upstreams < 1) {
+    std::cerr << "endivecart-bench: --control and --fleet-upstreams are "
+                 "required\n";
+    return kUsageError;
+  }
+  return bench::RunFleetLoad(load);
+}
+
 int Run(const cxxopts::ParseResult& args) {
+  if (args["experiment"].as<std::string>() == "fleet")
+    return RunFleet(args);
   const std::map<std::string, std::function<int(const bench::SiteTargets&)>>
       experiments = {
           {"returns", bench::RunReturns}, {"overhead", bench::RunOverhead},
