Control hosts: idle connections are closed before the table is full

Cause: 3,000 upstreams keep more connections than a control host takes (half of its descriptors). From then on each new connection cost a look through all, to close a single idle one: the largest part of a control host's processor time.

Change: each second the connections idle for longest are closed until an eighth is free. PushTick waits for FleetFeed::PushInterval(). The load generator announces on six threads.

--- a/bench/fleet_load.cc
+++ b/bench/fleet_load.cc
@@ -26,6 +26,7 @@
 using namespace endivecart;  // NOLINT(google-build-using-namespace)
 
 constexpr int kMaxSockets = 16384;
+constexpr int kAnnouncers = 6;
 constexpr int kServices = 40;
 constexpr int kDomains = 6;
 constexpr int kSlots = 16;
@@ -164,19 +165,20 @@
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// Announces all upstreams, each to any control host, on one thread.
+// Announces a share of the upstreams, each to any control host, on one thread.
 class Announcer {
  public:
-  Announcer(const FleetLoad& load, std::atomic<bool>& stop)
-      : load_(load), stop_(stop) {}
+  Announcer(const FleetLoad& load, int number, std::atomic<bool>& stop)
+      : load_(load),
+        number_(number),
+        stop_(stop),
+        random_(static_cast<unsigned>(number)) {}
 
   void Run() {
     const TimePoint start = Now();
-    std::vector<std::uint64_t> sequences(
-        static_cast<std::size_t>(load_.upstreams));
     std::uniform_int_distribution<std::size_t> any(
         0, load_.control_hosts.size() - 1);
-    for (std::int64_t call = 0; !stop_; ++call) {
+    for (std::int64_t call = number_; !stop_; call += kAnnouncers) {
       const TimePoint due =
           start +
           std::chrono::microseconds(kAnnounceInterval) * call / load_.upstreams;
@@ -184,7 +186,7 @@
           std::chrono::steady_clock::time_point(due.time_since_epoch()));
       const int upstream = static_cast<int>(call % load_.upstreams);
       Call(upstream, any(random_),
-           ++sequences[static_cast<std::size_t>(upstream)]);
+           static_cast<std::uint64_t>(call / load_.upstreams + 1));
     }
   }
   std::uint64_t calls = 0;
@@ -235,8 +237,9 @@
   }
 
   const FleetLoad& load_;
+  const int number_;
   std::atomic<bool>& stop_;
-  std::mt19937 random_{1};
+  std::mt19937 random_;
   std::map<std::pair<int, std::size_t>, Connection> connections_;
 };
 
@@ -245,8 +248,12 @@
 int RunFleetLoad(const FleetLoad& load) {
   SetUpLogging({.level = "error"});
   std::atomic<bool> stop = false;
-  Announcer announcer(load, stop);
-  std::thread announcing([&] { announcer.Run(); });
+  std::deque<Announcer> announcers;
+  std::vector<std::thread> announcing;
+  for (int i = 0; i < kAnnouncers; ++i) {
+    Announcer& announcer = announcers.emplace_back(load, i, stop);
+    announcing.emplace_back([&announcer] { announcer.Run(); });
+  }
   zmq::context_t context(1);
   context.set(zmq::ctxopt::max_sockets, kMaxSockets);
   std::deque<SimulatedHost> hosts;
@@ -266,7 +273,16 @@
         std::chrono::steady_clock::time_point(next.time_since_epoch()));
   }
   stop = true;
-  announcing.join();
+  for (std::thread& thread : announcing)
+    thread.join();
+  std::uint64_t calls = 0;
+  std::uint64_t connects = 0;
+  std::uint64_t broken = 0;
+  for (const Announcer& announcer : announcers) {
+    calls += announcer.calls;
+    connects += announcer.connects;
+    broken += announcer.broken;
+  }
   std::uint64_t updates = 0;
   std::uint64_t bytes = 0;
   for (const SimulatedHost& host : hosts) {
@@ -279,8 +295,8 @@
   std::printf(
       "a second: %.0f announcements, %.0f on new connections, %.1f broken, "
       "%.0f updates, %.0f kB of updates\n",
-      rate(announcer.calls), rate(announcer.connects), rate(announcer.broken),
-      rate(updates), rate(bytes) / 1000);
+      rate(calls), rate(connects), rate(broken), rate(updates),
+      rate(bytes) / 1000);
   return 0;
 }
 
--- a/src/endivecart/node/connection_room.cc
+++ b/src/endivecart/node/connection_room.cc
@@ -28,6 +28,12 @@
 constexpr double kOperatorsShare = 0.5;
 // Where the limit is so low that nothing is left, some service is kept.
 constexpr std::size_t kMinConnections = 16;
+constexpr std::size_t kFreeDivisor = 8;
+// Idle for at least so long, from the longest; callers don't reuse connections
+// beyond it.
+constexpr Millis kLongestIdle{12000};
+constexpr Millis kShortestIdle{1000};
+constexpr Millis kIdleStep{500};
 
 std::size_t Share(std::size_t descriptors, double share, std::size_t maximum) {
   const std::size_t available =
@@ -60,6 +66,15 @@
   return ConnectionLimitsFor(static_cast<std::size_t>(limit.rlim_cur));
 }
 
+void KeepSlotsFree(net::HttpServer& server, std::size_t max_connections) {
+  const std::size_t wanted = max_connections - max_connections / kFreeDivisor;
+  for (Millis idle = kLongestIdle;
+       idle >= kShortestIdle && server.connections() > wanted;
+       idle -= kIdleStep) {
+    server.CloseIdle(idle);
+  }
+}
+
 void RecordConnectionBudget(const net::ConnectionBudget& budget,
                             MetricsRegistry& metrics) {
   const auto set = [&](std::string_view name, std::string_view labels,
--- a/src/endivecart/node/connection_room.h
+++ b/src/endivecart/node/connection_room.h
@@ -25,6 +25,12 @@
 // For the process's own RLIMIT_NOFILE.
 ConnectionLimits OwnConnectionLimits();
 
+// Closes those connections that have been idle for longest while less than an
+// eighth of `max_connections` is free. To be called each second: thousands of
+// upstreams keep more connections than there are, and at a full server each new
+// one costs a look through all to close a single idle one.
+void KeepSlotsFree(net::HttpServer& server, std::size_t max_connections);
+
 // Shows the budget on the metrics page.
 void RecordConnectionBudget(const net::ConnectionBudget& budget,
                             MetricsRegistry& metrics);
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -22,7 +22,7 @@
 constexpr Millis kVoterTick = fleet::PollQueue::kWindow;
 constexpr Millis kFollowTick{50};
 constexpr Millis kPushTick{50};
-constexpr Millis kBusyPushInterval{500};
+constexpr Millis kBusyPush{500};
 constexpr Millis kLeaderTaskInterval{50};
 constexpr Millis kExpireInterval{1000};
 constexpr Millis kStopDelay{300};
@@ -342,13 +342,13 @@
     roster.Expire(now);
     RecordControlMetrics(*log_bus, *bus, *feed, *polls, metrics);
     RecordConnectionBudget(*connection_budget, metrics);
+    KeepSlotsFree(*operators, OwnConnectionLimits().operators);
   }));
 }
 
-// While this process is busy, followers learn of changes by their polls, or by
-// a push now and then.
 void VoterNode::Parts::PushTick(TimePoint now) {
-  if (polls->IsBusy() && now - pushed_at < kBusyPushInterval)
+  const auto wait = polls->IsBusy() ? kBusyPush : feed->PushInterval();
+  if (wait > kPushTick && now - pushed_at < wait)
     return;
   pushed_at = now;
   feed->PushIfRequested();
