--- a/bench/fleet_load.cc
+++ b/bench/fleet_load.cc
@@ -118,12 +118,14 @@
     const auto round =
         (Now().time_since_epoch() + Millis(number_ * 37 % 1000)) / kRequestTime;
     std::vector<fleet::LocalLoad> loads;
+    loads.reserve(kRequestsPerHost);
     for (int i = 0; i < kRequestsPerHost; ++i)
       loads.push_back({UpstreamId(Name(UpstreamAt(i, round))), 1, 1500, 4000});
     return loads;
   }
   std::vector<limits::NamedLimit> Limits() const {
     std::vector<limits::NamedLimit> limits;
+    limits.reserve(static_cast<std::size_t>(load_.limits));
     for (int i = 0; i < load_.limits; ++i) {
       limits.push_back({Name(UpstreamAt(i, 0)) + "/1700000000000",
                         {50.0, std::nullopt},
@@ -136,6 +138,7 @@
     quarantine::HostReach reach;
     reach.domain = DomainId("zone-" + std::to_string(number_ % kDomains));
     reach.relay_port = 7300;
+    reach.services.reserve(kServices);
     for (int i = 0; i < kServices; ++i)
       reach.services.push_back({"service-" + std::to_string(i), false, Now()});
     return reach;
