Trial: control tells hosts the demand of all others for engine memory (not built)

Cause: each host takes all others to have the same demand as itself, so one waiting prompt that is tried every 40 ms lowers its own chance.

Change: polls and updates carry the demand by rank; CapacityEstimator uses the sum while it is fresh.

--- a/src/endivecart/fleet/entry_limit.cc
+++ b/src/endivecart/fleet/entry_limit.cc
@@ -16,7 +16,7 @@
                    poll.failures(), poll.saves(), poll.waiting(),
                    poll.usage().records(), poll.quarantine().runs(),
                    poll.quarantine().sound(), poll.quarantine().quarantines(),
-                   poll.reach().services());
+                   poll.reach().services(), poll.demand().ranks());
 }
 
 std::size_t CountEntries(const wire::FleetUpdate& update) {
@@ -27,7 +27,7 @@
                    update.heard().gaps(), loads.names(), loads.upstreams(),
                    loads.gaps(), loads.silent(), loads.silent_gaps(),
                    update.cache().stores(), update.cache().added(),
-                   update.cache().removed());
+                   update.cache().removed(), update.demand().ranks());
 }
 
 bool EntryLimit::Accepts(const HostId& from,
--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -9,6 +9,7 @@
 #include "endivecart/fleet/cache_save_ledger.h"    // IWYU pragma: export
 #include "endivecart/fleet/decision_log.h"         // IWYU pragma: export
 #include "endivecart/fleet/decisions.h"            // IWYU pragma: export
+#include "endivecart/fleet/demand_sum.h"           // IWYU pragma: export
 #include "endivecart/fleet/entry_limit.h"          // IWYU pragma: export
 #include "endivecart/fleet/fleet_bus.h"            // IWYU pragma: export
 #include "endivecart/fleet/fleet_feed.h"           // IWYU pragma: export
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -48,6 +48,7 @@
     UpdateMembership();
   loads_.Set(from, {poll.loads().begin(), poll.loads().end()},
              poll.names_epoch());
+  demand_.Set(from, FromWire(poll.demand()));
   // Trusts the poll rather than what was pushed, which may have been lost.
   follower.sent_cursor =
       poll.feed_incarnation() == incarnation_ ? poll.feed_cursor() : 0;
@@ -162,6 +163,7 @@
       return false;
     LogLine("fleet.follower_lost").Add("host", entry.first.str()).Info();
     loads_.Set(entry.first, {});
+    demand_.Set(entry.first, {});
     return true;
   });
   UpdateMembership();
@@ -223,6 +225,8 @@
       *update.mutable_fleet_loads() = Loads(to, follower);
       update.set_poll_interval_ms(
           static_cast<std::uint32_t>(PollInterval().count()));
+      if (follower.poll.has_demand())
+        *update.mutable_demand() = ToWire(demand_.total());
       const auto& failures = failure_judge_.CurrentRuling(now);
       if (failures != quarantine::FailureRuling())
         *update.mutable_failures() = ToWire(failures, now);
@@ -255,6 +259,7 @@
   count_list("limits", update.limits());
   count("quarantine", update.quarantine().ByteSizeLong());
   count("failures", update.failures().ByteSizeLong());
+  count("demand", update.demand().ByteSizeLong());
   count_list("relays", update.relays());
 }
 
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -10,6 +10,7 @@
 
 #include "endivecart/fleet/cache_catalog.h"
 #include "endivecart/fleet/decisions.h"
+#include "endivecart/fleet/demand_sum.h"
 #include "endivecart/fleet/entry_limit.h"
 #include "endivecart/fleet/load_table.h"
 #include "endivecart/fleet/weights_ages.h"
@@ -194,6 +195,7 @@
   std::map<HostId, std::uint32_t> caller_ranks_;
   std::vector<HostId> spares_;
   LoadTable loads_;
+  DemandSum demand_;
   quarantine::PartJudge part_judge_;
   std::vector<quarantine::Quarantine> told_quarantines_;  // by on_quarantines
   limits::LimitTable limits_;  // of upstreams, as named to any follower
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -81,6 +81,10 @@
   }
   if (hooks_.failures)
     *poll.mutable_failures() = ToWire(hooks_.failures(), hooks_.now());
+  if (hooks_.local_demand) {
+    reported_demand_ = hooks_.local_demand();
+    *poll.mutable_demand() = ToWire(reported_demand_);
+  }
   if (hooks_.waiting) {
     for (wire::WaitingRecord& waiting : hooks_.waiting())
       *poll.add_waiting() = std::move(waiting);
@@ -229,6 +233,10 @@
     loads_updated_at_ = now;
     knows_all = loads_.Apply(update.fleet_loads(), reported_loads_, now,
                              hooks_.on_heard);
+    if (update.has_demand() && hooks_.on_others_demand) {
+      hooks_.on_others_demand(
+          Without(FromWire(update.demand()), reported_demand_));
+    }
     if (hooks_.on_loads)
       hooks_.on_loads();
     if (hooks_.on_failures)
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -10,6 +10,7 @@
 
 #include "endivecart/fleet/cache_catalog.h"
 #include "endivecart/fleet/decisions.h"
+#include "endivecart/fleet/demand_sum.h"
 #include "endivecart/fleet/entry_limit.h"
 #include "endivecart/fleet/remote_loads.h"
 #include "endivecart/limits/limits.h"
@@ -95,6 +96,10 @@
     std::function<std::optional<UsageChanges>(std::uint64_t since)> usage_since;
     // This machine's wall clock, in ms; may be wrong. Optional.
     std::function<std::uint64_t()> unix_ms;
+    // What this process's prompts ask of engines' memory, and what those of
+    // all others do, as far as the primary control host knows. Optional.
+    std::function<DemandByRank()> local_demand;
+    std::function<void(const DemandByRank&)> on_others_demand;
     // Returns the requests that wait for scaled services. Optional.
     std::function<std::vector<wire::WaitingRecord>()> waiting;
   };
@@ -195,6 +200,7 @@
   RemoteLoads loads_;
   HostId loads_sender_;
   std::vector<LocalLoad> reported_loads_;  // in the last poll
+  DemandByRank reported_demand_;           // in the last poll
   EntryLimit update_limit_{"update", EntryLimit::kMaxUpdateEntries};
   TimePoint loads_updated_at_{};
   std::set<UpstreamId> quiesced_;
--- a/src/endivecart/gateway/capacity_estimator.cc
+++ b/src/endivecart/gateway/capacity_estimator.cc
@@ -7,6 +7,15 @@
 
 namespace endivecart::gateway {
 
+namespace {
+
+// What control told is used for this long, or for kMaxDelays update delays if
+// they are longer: demand changes within seconds.
+constexpr Millis kMinOthersLifetime{1000};
+constexpr int kMaxDelays = 4;
+
+}  // namespace
+
 double CapacityEstimator::Demand::DecayedTo(TimePoint now,
                                             Millis update_delay) const {
   return tokens * std::exp(-MillisBetween(at, now) /
@@ -28,6 +37,37 @@
   return tokens;
 }
 
+fleet::DemandByRank CapacityEstimator::Demands(TimePoint now) const {
+  fleet::DemandByRank out;
+  for (const auto& [rank, demand] : demands_) {
+    const double tokens = demand.DecayedTo(now, update_delay_);
+    if (tokens >= 1)
+      out[rank] = static_cast<std::uint64_t>(tokens);
+  }
+  return out;
+}
+
+void CapacityEstimator::SetOthersDemand(const fleet::DemandByRank& demand,
+                                        TimePoint now) {
+  others_demand_ = demand;
+  others_known_at_ = now;
+}
+
+double CapacityEstimator::OthersDemandUpToRank(int rank,
+                                               int hosts,
+                                               TimePoint now) const {
+  const Millis lifetime =
+      std::max(kMinOthersLifetime, update_delay_ * kMaxDelays);
+  if (others_known_at_ == TimePoint{} || now - others_known_at_ > lifetime)
+    return DemandUpToRank(rank, now) * std::max(hosts - 1, 0);
+  double tokens = 0;
+  for (const auto& [level, demand] : others_demand_) {
+    if (level <= rank)
+      tokens += static_cast<double>(demand);
+  }
+  return tokens;
+}
+
 std::vector<double> CapacityEstimator::AdmissionProbabilities(
     int rank,
     const std::vector<std::int64_t>& free_tokens,
@@ -35,8 +75,7 @@
     TimePoint now) const {
   const std::size_t engines = free_tokens.size();
   std::vector<double> probabilities(engines, 1);
-  const double others_demand =
-      DemandUpToRank(rank, now) * std::max(hosts - 1, 0);
+  const double others_demand = OthersDemandUpToRank(rank, hosts, now);
   if (engines == 0 || others_demand <= 0)
     return probabilities;
   const auto considered =
--- a/src/endivecart/gateway/capacity_estimator.h
+++ b/src/endivecart/gateway/capacity_estimator.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "endivecart/base/base.h"
+#include "endivecart/fleet/fleet.h"
 
 namespace endivecart::gateway {
 
@@ -15,7 +16,8 @@
 // times what it holds. Each host therefore uses that capacity only with a
 // probability, such that all hosts together send about what fits until the next
 // update. More urgent prompts go first: less urgent demand does not reduce
-// their probability. Assumes that other hosts have the same demand as this one.
+// their probability. The demand of other hosts is what control told; as long as
+// that is unknown or old, they are taken to have the same as this one.
 class CapacityEstimator {
  public:
   // Time from an arrival at another host until this one learns of it: half a
@@ -26,6 +28,10 @@
   // Adds the demand of a prompt that needs `tokens` of capacity, each time that
   // it is tried. `rank`: see RankOf().
   void Add(int rank, std::int64_t tokens, TimePoint now);
+  // Returns the demand of this host within the last update delay.
+  fleet::DemandByRank Demands(TimePoint now) const;
+  // Sets the demand of all other hosts together.
+  void SetOthersDemand(const fleet::DemandByRank& demand, TimePoint now);
   // Returns for each engine the probability with which a prompt may use its
   // free tokens. `hosts` is the number of hosts that send to the engines.
   std::vector<double> AdmissionProbabilities(
@@ -45,9 +51,13 @@
 
   // Returns the requested tokens of all prompts of this or a more urgent rank.
   double DemandUpToRank(int rank, TimePoint now) const;
+  // Returns those of all other hosts.
+  double OthersDemandUpToRank(int rank, int hosts, TimePoint now) const;
 
   Millis update_delay_ = kUpdateDelay;
   std::map<int, Demand> demands_;  // by rank
+  fleet::DemandByRank others_demand_;
+  TimePoint others_known_at_{};
 };
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -19,6 +19,12 @@
   };
   hooks.local_loads = [&gateway] { return gateway.upstreams().LocalLoads(); };
   hooks.on_loads = [&gateway] { gateway.AdmitSoon(); };
+  hooks.local_demand = [&gateway] {
+    return gateway.capacity_estimator().Demands(gateway.Now());
+  };
+  hooks.on_others_demand = [&gateway](const fleet::DemandByRank& demand) {
+    gateway.capacity_estimator().SetOthersDemand(demand, gateway.Now());
+  };
   hooks.move_reports = [&gateway] { return gateway.moves().Reports(); };
   hooks.quarantine_findings = [&gateway] {
     return gateway.part_monitor().Findings(gateway.Now());
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -91,6 +91,7 @@
   TimePoint Now() const { return loop_.Now(); }
   UpstreamTracker& upstreams() { return upstreams_; }
   CacheView& cache() { return cache_; }
+  CapacityEstimator& capacity_estimator() { return capacity_estimator_; }
   CacheSaveClaims& save_claims() { return save_claims_; }
   quarantine::PartMonitor& part_monitor() { return part_monitor_; }
   limits::LimitMonitor& limits() { return limits_; }
