Waiting requests go by their latest start, and hopeless ones are refused at once

It replaces gateway/request_queue. Requests that can be on time go before late ones, also before late ones of a more urgent rank, unless that rank is then admitted less often; a tenth of the capacity goes in order of arrival; customers over their share and neglected classes are weighed within a rank. What can't be answered within its limit is refused at once, with a Retry-After by the work ahead. Nothing is refused while at least half of the engines have room. New requests are compared with those that wait.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -81,6 +81,8 @@
     if (const auto self = weak.lock(); self && self->call_)
       self->call_->SetPaused(false);
   });
+  used_before_ = gateway_.service_times_.TimeUsedBefore(
+      route_.name, customer_ ? customer_->id : CustomerId(), limit);
   service_ = gateway_.ChooseService(route_);
   move_draw_ = std::uniform_real_distribution<double>(0, 1)(gateway_.random_);
   // The host that sends it to an upstream counts it.
@@ -118,6 +120,13 @@
     StartRelayedCall(*relay);
     return;
   }
+  if (sends_ == 0 && gateway_.wait_queue_.IsScarce(service_.str())) {
+    // It may not overtake those that wait and go before it. Retries have waited
+    // already, and a stream that has begun must go on.
+    Wait();
+    gateway_.AdmitNew();
+    return;
+  }
   const auto upstream = ChooseUpstream();
   if (upstream) {
     StartCall(*upstream);
@@ -377,7 +386,7 @@
     exchange_->Abort();
     Finish(0, reason);
   } else if (run_state_ == RunState::kNotRun) {
-    Refuse(503, reason, kDefaultRetryAfter);
+    Refuse(503, reason, RetryAfter());
   } else {
     Refuse(504, reason, std::nullopt);
   }
@@ -422,6 +431,7 @@
       timing.events = events_;
     }
     gateway_.durations_.Add(route_.name, timing);
+    RecordServiceTime();
   }
   LogLine line("gateway.done");
   line.Add("request", request_.id.str())
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -60,13 +60,12 @@
   // Returns when a request that is no stream was sent to an upstream, if its
   // answer will tell whether it is to be counted as usage.
   std::optional<TimePoint> UncountedSince() const;
-  // Tries to send a queued request. Returns whether it was sent.
-  bool TryDispatch();
+  // Tries to send a queued request.
+  scheduling::WaitQueue::TryResult TryDispatch();
+  // Refuses a queued request that can't be answered within its time limit.
+  void RefuseWaiting(Millis retry_after, Millis expected_wait);
 
  private:
-  // When callers may return if nothing better is known.
-  static constexpr Millis kDefaultRetryAfter{300};
-
   // Whether a request without an answer may have been run by an upstream.
   enum class RunState { kNotRun, kMayHaveRun };
 
@@ -90,17 +89,27 @@
   // Records the end of a send that may have carried saves.
   void EndSaves(SendResult result);
   void ReleaseSaves();
-  // Queues the request until an upstream has capacity or the maximum wait is
-  // over.
+  // Queues the request until an upstream has capacity, or until it can't be
+  // answered any more.
   void Wait();
   void StopWaiting();
-  // Returns how long the request may be queued from now on.
-  Millis MaxWait() const;
+  // Returns how long a wait that an upstream has named may be at most.
+  Millis MaxNamedWait() const;
+  scheduling::WaitingRequest AsWaiting() const;
+  // Returns the time that is expected from a send to the answer, or to a
+  // stream's first event.
+  Millis PredictedService() const;
+  // Estimated time to prefill the whole prompt.
+  Millis PromptPrefillTime() const;
+  // Records how long an answered request took, for PredictedService().
+  void RecordServiceTime();
+  // Returns when the caller of a refused request should return.
+  Millis RetryAfter() const;
   // Sets `has_capacity` of each candidate for this prompt, by its free memory
   // and a random draw with the probability of CapacityEstimator.
   void MarkCapacity(std::vector<Candidate>& candidates,
                     const routes::Service* service,
-                    int hosts) const;
+                    int hosts);
   std::vector<Candidate> FindCandidates(UpstreamCounts& counts) const;
   // Returns whether the request and the cache of its prompt may be in `domain`.
   bool IsAllowedIn(const DomainId& domain) const;
@@ -236,8 +245,10 @@
   TimePoint deadline_;
   std::unique_ptr<TimerSubscription> deadline_timer_;
   std::unique_ptr<TimerSubscription> wait_timer_;
-  std::optional<RequestQueue::Ticket> ticket_;
-  bool is_full_ = false;            // upstreams exist, but none has capacity
+  std::optional<scheduling::WaitQueue::Ticket> ticket_;
+  Millis used_before_{0};   // by the caller's earlier attempt
+  bool is_full_ = false;    // upstreams exist, but none has capacity
+  bool has_spare_ = false;  // at the last choice: most engines had capacity
   UpstreamCounts upstream_counts_;  // at the last choice
   // Of the limited upstreams at the last choice; nullopt if there was none.
   std::optional<Millis> time_to_permit_;
--- a/src/endivecart/gateway/forwarding_choice.cc
+++ b/src/endivecart/gateway/forwarding_choice.cc
@@ -6,9 +6,17 @@
 
 namespace endivecart::gateway {
 
+namespace {
+
+// Engines count as idle for a prompt while one in so many of them has room.
+constexpr std::size_t kSpareDivisor = 2;
+
+}  // namespace
+
 void Forwarding::MarkCapacity(std::vector<Candidate>& candidates,
                               const routes::Service* service,
-                              int hosts) const {
+                              int hosts) {
+  has_spare_ = false;
   if (!request_.prompt || service == nullptr || !service->engine)
     return;
   const std::int64_t cache_tokens = service->engine->cache_tokens;
@@ -23,6 +31,10 @@
                               ? FreeTokens(candidate, cache_tokens)
                               : 0);
   }
+  const auto with_room = std::count_if(free_tokens.begin(), free_tokens.end(),
+                                       [](std::int64_t f) { return f > 0; });
+  has_spare_ = static_cast<std::size_t>(with_room) * kSpareDivisor >=
+               std::max<std::size_t>(candidates.size(), 1);
   const auto probabilities =
       gateway_.capacity_estimator_.AdmissionProbabilities(Rank(), free_tokens,
                                                           hosts, now);
@@ -43,7 +55,7 @@
 }
 
 int Forwarding::Rank() const {
-  return RankOf(Urgency(), route_.priority);
+  return scheduling::RankOf(Urgency(), route_.priority);
 }
 
 CustomerId Forwarding::IsolatedCustomer() const {
@@ -151,7 +163,7 @@
   is_full_ = lacks_room;
   if (const auto wait = upstream_counts_.shortest_wait) {
     time_to_permit_ = std::min(time_to_permit_.value_or(*wait), *wait);
-    is_full_ |= *wait < MaxWait();
+    is_full_ |= *wait < MaxNamedWait();
   }
   return std::nullopt;
 }
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -36,11 +36,12 @@
       relay_port_(options_.relay_port),
       retry_limiter_(options_.retry_ratio, options_.retry_window),
       random_(options_.seed),
+      wait_queue_(StableHash(options_.host.str(), options_.seed)),
       usage_(options_.usage_window),
       admit_timer_(loop.Every(kAdmitInterval,
                               [this](TimePoint) {
-                                if (!request_queue_.empty())
-                                  Admit();
+                                if (!wait_queue_.empty())
+                                  Admit(Millis(0));
                               })),
       reach_timer_(
           loop.Every(kReachInterval, [this](TimePoint) { ReachTick(); })) {}
@@ -61,8 +62,11 @@
   std::set<std::string> names;
   for (const routes::Route& route : routes_->configuration().routes)
     names.insert(route.name);
-  durations_.KeepOnly(
-      [&names](const std::string& name) { return names.contains(name); });
+  const auto exists = [&names](const std::string& name) {
+    return names.contains(name);
+  };
+  durations_.KeepOnly(exists);
+  service_times_.KeepOnly(exists);
 }
 
 bool Gateway::CanFinish(const routes::Route& route,
@@ -270,24 +274,6 @@
   active_.erase(forwarding);
 }
 
-void Gateway::AdmitSoon() {
-  if (request_queue_.empty() || admit_soon_)
-    return;
-  admit_soon_ = loop_.After(Millis(0), [this](TimePoint) {
-    admit_soon_.reset();
-    Admit();
-  });
-}
-
-void Gateway::Admit() {
-  request_queue_.Admit(
-      [this](RequestQueue::Ticket ticket) {
-        const auto forwarding = waiting_.at(ticket).lock();
-        return forwarding != nullptr && forwarding->TryDispatch();
-      },
-      loop_.Now());
-}
-
 void Gateway::ReachTick() {
   const auto active = active_;  // active_ changes as requests end
   for (const auto& forwarding : active) {
@@ -310,6 +296,7 @@
 }
 
 void Gateway::Tick() {
+  ReportBacklog();
   metrics_.Set("endivecart_quarantines", "",
                static_cast<double>(part_monitor_.quarantines()));
   upstreams_.Expire();
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -24,11 +24,11 @@
 #include "endivecart/gateway/reach_prober.h"
 #include "endivecart/gateway/region_map.h"
 #include "endivecart/gateway/relayed_request.h"
-#include "endivecart/gateway/request_queue.h"
 #include "endivecart/gateway/retry_limiter.h"
 #include "endivecart/gateway/upstream_tracker.h"
 #include "endivecart/net/net.h"
 #include "endivecart/routes/routes.h"
+#include "endivecart/scheduling/scheduling.h"
 
 namespace endivecart::gateway {
 
@@ -159,7 +159,14 @@
                       TimePoint sent_at);
   // Records the wait that an upstream named with a refusal.
   void OnNamedWait(const UpstreamId& upstream, const AnswerMetadata& metadata);
-  void Admit();
+  // Sends queued requests as far as there is capacity, and refuses those that
+  // can't be answered within their time limit. `min_age`: see WaitQueue.
+  void Admit(Millis min_age);
+  void RefuseHopeless();
+  // Schedules a comparison of a new request with those that wait already.
+  void AdmitNew();
+  // Logs who waits, was admitted and was refused.
+  void ReportBacklog();
   // Looks for silent upstreams, and probes upstreams if necessary.
   void ReachTick();
 
@@ -194,11 +201,13 @@
   routes::RouteTablePtr routes_;
   fleet::WeightsAges weights_ages_;
   std::set<std::shared_ptr<Forwarding>> active_;
-  RequestQueue request_queue_;
-  std::map<RequestQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
+  scheduling::ServiceTimes service_times_;
+  scheduling::WaitQueue wait_queue_;
+  std::map<scheduling::WaitQueue::Ticket, std::weak_ptr<Forwarding>> waiting_;
   duties::UsageCounter usage_;
   std::optional<TimePoint> bad_server_load_logged_at_;
   std::unique_ptr<TimerSubscription> admit_soon_;
+  std::unique_ptr<TimerSubscription> admit_new_;
   std::unique_ptr<TimerSubscription> admit_timer_;
   std::unique_ptr<TimerSubscription> reach_timer_;
 };
--- a/src/endivecart/gateway/policy_unittest.cc
+++ b/src/endivecart/gateway/policy_unittest.cc
@@ -9,7 +9,6 @@
 #include "endivecart/gateway/placement.h"
 #include "endivecart/gateway/prefill_rate_estimator.h"
 #include "endivecart/gateway/region_map.h"
-#include "endivecart/gateway/request_queue.h"
 #include "endivecart/gateway/retry_limiter.h"
 
 namespace endivecart::gateway {
@@ -392,12 +391,6 @@
              boost::test_tools::per_element());
 }
 
-BOOST_AUTO_TEST_CASE(a_customers_priority_precedes_the_routes_priority) {
-  BOOST_TEST(RankOf(0, 9) < RankOf(1, 0));
-  BOOST_TEST(RankOf(1, 0) < RankOf(1, 2));
-  BOOST_TEST(RankOf(1, 50) < RankOf(2, 0));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(gateway_regions, *boost::unit_test::label("gateway"))
@@ -625,66 +618,5 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_AUTO_TEST_SUITE(gateway_waiting, *boost::unit_test::label("gateway"))
-
-// Admits the requests for which `fits` holds and returns their tickets.
-template <class Fits>
-std::vector<std::uint64_t> AdmitAll(RequestQueue& queue,
-                                    Fits fits,
-                                    TimePoint now) {
-  std::vector<std::uint64_t> admitted;
-  queue.Admit(
-      [&](RequestQueue::Ticket ticket) {
-        if (!fits(ticket))
-          return false;
-        queue.Remove(ticket);
-        admitted.push_back(ticket);
-        return true;
-      },
-      now);
-  return admitted;
-}
-
-BOOST_AUTO_TEST_CASE(the_most_urgent_request_goes_first) {
-  RequestQueue queue;
-  const auto late = queue.Add(2, "s", At(0));
-  const auto urgent = queue.Add(0, "s", At(1));
-  const auto order = AdmitAll(
-      queue, [](auto) { return true; }, At(2));
-  BOOST_TEST(order == (std::vector<std::uint64_t>{urgent, late}),
-             boost::test_tools::per_element());
-  BOOST_TEST(queue.empty());
-}
-
-BOOST_AUTO_TEST_CASE(a_large_request_is_not_overtaken_by_small_ones_forever) {
-  RequestQueue queue;
-  const auto large = queue.Add(1, "s", At(0));
-  const auto small = queue.Add(1, "s", At(10));
-  const auto fits = [&](auto ticket) { return ticket != large; };
-  BOOST_TEST(AdmitAll(queue, fits, At(100)).size() == 1u);
-  const auto next = queue.Add(1, "s", At(120));
-  const auto other = queue.Add(2, "s", At(120));
-  // A request that waits too long blocks only its own rank.
-  const auto admitted = AdmitAll(queue, fits, At(400));
-  BOOST_TEST(admitted == std::vector<std::uint64_t>{other},
-             boost::test_tools::per_element());
-  BOOST_TEST(queue.size() == 2u);
-  (void)small;
-  (void)next;
-}
-
-BOOST_AUTO_TEST_CASE(a_request_blocks_none_for_other_upstreams) {
-  RequestQueue queue;
-  const auto stuck = queue.Add(1, "full", At(0));
-  queue.Add(1, "full", At(10));
-  const auto other = queue.Add(1, "s", At(10));
-  const auto fits = [&](auto ticket) { return ticket != stuck; };
-  const auto admitted = AdmitAll(queue, fits, At(400));
-  BOOST_TEST(admitted == std::vector<std::uint64_t>{other},
-             boost::test_tools::per_element());
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
 }  // namespace
 }  // namespace endivecart::gateway
