--- a/src/endivecart/scheduling/return_times.cc
+++ b/src/endivecart/scheduling/return_times.cc
@@ -21,6 +21,10 @@
       std::clamp(std::chrono::duration_cast<Millis>(room_at - now),
                  kMinRetryAfter, kMaxRetryAfter);
   next_free_ = std::min(room_at + own, now + kMaxRetryAfter);
+  return Spread(wait);
+}
+
+Millis ReturnTimes::Spread(Millis wait) {
   const double factor =
       1 + std::uniform_real_distribution<double>(0, kJitter)(random_);
   return Millis(
--- a/src/endivecart/scheduling/return_times.h
+++ b/src/endivecart/scheduling/return_times.h
@@ -17,6 +17,8 @@
   // `backlog`: time in which what waits is served; `own`: time in which this
   // request is served when it comes back.
   Millis Next(Millis backlog, Millis own, TimePoint now);
+  // Without a backlog: a little later than `wait`, at random.
+  Millis Spread(Millis wait);
 
  private:
   std::mt19937_64 random_;
--- a/src/endivecart/scheduling/wait_queue_refusals.cc
+++ b/src/endivecart/scheduling/wait_queue_refusals.cc
@@ -18,7 +18,7 @@
 // A fresh request has used less than this of its time.
 constexpr Millis kMaxUsedByFresh{100};
 // The forecast visits all waiting requests, and its inputs change slowly.
-constexpr Millis kRefusalInterval{40};
+constexpr Millis kRefusalInterval{100};
 
 Millis ToMillis(double millis) {
   constexpr double kMaxMs = 1e9;  // within the range of Millis
@@ -112,7 +112,7 @@
   Group& group = GroupOf(request.group);
   const auto rate = group.backlog.Rate(now);
   if (!rate || !group.is_scarce)
-    return group.return_times.Next(kUsualRetryAfter, Millis(0), now);
+    return group.return_times.Spread(kUsualRetryAfter);
   double ahead = 0;
   for (const auto& [ticket, entry] : waiting_) {
     if (entry.group == &group && entry.request.rank <= request.rank)
