--- a/bench/fleet_load.cc
+++ b/bench/fleet_load.cc
@@ -18,6 +18,7 @@
 #include <zmq.hpp>
 
 #include "endivecart/fleet/fleet.h"
+#include "platform.h"
 
 namespace bench {
 
@@ -152,20 +153,22 @@
   std::uint64_t bytes_ = 0;
 };
 
-std::string AnnouncementText(int upstream, std::uint64_t sequence) {
-  const std::string body =
-      R"({"service":"service-)" + std::to_string(upstream % kServices) +
-      R"(","address":"10.)" + std::to_string(3 + upstream / 250) + ".1." +
-      std::to_string(upstream % 250) + R"(:8080","zone":"zone-)" +
-      std::to_string(upstream % kDomains) +
-      R"(","version":"v2.14.0","slots":)" + std::to_string(kSlots) +
-      R"(,"state":"ready","cold_remaining_ms":0,"models":[{"name":"model-a",)"
-      R"("version":12,"adapters":[]}],"sequence":)" +
-      std::to_string(sequence) + R"(,"born":1700000000000})";
-  return "POST /Instances.Heartbeat/" + Name(upstream) +
-         " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
-         "Content-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+upstreams::Announcement AnnouncementOf(int upstream, std::uint64_t sequence) {
+  constexpr int kPerNetwork = 250;
+  upstreams::Announcement announcement;
+  announcement.id = UpstreamId(Name(upstream));
+  announcement.start_time_ms = 1700000000000;
+  announcement.sequence = sequence;
+  announcement.service =
+      routes::ServiceId("service-" + std::to_string(upstream % kServices));
+  announcement.address = {"10." + std::to_string(3 + upstream / kPerNetwork) +
+                              ".1." + std::to_string(upstream % kPerNetwork),
+                          8080};
+  announcement.domain = DomainId("zone-" + std::to_string(upstream % kDomains));
+  announcement.software_version = VersionId("v2.14.0");
+  announcement.slots = kSlots;
+  announcement.models = {{ModelId("model-a"), 12}};
+  return announcement;
 }
 
 // Announces a share of the upstreams, each to any control host, on one thread.
@@ -227,7 +230,8 @@
     if (connection.descriptor < 0)
       connection.descriptor = Connect(host);
     connection.used_at = Now();
-    const std::string text = AnnouncementText(upstream, sequence);
+    const std::string text =
+        platform::AnnouncementCall(AnnouncementOf(upstream, sequence));
     std::array<char, 1024> answer{};
     if (connection.descriptor < 0 ||
         ::send(connection.descriptor, text.data(), text.size(), MSG_NOSIGNAL) !=
