--- a/src/endivecart/gateway/upstream_speed_unittest.cc
+++ b/src/endivecart/gateway/upstream_speed_unittest.cc
@@ -144,7 +144,7 @@
     for (std::size_t i = 0; i < kEngines; ++i) {
       candidates[i].requests = seen_.front()[i];
       // Each prompt in progress still has some tokens in the queue.
-      candidates[i].prompt_tokens = seen_.front()[i] * 100;
+      candidates[i].prompt_tokens = std::int64_t{seen_.front()[i]} * 100;
       if (learn_) {
         const auto known = hosts_[host].SpeedOf(candidates[i].id, now());
         candidates[i].slowness = known.slowness;
