--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,5 +1,5 @@
-// A status report of another writer, with fields missing, under the id of a
-// server. Later that server drains. See claim.txt.
+// A server that is cut off from the core leaves, and says so in its answers.
+// See claim.txt.
 #include "../site-2.hpp"
 
 using namespace site;
@@ -8,9 +8,10 @@
 
 constexpr long kContactWindowMs = 3000;
 constexpr long kDrainTimeoutMs = 2000;
-// A server "continues serving for `drain_timeout_ms` after the ack and a little
-// longer (at times many seconds)".
-constexpr long kServesOnMs = kDrainTimeoutMs + 4000;
+// "If it receives no ack, it exits anyway, some seconds later."
+constexpr long kExitMs = 6000;
+constexpr int kServers = 5;  // one of them is a share of 0.2
+constexpr long kWorkMs = 300;
 
 }  // namespace
 
@@ -21,13 +22,13 @@
   Site site;
   site.StartAll();
   std::vector<std::unique_ptr<Server>> servers;
-  for (int i = 0; i < 3; ++i) {
+  for (int i = 0; i < kServers; ++i) {
     Server::Spec spec;
     spec.id = "i-desk" + std::to_string(i);
     spec.service = "order-desk";
     spec.address = site.ServerAddress(i);
     spec.zone = Site::ZoneOf(i);
-    spec.work_ms = 300;
+    spec.work_ms = kWorkMs;
     servers.push_back(std::make_unique<Server>(site, spec));
     if (!servers.back()->Start())
       return 2;
@@ -44,6 +45,7 @@
   }
   SleepMs(kContactWindowMs + 1000);
 
+  // Orders come all the while, at both entries in turn.
   std::mutex mutex;
   std::map<std::string, Attempt> attempts;
   std::atomic<bool> stop{false};
@@ -57,57 +59,57 @@
         const std::scoped_lock lock(mutex);
         attempts[attempt.id] = attempt;
       });
-      SleepMs(60);
+      SleepMs(40);
     }
     for (std::thread& send : sends)
       send.join();
   });
-  SleepMs(3000);
+  SleepMs(4000);
 
   Server& leaver = *servers.front();
   if (trouble) {
-    // `state`, `version`, `slots` and `cold_remaining_ms` are missing.
-    const auto answer = Call(
-        site.Control(0), "POST", "/Instances.Heartbeat/" + leaver.spec().id,
-        {{"Content-Type", "application/json"}},
-        "{\"service\":\"order-desk\",\"address\":\"" +
-            leaver.spec().address.Text() + "\",\"zone\":\"" +
-            leaver.spec().zone + "\",\"born\":" + std::to_string(UnixMs()) +
-            ",\"sequence\":1}");
-    record.Line("report with fields missing: %d",
-                answer ? answer->Status() : 0);
+    record.Line("%s is cut off from the core", leaver.spec().id.c_str());
+    leaver.reports = false;
+    SleepMs(1500);
   }
-  SleepMs(6000);  // calm, longer than contact_window_ms
-
   leaver.draining = true;
-  while (leaver.drain_acked_ms < 0 && NowMs() < 60000) {
+  leaver.leaving = true;
+  record.Line("%s leaves", leaver.spec().id.c_str());
+  if (!trouble)
     leaver.ReportNow();
-    SleepMs(100);
-  }
-  const long acked = leaver.drain_acked_ms;
-  record.Line("draining of %s acknowledged at %ld", leaver.spec().id.c_str(),
-              acked);
-  if (acked < 0)
-    return 2;
-  SleepMs(kServesOnMs);
+  SleepMs(kExitMs);
   leaver.Exit();
   SleepMs(2500);
   stop = true;
   client.join();
 
+  // For each entry, when it first passed on an answer with Server-Leaving.
+  std::map<int, long> told;
+  const std::vector<Run> runs = leaver.Runs();
+  for (const auto& [id, attempt] : attempts) {
+    if (!attempt.is_leaving)
+      continue;
+    const auto at = told.try_emplace(attempt.entry, attempt.ended_ms).first;
+    at->second = std::min(at->second, attempt.ended_ms);
+  }
   int late = 0;
   int lost = 0;
-  for (const Run& run : leaver.Runs()) {
+  for (const Run& run : runs) {
     const auto it = attempts.find(run.attempt);
-    if (it == attempts.end() || run.at_ms <= acked + kDrainTimeoutMs)
+    if (it == attempts.end())
+      continue;
+    const Attempt& attempt = it->second;
+    const auto at = told.find(attempt.entry);
+    if (at == told.end() || attempt.sent_ms <= at->second + kDrainTimeoutMs)
       continue;
     ++late;
-    lost += it->second.status == 200 ? 0 : 1;
+    lost += attempt.status == 200 ? 0 : 1;
   }
+  for (const auto& [entry, at] : told)
+    record.Line("entry %d passed on Server-Leaving first at %ld", entry, at);
   record.Line(
-      "orders %zu; that reached the draining server later than "
-      "drain_timeout_ms after the ack: %d, of them without their "
-      "answer: %d",
+      "orders %zu; sent later than drain_timeout_ms after that, and run "
+      "at the leaving server: %d, of them without their answer: %d",
       attempts.size(), late, lost);
   const bool broken = late > 0;
   record.Line(broken ? "DRAIN broken" : "DRAIN held");
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,27 +1,43 @@
-// A second roll-out is ordered after a bad version was rolled back, while the
-// servers of that version haven't left yet. See claim.txt.
+// Status reports of another writer, whose id has bytes that can't be read. See
+// claim.txt.
 #include "../site-2.hpp"
 
 using namespace site;
 
 namespace {
 
+// The bounds of the pages' sheets.
 constexpr long kContactWindowMs = 3000;
-constexpr int kDurationS = 12;
-constexpr double kExposureShare = 0.1;
-constexpr int kExposureSlack = 50;
-constexpr long kRollbackMs = 5000;
-constexpr int kBadAnswers = 50;
-// "At `rolled_back`, the new servers drain some seconds later."
-constexpr long kDrainAfterMs = 6000;
-// A portion of the bad version's responses are failures.
-constexpr int kBadOneIn = 3;
-constexpr int kClients = 24;
+constexpr long kConfigApplyMs = 2000;
+constexpr std::size_t kMinRequests = 20;
 
-struct Arrival {
-  long at_ms;
-  std::string version;
-  bool is_bad;
+// Sends a report with an id in ISO 8859-1 to each control node in turn, as
+// often as a server reports.
+void SendOddReports(Site& site, const std::atomic<bool>& stop) {
+  const std::string id =
+      "i-k\xfc"
+      "che";
+  const long born = UnixMs();
+  for (int i = 0; !stop; ++i) {
+    const auto answer = Call(
+        site.Control(i % site.controls()), "POST", "/Instances.Heartbeat/" + id,
+        {{"Content-Type", "application/json"}},
+        "{\"service\":\"order-desk\",\"address\":\"" +
+            site.ServerAddress(60).Text() +
+            "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":6,\"state\":"
+            "\"ready\",\"cold_remaining_ms\":0,\"born\":" +
+            std::to_string(born) + ",\"sequence\":" + std::to_string(i + 1) +
+            "}");
+    record.Line("odd report to control %d: %d", i % site.controls(),
+                answer ? answer->Status() : 0);
+    for (int j = 0; j < 12 && !stop; ++j)
+      SleepMs(100);
+  }
+}
+
+struct Tally {
+  std::size_t sent = 0;
+  std::size_t served = 0;
 };
 
 }  // namespace
@@ -32,143 +48,101 @@
   LimitTime(115);
   Site site;
   site.StartAll();
-  std::mutex mutex;
-  std::vector<Arrival> arrivals;
-  std::atomic<unsigned> runs_of_bad{0};
   std::vector<std::unique_ptr<Server>> servers;
-  const auto start_servers = [&](const std::string& version, int first) {
-    for (int i = 0; i < 3; ++i) {
-      Server::Spec spec;
-      spec.id = "i-desk-" + version + "-" + std::to_string(i);
-      spec.service = "order-desk";
-      spec.address = site.ServerAddress(first + i);
-      spec.zone = Site::ZoneOf(i);
-      spec.version = version;
-      servers.push_back(std::make_unique<Server>(site, spec));
-      servers.back()->on_request = [&](Server& server, Channel& channel,
-                                       const Message& request, Run& run) {
-        const std::string& own = server.spec().version;
-        const bool is_bad = own == "v2" && ++runs_of_bad % kBadOneIn == 0;
-        {
-          const std::scoped_lock lock(mutex);
-          arrivals.push_back({run.at_ms, own, is_bad});
-        }
-        SleepMs(30);
-        run.answered = channel.Write(Server::AnswerText(
-            request, is_bad ? 500 : 200,
-            "X-Server-Signature: sig." + run.attempt + "\r\n", "done"));
-      };
-      if (!servers.back()->Start())
-        return false;
-    }
-    return true;
+  const auto start_server = [&](const std::string& id,
+                                const std::string& service, int at) {
+    Server::Spec spec;
+    spec.id = id;
+    spec.service = service;
+    spec.address = site.ServerAddress(at);
+    spec.zone = Site::ZoneOf(at);
+    servers.push_back(std::make_unique<Server>(site, spec));
+    return servers.back()->Start();
   };
-  if (!start_servers("v1", 0))
-    return 2;
-  const auto put = site.Operator(
-      "POST", "/Config.Replace",
-      Manifest(
-          7,
-          {{"order-reserve", "/order/", "unsafe", 1500, "order-desk", 1, ""}},
-          {"order-desk"}));
+  for (int i = 0; i < 3; ++i) {
+    if (!start_server("i-desk" + std::to_string(i), "order-desk", i))
+      return 2;
+  }
+  const RouteSpec first{"stock-lookup", "/lookup/", "safe", 1500,
+                        "order-desk",   2,          ""};
+  const RouteSpec later{"stock-count", "/count/", "safe", 1500,
+                        "count-desk",  2,         ""};
+  const auto put = site.Operator("POST", "/Config.Replace",
+                                 Manifest(7, {first}, {"order-desk"}));
   if (!put || put->Status() != 200 || !site.WaitReady(15000)) {
     record.Line("the site did not start");
     return 2;
   }
   SleepMs(kContactWindowMs + 1000);
+  if (Send(site, 0, "GET", "/lookup/0", {}, "", 1500).status != 200 ||
+      Send(site, 1, "GET", "/lookup/1", {}, "", 1500).status != 200) {
+    record.Line("the site does not serve");
+    return 2;
+  }
 
   std::atomic<bool> stop{false};
-  std::vector<std::thread> clients;
-  std::atomic<int> number{0};
-  for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back([&] {
-      while (!stop) {
-        const int n = ++number;
-        Send(site, n % site.entries(), "POST", "/order/" + std::to_string(n),
-             {}, "x", 1500);
-        SleepMs(60);
-      }
-    });
-  }
-  SleepMs(3000);
+  std::thread odd([&] {
+    if (trouble)
+      SendOddReports(site, stop);
+  });
+  SleepMs(6000);
 
-  const auto begin = [&](const std::string& version) {
-    const auto answer = site.Operator(
-        "POST", "/Rollouts.Begin",
-        "{\"service\":\"order-desk\",\"target\":\"" + version +
-            "\",\"duration_s\":" + std::to_string(kDurationS) + "}");
-    record.Line("roll-out of %s ordered: %d", version.c_str(),
-                answer ? answer->Status() : 0);
-    return answer && answer->Status() == 200;
-  };
-  const auto state = [&] {
-    const auto answer =
-        site.Operator("GET", "/Rollouts.Read/order-desk", "", 3000);
-    return answer ? answer->body : std::string();
-  };
-  const long ordered = NowMs();
-  if (!begin("v2") || !start_servers("v2", 10))
-    return 2;
-  long rolled_back = -1;
-  while (NowMs() < ordered + 1000L * kDurationS) {
-    if (state().find("rolled_back") != std::string::npos) {
-      rolled_back = NowMs();
-      break;
-    }
-    SleepMs(100);
+  // Planned: a service is added, and a route to it.
+  for (int i = 0; i < 3; ++i) {
+    if (!start_server("i-count" + std::to_string(i), "count-desk", 20 + i))
+      return 2;
   }
-  record.Line("v2 rolled back at %ld, %ld ms after the order", rolled_back,
-              rolled_back - ordered);
-  if (rolled_back < 0) {
-    stop = true;
-    for (std::thread& client : clients)
-      client.join();
+  SleepMs(3000);
+  const auto added =
+      site.Operator("POST", "/Config.Replace",
+                    Manifest(9, {first, later}, {"count-desk", "order-desk"}));
+  record.Line("manifest 9: %d", added ? added->Status() : 0);
+  if (!added || added->Status() != 200)
     return 2;
+  SleepMs(kConfigApplyMs + kContactWindowMs + 1000);
+
+  Tally on_first;
+  Tally on_later;
+  for (int i = 0; i < 120; ++i) {
+    const bool is_later = i % 2 == 1;
+    const Attempt attempt = Send(
+        site, i / 2 % site.entries(), "GET",
+        (is_later ? "/count/" : "/lookup/") + std::to_string(i), {}, "", 1500);
+    Tally& tally = is_later ? on_later : on_first;
+    ++tally.sent;
+    tally.served += attempt.status == 200 ? 1 : 0;
+    SleepMs(50);
   }
-  if (trouble) {
-    // The mended version is ordered next.
-    if (!begin("v3") || !start_servers("v3", 20))
-      return 2;
-  }
-  while (NowMs() < rolled_back + kDrainAfterMs)
-    SleepMs(20);
-  for (const auto& server : servers) {
-    if (server->spec().version == "v2") {
-      server->draining = true;
-      server->ReportNow();
-    }
+  const double first_share =
+      static_cast<double>(on_first.served) / static_cast<double>(on_first.sent);
+  const double later_share =
+      static_cast<double>(on_later.served) / static_cast<double>(on_later.sent);
+  const bool broken =
+      on_later.sent >= kMinRequests && later_share < first_share / 4;
+
+  // Planned: an entry machine is stopped and started again.
+  Process& restarted = site.EntryProcess(0);
+  site.Signal(restarted, SIGTERM);
+  const long deadline = NowMs() + 9000;
+  while (!site.Ended(restarted) && NowMs() < deadline)
+    SleepMs(50);
+  site.WriteSettings(restarted, false);
+  site.Start(restarted);
+  const long started = NowMs();
+  bool ready = false;
+  while (!ready && NowMs() < started + 15000) {
+    SleepMs(200);
+    ready = site.IsReady(0);
   }
-  record.Line("the servers of v2 drain");
-  while (NowMs() < ordered + 1000L * kDurationS + 2000)
-    SleepMs(20);
   stop = true;
-  for (std::thread& client : clients)
-    client.join();
+  odd.join();
 
-  int all = 0;
-  int bad_version = 0;
-  int bad_answers = 0;
-  int late = 0;
-  long fiftieth = -1;
-  const std::scoped_lock lock(mutex);
-  for (const Arrival& arrival : arrivals) {
-    const bool is_within = arrival.at_ms >= ordered &&
-                           arrival.at_ms <= ordered + 1000L * kDurationS;
-    all += is_within ? 1 : 0;
-    if (arrival.version != "v2")
-      continue;
-    bad_version += is_within ? 1 : 0;
-    late += fiftieth >= 0 && arrival.at_ms > fiftieth + kRollbackMs ? 1 : 0;
-    if (arrival.is_bad && ++bad_answers == kBadAnswers)
-      fiftieth = arrival.at_ms;
-  }
-  const double limit = kExposureShare * all + kExposureSlack;
   record.Line(
-      "of %d requests that reached the service until its time limit, "
-      "%d reached v2; allowed are %.0f; bad answers %d; later than "
-      "rollback_ms after the 50th: %d",
-      all, bad_version, limit, bad_answers, late);
-  const bool broken = bad_version > limit || late > 0;
-  record.Line(broken ? "EXPOSURE broken" : "EXPOSURE held");
+      "first route: served %zu of %zu; route added later: served %zu of "
+      "%zu",
+      on_first.served, on_first.sent, on_later.served, on_later.sent);
+  record.Line("entry 0 after its planned restart: %s",
+              ready ? "ready" : "not ready for 15 s");
+  record.Line(broken ? "CONFIG broken" : "CONFIG held");
   return broken ? 1 : 0;
 }
