--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -11,7 +11,7 @@
 // "If it receives no ack, it exits anyway, some seconds later."
 constexpr long kExitMs = 6000;
 constexpr int kServers = 5;  // one of them is a share of 0.2
-constexpr long kWorkMs = 300;
+constexpr long kWorkMs = 600;
 
 }  // namespace
 
