--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -9,7 +9,7 @@
 constexpr long kContactWindowMs = 3000;
 constexpr long kDrainTimeoutMs = 2000;
 // "If it receives no ack, it exits anyway, some seconds later."
-constexpr long kExitMs = 6000;
+constexpr long kExitMs = 4800;
 constexpr int kServers = 5;  // one of them is a share of 0.2
 constexpr long kWorkMs = 600;
 
@@ -70,7 +70,6 @@
   if (trouble) {
     record.Line("%s is cut off from the core", leaver.spec().id.c_str());
     leaver.reports = false;
-    SleepMs(1500);
   }
   leaver.draining = true;
   leaver.leaving = true;
