Names from outside are checked at the boundary, records one by one (CONFIG)

Cause: names were protobuf fields of type string. A receiver rejects the whole message if one isn't UTF-8; the next message contains it again. Names in JSON bodies had been checked by the JSON parser, names in paths and headers by nothing. The same was open for the domain of an evacuation (stored in the log), a service, a deregistration, and the model and parts of prompts (polls, rulings, the file of quarantines).

Ruled out: that the odd upstream replaces others in the registry (no message would be refused).

Change: the boundary rejects names that are no plain text or longer than 256 bytes, with a counter and a line a minute. Log values are valid text of at most 2 kB; metric labels are escaped.

--- a/src/endivecart/base/base.h
+++ b/src/endivecart/base/base.h
@@ -13,6 +13,7 @@
 #include "endivecart/base/manual_timer_service.h"  // IWYU pragma: export
 #include "endivecart/base/metrics.h"               // IWYU pragma: export
 #include "endivecart/base/real_timer_service.h"    // IWYU pragma: export
+#include "endivecart/base/rejected_input.h"        // IWYU pragma: export
 #include "endivecart/base/result.h"                // IWYU pragma: export
 #include "endivecart/base/text.h"                  // IWYU pragma: export
 #include "endivecart/base/timer_service.h"         // IWYU pragma: export
--- a/src/endivecart/base/base_unittest.cc
+++ b/src/endivecart/base/base_unittest.cc
@@ -50,6 +50,61 @@
   BOOST_TEST(LatencyHistogram().Quantile(0.5) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(names_from_outside_are_bounded_plain_text) {
+  for (const char* name : {"i-1",
+                           "k\xC3\xBC"
+                           "che",
+                           "a b", "\xF0\x9F\x8D\x83"})
+    BOOST_TEST(AcceptName(InputSource::kOperator, "id", name));
+  for (const char* name : {"",
+                           "k\xFC"
+                           "che",
+                           "a\x01", "a\x7F", "a\n", "\xC2\x80", "\xC0\x80",
+                           "\xED\xA0\x80", "\xF4\x90\x80\x80", "\xC3"}) {
+    BOOST_TEST(!AcceptName(InputSource::kOperator, "id", name));
+  }
+  const std::string longest(kMaxNameBytes, 'a');
+  BOOST_TEST(AcceptName(InputSource::kOperator, "id", longest));
+  BOOST_TEST(!AcceptName(InputSource::kOperator, "id", longest + "a"));
+  // A peer adds a number to it.
+  BOOST_TEST(AcceptName(InputSource::kPeer, "run", longest + "/1"));
+}
+
+BOOST_AUTO_TEST_CASE(a_rejection_is_counted_and_logged_once_a_minute) {
+  RejectedInputMonitor monitor;
+  std::vector<std::string> lines;
+  SetLogSinkForTest([&](const std::string& line) { lines.push_back(line); });
+  for (int i = 0; i < 3; ++i)
+    monitor.Record(InputSource::kPeer, "upstream", "k\xFC");
+  SetLogSinkForTest(nullptr);
+  BOOST_TEST(monitor.Count(InputSource::kPeer) == 3u);
+  BOOST_TEST(monitor.Count(InputSource::kCaller) == 0u);
+  BOOST_REQUIRE(lines.size() == 1u);
+  BOOST_TEST(lines[0] ==
+             "event=input.rejected source=peer field=upstream "
+             "text=k\xEF\xBF\xBD count=1");
+}
+
+BOOST_AUTO_TEST_CASE(log_values_are_valid_text_of_limited_length) {
+  std::string seen;
+  SetLogSinkForTest([&](const std::string& line) { seen = line; });
+  LogLine("event")
+      .Add("a",
+           "k\xFC"
+           "che")
+      .Add("b", std::string(100000, 'x'))
+      .Info();
+  SetLogSinkForTest(nullptr);
+  BOOST_TEST(
+      seen.starts_with("event=event a=\"k\xEF\xBF\xBD"
+                       "che\" b="));
+  BOOST_TEST(seen.size() < 2200u);
+}
+
+BOOST_AUTO_TEST_CASE(metric_labels_are_escaped) {
+  BOOST_TEST(MetricLabel("id", "a\"b\\c\nd") == "id=\"a\\\"b\\\\c\\nd\"");
+}
+
 BOOST_AUTO_TEST_CASE(log_values_can_not_forge_fields_or_lines) {
   std::string seen;
   SetLogSinkForTest([&](const std::string& line) { seen = line; });
--- a/src/endivecart/base/log.cc
+++ b/src/endivecart/base/log.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "endivecart/base/log_rate_limiter.h"
+#include "endivecart/base/text.h"
 
 namespace endivecart {
 
@@ -73,9 +74,12 @@
   return true;
 }
 
+// Longer values are cut.
+constexpr std::size_t kMaxValueBytes = 2048;
+
 bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
-         value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+         value.find_first_of(" \"=\\") != std::string_view::npos;
 }
 
 std::string Quoted(std::string_view value) {
@@ -84,8 +88,6 @@
     if (c == '"' || c == '\\') {
       out += '\\';
       out += c;
-    } else if (static_cast<unsigned char>(c) < 0x20) {
-      out += ' ';
     } else {
       out += c;
     }
@@ -172,7 +174,9 @@
     text_ += json ? ',' : ' ';
   text_ += json ? Quoted(key) : std::string(key);
   text_ += json ? ':' : '=';
-  if (json ? quote : quote && NeedsQuotes(value)) {
+  if (quote && (value.size() > kMaxValueBytes || !IsPlainText(value))) {
+    text_ += Quoted(ToPlainText(value, kMaxValueBytes));
+  } else if (json ? quote : quote && NeedsQuotes(value)) {
     text_ += Quoted(value);
   } else {
     text_ += value;
--- a/src/endivecart/base/log.h
+++ b/src/endivecart/base/log.h
@@ -36,7 +36,8 @@
 std::uint64_t SuppressedLogLines();
 
 // One structured log line: an event name and fields, in the given order.
-// Prompts, answers and keys must never be added as fields.
+// Prompts, answers and keys must never be added as fields. Values may be any
+// bytes: what isn't plain text is replaced, and long values are cut.
 class LogLine {
  public:
   explicit LogLine(std::string_view event);
--- a/src/endivecart/base/metrics.cc
+++ b/src/endivecart/base/metrics.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "endivecart/base/invariant.h"
+#include "endivecart/base/rejected_input.h"
 
 namespace endivecart {
 
@@ -104,6 +105,21 @@
   out += base + "_count" + braces + " " + count + "\n";
 }
 
+std::string MetricLabel(std::string_view name, std::string_view value) {
+  std::string out(name);
+  out += "=\"";
+  for (const char c : value) {
+    if (c == '\n') {
+      out += "\\n";
+      continue;
+    }
+    if (c == '"' || c == '\\')
+      out += '\\';
+    out += c;
+  }
+  return out + '"';
+}
+
 struct MetricsRegistry::Data {
   mutable std::mutex mutex;
   std::map<SeriesKey, std::uint64_t> counters;
@@ -151,6 +167,12 @@
            std::string(InvariantName(invariant)) + "\"} " +
            std::to_string(InvariantMonitor::Get().Violations(invariant)) + "\n";
   }
+  for (int i = 0; i < static_cast<int>(InputSource::kCount); ++i) {
+    const auto source = static_cast<InputSource>(i);
+    out += "endivecart_rejected_input_total{" +
+           MetricLabel("source", InputSourceName(source)) + "} " +
+           std::to_string(RejectedInputMonitor::Get().Count(source)) + "\n";
+  }
   std::scoped_lock lock(data_->mutex);
   for (const auto& [key, value] : data_->counters)
     out += Series(key) + " " + std::to_string(value) + "\n";
--- a/src/endivecart/base/metrics.h
+++ b/src/endivecart/base/metrics.h
@@ -34,6 +34,9 @@
   std::unique_ptr<Data> data_;
 };
 
+// Returns `name="value"` as a label of a series, with the value escaped.
+std::string MetricLabel(std::string_view name, std::string_view value);
+
 // Counters, gauges and histograms by name and label list (`a="b",c="d"`).
 // Thread-safe.
 class MetricsRegistry {
@@ -48,8 +51,8 @@
   void Observe(std::string_view name, std::string_view labels, double millis);
   std::uint64_t CounterValue(std::string_view name,
                              std::string_view labels = {}) const;
-  // Returns all series, including the invariant counters, in Prometheus text
-  // format.
+  // Returns all series, including the counters of invariants and of rejected
+  // input, in Prometheus text format.
   std::string PrometheusText() const;
 
  private:
--- a/src/endivecart/entry/completion_handler.cc
+++ b/src/endivecart/entry/completion_handler.cc
@@ -12,7 +12,7 @@
 constexpr Millis kNoRetryAfter{0};
 
 std::string ClassLabel(const CallerContext& caller) {
-  return "class=\"" + caller.request_class.name + "\"";
+  return MetricLabel("class", caller.request_class.name);
 }
 
 CallerError ErrorFor(const PlacementError& error) {
--- a/src/endivecart/fleet/heard_upstreams.cc
+++ b/src/endivecart/fleet/heard_upstreams.cc
@@ -45,6 +45,8 @@
     number += heard.gaps(i);
     if (number >= names.size())
       break;
+    if (names.at(number).empty())
+      continue;
     are_known &=
         on_heard(names.at(number), now - kHeardAgeUnit * heard.ages(i));
   }
--- a/src/endivecart/fleet/limit_messages.cc
+++ b/src/endivecart/fleet/limit_messages.cc
@@ -27,6 +27,8 @@
                                          TimePoint now) {
   std::vector<limits::NamedLimit> limits;
   for (const wire::NamedLimitRecord& record : records) {
+    if (!AcceptName(InputSource::kPeer, "upstream", record.upstream_run()))
+      continue;
     const double limit = record.requests_per_s();
     const double refusals = record.refusals_per_s();
     if (!std::isfinite(limit) || limit < 0 || !std::isfinite(refusals) ||
--- a/src/endivecart/fleet/load_table.cc
+++ b/src/endivecart/fleet/load_table.cc
@@ -42,6 +42,8 @@
   reports.reserve(loads.size());
   for (const wire::UpstreamLoad& load : loads) {
     if (load.number() == 0) {
+      if (!AcceptName(InputSource::kPeer, "upstream", load.upstream()))
+        continue;
       reports.push_back({NumberOf(load.upstream()), LoadSum::From(load)});
       continue;
     }
--- a/src/endivecart/fleet/quarantine_messages.cc
+++ b/src/endivecart/fleet/quarantine_messages.cc
@@ -1,5 +1,8 @@
 #include "endivecart/fleet/quarantine_messages.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "endivecart/fleet/message_times.h"
 
 namespace endivecart::fleet {
@@ -11,8 +14,17 @@
 using quarantine::Quarantine;
 using quarantine::SoundPart;
 
+bool AcceptPart(const std::string& part) {
+  return AcceptName(InputSource::kPeer, "part", part);
+}
+
 // Parts are compared as sorted lists; a peer may send them in any order.
-PartList Parts(const google::protobuf::RepeatedPtrField<std::string>& parts) {
+// Returns nullopt if one can't be used: the others alone would stand for more
+// prompts.
+std::optional<PartList> Parts(
+    const google::protobuf::RepeatedPtrField<std::string>& parts) {
+  if (!std::all_of(parts.begin(), parts.end(), AcceptPart))
+    return std::nullopt;
   return quarantine::PartKeys({parts.begin(), parts.end()});
 }
 
@@ -34,14 +46,28 @@
   record.set_age_ms(AgeMillis(sound.at, now));
 }
 
-Quarantine ToQuarantine(const wire::QuarantineRecord& record, TimePoint now) {
-  return {Parts(record.parts()), now - Millis(record.age_ms()),
-          static_cast<int>(record.failed_trials()),
-          now - Millis(record.asked_age_ms())};
+// These append records that can be used.
+void Append(
+    const google::protobuf::RepeatedPtrField<wire::QuarantineRecord>& records,
+    TimePoint now,
+    std::vector<Quarantine>& quarantines) {
+  for (const wire::QuarantineRecord& record : records) {
+    if (auto parts = Parts(record.parts())) {
+      quarantines.push_back({std::move(*parts), now - Millis(record.age_ms()),
+                             static_cast<int>(record.failed_trials()),
+                             now - Millis(record.asked_age_ms())});
+    }
+  }
 }
 
-SoundPart ToSound(const wire::SoundPartRecord& record, TimePoint now) {
-  return {record.part(), now - Millis(record.age_ms())};
+void Append(
+    const google::protobuf::RepeatedPtrField<wire::SoundPartRecord>& records,
+    TimePoint now,
+    std::vector<SoundPart>& sound) {
+  for (const wire::SoundPartRecord& record : records) {
+    if (AcceptPart(record.part()))
+      sound.push_back({record.part(), now - Millis(record.age_ms())});
+  }
 }
 
 }  // namespace
@@ -79,26 +105,28 @@
                                   TimePoint now) {
   quarantine::HostFindings findings;
   for (const wire::BrokenRunRecord& record : message.runs()) {
+    auto parts = Parts(record.parts());
+    if (!parts ||
+        !AcceptName(InputSource::kPeer, "upstream", record.upstream_run())) {
+      continue;
+    }
     findings.runs.push_back({record.upstream_run(), record.request(),
-                             now - Millis(record.age_ms()),
-                             Parts(record.parts())});
+                             now - Millis(record.age_ms()), std::move(*parts)});
   }
-  for (const wire::SoundPartRecord& record : message.sound())
-    findings.sound.push_back(ToSound(record, now));
-  for (const wire::QuarantineRecord& record : message.quarantines())
-    findings.quarantines.push_back(ToQuarantine(record, now));
+  Append(message.sound(), now, findings.sound);
+  Append(message.quarantines(), now, findings.quarantines);
   return findings;
 }
 
 quarantine::Ruling FromWire(const wire::QuarantineRuling& message,
                             TimePoint now) {
   quarantine::Ruling ruling;
-  for (const wire::QuarantineRecord& record : message.quarantines())
-    ruling.quarantines.push_back(ToQuarantine(record, now));
-  for (const wire::SoundPartRecord& record : message.sound())
-    ruling.sound.push_back(ToSound(record, now));
-  for (const std::string& part : message.questioned())
-    ruling.questioned.push_back(part);
+  Append(message.quarantines(), now, ruling.quarantines);
+  Append(message.sound(), now, ruling.sound);
+  for (const std::string& part : message.questioned()) {
+    if (AcceptPart(part))
+      ruling.questioned.push_back(part);
+  }
   return ruling;
 }
 
@@ -126,8 +154,7 @@
                                  static_cast<Millis::rep>(stored.saved_ms())
                            : 0);
   std::vector<Quarantine> quarantines;
-  for (const wire::QuarantineRecord& record : stored.quarantines())
-    quarantines.push_back(ToQuarantine(record, now - elapsed));
+  Append(stored.quarantines(), now - elapsed, quarantines);
   std::erase_if(quarantines, [now](const Quarantine& quarantine) {
     return quarantine.parts.empty() ||
            now - quarantine.asked_at > quarantine::QuarantineList::kForgetAfter;
--- a/src/endivecart/fleet/reach_messages.cc
+++ b/src/endivecart/fleet/reach_messages.cc
@@ -36,6 +36,8 @@
   reach.requests =
       static_cast<int>(std::min<std::uint32_t>(record.requests(), INT32_MAX));
   for (const wire::ServiceReachRecord& service : record.services()) {
+    if (!AcceptName(InputSource::kPeer, "service", service.service()))
+      continue;
     reach.services.push_back({service.service(), service.is_cut_off(),
                               now - Millis(service.answered_age_ms())});
   }
--- a/src/endivecart/fleet/remote_loads.cc
+++ b/src/endivecart/fleet/remote_loads.cc
@@ -76,6 +76,8 @@
   const TimePoint heard_at = now - Millis(loads.heard_within_ms());
   bool are_known = true;
   for (std::size_t number = 0; number < names_.size(); ++number) {
+    if (names_.at(number).empty())
+      continue;
     const auto& silent_since = entries_[number].silent_since;
     const bool is_known =
         on_heard(names_.at(number), silent_since.value_or(heard_at));
--- a/src/endivecart/fleet/upstream_names.cc
+++ b/src/endivecart/fleet/upstream_names.cc
@@ -22,6 +22,11 @@
   numbers_.clear();
 }
 
+void ReceivedNames::Add(const std::string& name) {
+  names_.push_back(ParseId<UpstreamId>(InputSource::kPeer, "upstream", name)
+                       .value_or(UpstreamId()));
+}
+
 void ReceivedNames::Clear() {
   epoch_ = 0;
   names_.clear();
--- a/src/endivecart/fleet/upstream_names.h
+++ b/src/endivecart/fleet/upstream_names.h
@@ -59,6 +59,7 @@
  public:
   KnownNames known() const { return {epoch_, names_.size()}; }
   std::size_t size() const { return names_.size(); }
+  // Returns an empty id if the name can't be used.
   const UpstreamId& at(std::size_t number) const { return names_.at(number); }
   void Clear();
 
@@ -75,12 +76,16 @@
     // some, which the next poll asks for.
     for (int i = 0; i < message.names_size(); ++i) {
       if (message.first_name() + static_cast<std::size_t>(i) == names_.size())
-        names_.emplace_back(message.names(i));
+        Add(message.names(i));
     }
     return is_new_epoch;
   }
 
  private:
+  // Adds an empty id instead of a name that can't be used, since the names
+  // after it keep their positions.
+  void Add(const std::string& name);
+
   std::uint64_t epoch_ = 0;
   std::vector<UpstreamId> names_;
 };
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -450,7 +450,7 @@
   gateway_.metrics_.Add("endivecart_requests_total",
                         "outcome=\"" + std::string(outcome) + "\"");
   gateway_.metrics_.Observe("endivecart_request_ms",
-                            "route=\"" + route_.name + "\"", elapsed);
+                            MetricLabel("route", route_.name), elapsed);
   gateway_.Remove(shared_from_this());
 }
 
--- a/src/endivecart/gateway/gateway_speeds.cc
+++ b/src/endivecart/gateway/gateway_speeds.cc
@@ -37,7 +37,7 @@
   const TimePoint now = loop_.Now();
   auto speeds = upstreams_.speeds().Known(now);
   for (const auto& [id, speed] : speeds) {
-    const std::string label = "upstream=\"" + id.str() + "\"";
+    const std::string label = MetricLabel("upstream", id.str());
     metrics_.Set("endivecart_upstream_slowness", label, speed.slowness);
     metrics_.Set("endivecart_sustained_requests", label,
                  speed.sustained_requests.value_or(0));
--- a/src/endivecart/upstreams/announcement.cc
+++ b/src/endivecart/upstreams/announcement.cc
@@ -1,5 +1,7 @@
 #include "endivecart/upstreams/announcement.h"
 
+#include <algorithm>
+
 namespace endivecart::upstreams {
 
 std::string_view UpstreamStateName(UpstreamState state) {
@@ -45,9 +47,29 @@
   return record;
 }
 
+namespace {
+
+bool IsEmptyOrName(std::string_view field, const std::string& text) {
+  return text.empty() || AcceptName(InputSource::kPeer, field, text);
+}
+
+// Returns whether the record's names can be used.
+bool HasNames(const wire::AnnouncementRecord& record) {
+  return AcceptName(InputSource::kPeer, "upstream", record.id()) &&
+         IsEmptyOrName("service", record.service()) &&
+         IsEmptyOrName("domain", record.domain()) &&
+         IsEmptyOrName("version", record.software_version()) &&
+         std::all_of(record.models().begin(), record.models().end(),
+                     [](const wire::ModelWeights& weights) {
+                       return IsEmptyOrName("model", weights.model());
+                     });
+}
+
+}  // namespace
+
 std::optional<Announcement> FromRecord(const wire::AnnouncementRecord& record) {
   const auto address = settings::ParseEndpoint(record.address());
-  if (!address || record.id().empty() ||
+  if (!address || !HasNames(record) ||
       !wire::AnnouncementRecord::State_IsValid(record.state())) {
     return std::nullopt;
   }
