A host sends nothing more to an upstream whose answers say that it leaves (DRAIN)

Cause: nothing reads Server-Leaving; hosts learn only from control hosts that an upstream leaves. Ruled out: requests on their way, queued or sent again (they would end soon after the first answer).

Hosts report it with their polls; control hosts pass it on with the announcement, whatever the order of the reports; a host that relays an answer names the upstream to the host that sent the request.

--- a/src/endivecart/fleet/entry_limit.cc
+++ b/src/endivecart/fleet/entry_limit.cc
@@ -16,7 +16,7 @@
                    poll.failures(), poll.saves(), poll.waiting(),
                    poll.usage().records(), poll.quarantine().runs(),
                    poll.quarantine().sound(), poll.quarantine().quarantines(),
-                   poll.reach().services());
+                   poll.reach().services(), poll.leaving());
 }
 
 std::size_t CountEntries(const wire::FleetUpdate& update) {
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -75,6 +75,12 @@
   }
   for (const wire::ServiceMoveReport& report : poll.move_reports())
     hooks_.on_move_report(from, report);
+  for (const wire::UpstreamRunRecord& record : poll.leaving()) {
+    const auto id =
+        ParseId<UpstreamId>(InputSource::kPeer, "upstream", record.upstream());
+    if (id && hooks_.on_leaving)
+      hooks_.on_leaving({*id, record.born_ms()});
+  }
   Send(from, follower, true);
 }
 
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -50,6 +50,8 @@
     // not known (yet) or this process doesn't lead. Must be empty if no usage
     // is to be reported: hosts then count nothing.
     std::function<std::uint64_t()> true_unix_ms;
+    // Called with an upstream that told a follower that it leaves. Optional.
+    std::function<void(const upstreams::UpstreamRun&)> on_leaving;
   };
 
   // A follower that hasn't polled for this long is removed.
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -54,6 +54,13 @@
   }
   if (hooks_.limit_findings)
     *poll.mutable_limits() = ToWire(hooks_.limit_findings(), hooks_.now());
+  if (hooks_.leaving_upstreams) {
+    for (const upstreams::UpstreamRun& run : hooks_.leaving_upstreams()) {
+      wire::UpstreamRunRecord& record = *poll.add_leaving();
+      record.set_upstream(run.id.str());
+      record.set_born_ms(run.start_time_ms);
+    }
+  }
   if (hooks_.reach_report)
     *poll.mutable_reach() = ToWire(hooks_.reach_report(), hooks_.now());
   for (wire::ServiceMoveReport& report : hooks_.move_reports())
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -76,6 +76,9 @@
     // Limits that upstreams have named to this process, and to any. Optional.
     std::function<std::vector<limits::NamedLimit>()> limit_findings;
     std::function<void(const std::vector<limits::NamedLimit>&)> on_limits;
+    // Upstreams that said in an answer to this process that they leave.
+    // Optional.
+    std::function<std::vector<upstreams::UpstreamRun>()> leaving_upstreams;
     // How this process reaches upstreams, and hosts that may relay its requests
     // while it is cut off from them. Optional.
     std::function<quarantine::HostReach()> reach_report;
--- a/src/endivecart/gateway/caller_request.h
+++ b/src/endivecart/gateway/caller_request.h
@@ -73,6 +73,7 @@
   RequestId request_id;    // of the answered request
   bool is_signed = false;  // has the upstream's signature
   bool not_run = false;  // the upstream states that it did not run the request
+  bool is_leaving = false;  // the upstream ends soon and wants no more requests
   bool has_unrequested_encoding = false;  // the body was re-encoded on the way
   std::optional<std::uint64_t> weights_version;
   std::optional<ServerLoad> server_load;
--- a/src/endivecart/gateway/follower_wiring.cc
+++ b/src/endivecart/gateway/follower_wiring.cc
@@ -32,6 +32,9 @@
   hooks.on_limits = [&gateway](const std::vector<limits::NamedLimit>& limits) {
     gateway.limits().Apply(limits);
   };
+  hooks.leaving_upstreams = [&gateway] {
+    return gateway.upstreams().LeavingUpstreams();
+  };
   hooks.failures = [&gateway] {
     return gateway.upstreams().failures().Report(gateway.Now());
   };
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -233,6 +233,7 @@
   ++sends_;
   sent_at_ = gateway_.loop_.Now();
   data_at_ = TimePoint{};
+  leaving_.reset();
   head_ = {};
   head_received_ = false;
   on_used_connection_ = false;
@@ -253,6 +254,7 @@
   const auto* upstream = gateway_.upstreams_.Find(id);
   ResetSend();
   upstream_ = id;
+  upstream_started_ms_ = upstream->last.start_time_ms;
   const bool was_sent_there = !tried_.insert(id).second;
   requests_there_ = chosen.requests_there;
   weights_version_ = request_.prompt ? gateway_.upstreams_.WeightsOf(
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -195,6 +195,8 @@
   net::HttpResponseHead HeadForCaller() const;
   // Records what an upstream's answer says besides the answer itself.
   void RecordMetadata(const AnswerMetadata& metadata);
+  // Records what another host says of the upstream whose answer it passes on.
+  void RecordRelayedLeaving(const net::HttpResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEnd(net::CallResult end);
   // Handles an answer that is complete, as far as its connection tells.
@@ -296,8 +298,9 @@
   // State of the current send:
   net::HttpCallPtr call_;
   UpstreamId upstream_;
-  std::optional<HostId> relay_;  // instead of an upstream
-  TimePoint data_at_{};          // last data
+  std::uint64_t upstream_started_ms_ = 0;  // of the upstream; see UpstreamRun
+  std::optional<HostId> relay_;            // instead of an upstream
+  TimePoint data_at_{};                    // last data
   std::uint64_t weights_version_ = 0;
   TimePoint sent_at_;
   std::optional<TimePoint> first_event_of_send_at_;
@@ -318,6 +321,8 @@
   std::string cache_label_;
   std::optional<FetchTask> fetch_task_;  // if sources were chosen by it
   std::vector<PlannedFetch> fetches_;
+  // The upstream, if its answer says that it leaves.
+  std::optional<upstreams::UpstreamRun> leaving_;
   net::HttpResponseHead head_;
   bool head_received_ = false;
   bool on_used_connection_ = false;  // one that had served another request
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -32,8 +32,11 @@
   }
   head_ = head;
   head_received_ = true;
-  if (!relay_)
+  if (relay_) {
+    RecordRelayedLeaving(head);
+  } else {
     RecordMetadata(metadata);
+  }
   const bool success = head.status >= 200 && head.status < 300;
   if (success && (!metadata.is_signed || metadata.has_unrequested_encoding)) {
     OnBadAnswer("unsigned_or_coded");
@@ -56,9 +59,19 @@
   net::HttpFields fields = gateway_.dialect_.fields_for_caller(head_.fields);
   // Only hosts may say so to each other.
   fields.Remove(kRelayNotRunField);
+  fields.Remove(kRelayLeavingField);
+  if (ticket_from_relay_ && leaving_)
+    fields.Add(kRelayLeavingField, ToText(*leaving_));
   return {head_.status, fields};
 }
 
+// The caller gets the upstream's answer from this host, too.
+void Forwarding::RecordRelayedLeaving(const net::HttpResponseHead& head) {
+  const auto text = head.fields.Find(kRelayLeavingField);
+  if (const auto run = text ? ParseUpstreamRun(*text) : std::nullopt)
+    gateway_.OnLeaving(*run);
+}
+
 void Forwarding::RecordMetadata(const AnswerMetadata& metadata) {
   if (call_->opened_connection())
     gateway_.reach_.OnConnected(service_.str(), sent_at_);
@@ -68,6 +81,10 @@
     gateway_.upstreams_.RecordWeights(upstream_, request_.prompt->model,
                                       *metadata.weights_version);
   }
+  if (metadata.is_leaving) {
+    leaving_ = {upstream_, upstream_started_ms_};
+    gateway_.OnLeaving(*leaving_);
+  }
   if (metadata.server_load)
     gateway_.upstreams_.RecordServerLoad(upstream_, *metadata.server_load);
   if (metadata.has_bad_server_load)
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -266,6 +266,13 @@
   }
 }
 
+void Gateway::OnLeaving(const upstreams::UpstreamRun& run) {
+  if (!upstreams_.RecordLeaving(run))
+    return;
+  metrics_.Add("endivecart_upstreams_leaving_total");
+  LogLine("gateway.upstream_leaving").Add("upstream", run.id.str()).Info();
+}
+
 void Gateway::Remove(const std::shared_ptr<Forwarding>& forwarding) {
   active_.erase(forwarding);
 }
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -161,6 +161,8 @@
   void OnRequestLimit(const UpstreamId& upstream,
                       const AnswerMetadata& metadata,
                       TimePoint sent_at);
+  // Records that an answer said that this upstream leaves.
+  void OnLeaving(const upstreams::UpstreamRun& run);
   // Records the wait that an upstream named with a refusal.
   void OnNamedWait(const UpstreamId& upstream, const AnswerMetadata& metadata);
   void Admit();
--- a/src/endivecart/gateway/relayed_request.cc
+++ b/src/endivecart/gateway/relayed_request.cc
@@ -48,4 +48,20 @@
   return ticket;
 }
 
+std::string ToText(const upstreams::UpstreamRun& run) {
+  return run.id.str() + "/" + std::to_string(run.start_time_ms);
+}
+
+std::optional<upstreams::UpstreamRun> ParseUpstreamRun(std::string_view text) {
+  const std::size_t slash = text.rfind('/');
+  if (slash == std::string_view::npos)
+    return std::nullopt;
+  const auto id = ParseId<UpstreamId>(InputSource::kPeer, "upstream",
+                                      text.substr(0, slash));
+  std::uint64_t start_time_ms = 0;
+  if (!id || !ParseAll(text.substr(slash + 1), start_time_ms))
+    return std::nullopt;
+  return upstreams::UpstreamRun{*id, start_time_ms};
+}
+
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/relayed_request.h
+++ b/src/endivecart/gateway/relayed_request.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "endivecart/upstreams/upstreams.h"
+
 namespace endivecart::gateway {
 
 // Field of a request that one host passes on to another, which sends it to an
@@ -15,6 +17,10 @@
 // will not be; its value is the reason.
 inline constexpr char kRelayNotRunField[] = "Endivecart-Not-Run";
 
+// Field of an answer to such a request that names the upstream that gave it, an
+// UpstreamRun, if that says that it leaves.
+inline constexpr char kRelayLeavingField[] = "Endivecart-Upstream-Leaving";
+
 // Field of such a request if a host has counted it as usage already. Not part
 // of the ticket: hosts of earlier releases refuse tickets with unknown parts.
 inline constexpr char kUsageCountedField[] = "Endivecart-Usage-Counted";
@@ -46,6 +52,10 @@
 // Returns nullopt if the text is malformed.
 std::optional<RelayTicket> ParseRelayTicket(std::string_view text);
 
+std::string ToText(const upstreams::UpstreamRun& run);
+// Returns nullopt if the text is malformed.
+std::optional<upstreams::UpstreamRun> ParseUpstreamRun(std::string_view text);
+
 }  // namespace endivecart::gateway
 
 #endif  // ENDIVECART_GATEWAY_RELAYED_REQUEST_H_
--- a/src/endivecart/gateway/relayed_request_unittest.cc
+++ b/src/endivecart/gateway/relayed_request_unittest.cc
@@ -24,6 +24,13 @@
   BOOST_TEST(!ParseRelayTicket(text).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_incarnation_of_an_upstream_is_read_as_written) {
+  const upstreams::UpstreamRun run{UpstreamId("i/1"), 1782554762180};
+  BOOST_CHECK(ParseUpstreamRun(ToText(run)) == run);
+  for (const char* text : {"", "i", "/1", "i/", "i/x", "i/-1", "k\xFC/1"})
+    BOOST_CHECK(!ParseUpstreamRun(text));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -106,6 +106,27 @@
   return std::max(announced, it->second);
 }
 
+bool UpstreamTracker::RecordLeaving(const upstreams::UpstreamRun& run) {
+  const AnnouncedUpstream* upstream = registry_.Find(run.id);
+  if (upstream == nullptr || upstream->last.run() != run)
+    return false;
+  leaving_.insert(run);
+  return registry_.MarkLeaving(run, now_()) ==
+         upstreams::AnnouncementEffect::kChanged;
+}
+
+std::vector<upstreams::UpstreamRun> UpstreamTracker::LeavingUpstreams() const {
+  std::vector<upstreams::UpstreamRun> leaving;
+  for (const upstreams::UpstreamRun& run : leaving_) {
+    const AnnouncedUpstream* upstream = registry_.Find(run.id);
+    if (upstream != nullptr && upstream->last.run() == run &&
+        upstream->last.state != UpstreamState::kGone) {
+      leaving.push_back(run);
+    }
+  }
+  return leaving;
+}
+
 bool UpstreamTracker::IsSilent(const AnnouncedUpstream& upstream,
                                const Record& record) const {
   return now_() - std::max(upstream.received_at, record.active_at) >
@@ -409,6 +430,10 @@
 void UpstreamTracker::Expire() {
   registry_.Expire(now_());
   speeds_.Tick(now_());
+  std::erase_if(leaving_, [&](const upstreams::UpstreamRun& run) {
+    const AnnouncedUpstream* upstream = registry_.Find(run.id);
+    return upstream == nullptr || upstream->last.run() != run;
+  });
   std::erase_if(records_, [&](const auto& entry) {
     return entry.second.requests == 0 && registry_.Find(entry.first) == nullptr;
   });
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -94,6 +94,13 @@
                      const ModelId& model,
                      std::uint64_t version);
 
+  // Records that an answer to this host said that the upstream leaves: it gets
+  // no new requests from here on. Returns whether that was unknown.
+  bool RecordLeaving(const upstreams::UpstreamRun& run);
+  // Returns the upstreams that said so to this host and are not gone, for the
+  // other hosts.
+  std::vector<upstreams::UpstreamRun> LeavingUpstreams() const;
+
   // Records the load that an answer reported.
   void RecordServerLoad(const UpstreamId& id, const ServerLoad& load);
 
@@ -199,6 +206,7 @@
   fleet::DecisionsPtr decisions_;
   std::map<UpstreamId, Record> records_;
   std::map<DomainId, DomainFailures> domain_failures_;
+  std::set<upstreams::UpstreamRun> leaving_;  // by their answers to this host
   estimates::UpstreamSpeeds speeds_;
   quarantine::FailureMonitor failures_;
 };
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -225,6 +225,14 @@
         SaveQuarantines(quarantines);
       };
   feed_hooks.unix_ms = UnixMillis;
+  feed_hooks.on_leaving = [this](const upstreams::UpstreamRun& run) {
+    if (roster.MarkLeaving(run, loop.Now()) !=
+        upstreams::AnnouncementEffect::kChanged) {
+      return;
+    }
+    LogLine("fleet.upstream_leaving").Add("upstream", run.id.str()).Info();
+    feed->RequestPush();
+  };
   feed.emplace(incarnation, &roster, std::move(feed_hooks));
   polls.emplace(fleet::PollQueue::Hooks{
       [this](const HostId& from, const wire::FleetPoll& poll) {
--- a/src/endivecart/upstreams/announcement.cc
+++ b/src/endivecart/upstreams/announcement.cc
@@ -37,6 +37,7 @@
   record.set_slots(static_cast<std::uint32_t>(announcement.slots));
   record.set_state(
       static_cast<wire::AnnouncementRecord::State>(announcement.state));
+  record.set_leaving(announcement.is_leaving);
   record.set_cold_ms(static_cast<std::uint32_t>(announcement.cold_for.count()));
   for (const LoadedModel& loaded : announcement.models) {
     wire::ModelWeights& weights = *record.add_models();
@@ -83,6 +84,7 @@
   announcement.software_version = VersionId(record.software_version());
   announcement.slots = static_cast<int>(record.slots());
   announcement.state = static_cast<UpstreamState>(record.state());
+  announcement.is_leaving = record.leaving();
   announcement.cold_for = Millis(record.cold_ms());
   for (const wire::ModelWeights& weights : record.models())
     announcement.models.push_back(
--- a/src/endivecart/upstreams/announcement.h
+++ b/src/endivecart/upstreams/announcement.h
@@ -24,6 +24,14 @@
   bool operator==(const LoadedModel&) const = default;
 };
 
+// One incarnation of an upstream.
+struct UpstreamRun {
+  UpstreamId id;
+  std::uint64_t start_time_ms = 0;  // Unix time, by the upstream's clock
+
+  auto operator<=>(const UpstreamRun&) const = default;
+};
+
 // One announcement of an upstream. A restart is a new incarnation, identified
 // by a later `start_time_ms`; its id may be the same.
 struct Announcement {
@@ -36,12 +44,16 @@
   VersionId software_version;
   int slots = 0;
   UpstreamState state = UpstreamState::kReady;
+  // It said in an answer that it leaves, which its announcements may not show:
+  // it may reach hosts, but no control host. `state` isn't kReady then.
+  bool is_leaving = false;
   Millis cold_for{0};  // limited request rate for this long after sending
   std::vector<LoadedModel> models;
 
   // Returns the loaded version of the model's weights, or 0 if it is not
   // loaded.
   std::uint64_t VersionOf(const ModelId& model) const;
+  UpstreamRun run() const { return {id, start_time_ms}; }
   bool operator==(const Announcement&) const = default;
 };
 
--- a/src/endivecart/upstreams/upstream_registry.cc
+++ b/src/endivecart/upstreams/upstream_registry.cc
@@ -55,11 +55,23 @@
     Leave(previous, known->last.start_time_ms, now);
 }
 
-AnnouncementEffect UpstreamRegistry::Apply(const Announcement& announcement,
+Announcement UpstreamRegistry::WithLeaving(Announcement announcement) const {
+  const AnnouncedUpstream* known = Find(announcement.id);
+  announcement.is_leaving |= known != nullptr && known->last.is_leaving &&
+                             known->last.run() == announcement.run();
+  if (announcement.is_leaving && announcement.state == UpstreamState::kReady)
+    announcement.state = UpstreamState::kDraining;
+  return announcement;
+}
+
+AnnouncementEffect UpstreamRegistry::Apply(const Announcement& received,
                                            TimePoint received_at,
                                            TimePoint now) {
-  if (IsSuperseded(announcement))
-    return AnnouncementEffect::kStale;
+  const Announcement announcement = WithLeaving(received);
+  if (IsSuperseded(announcement)) {
+    return announcement.is_leaving ? MarkLeaving(announcement.run(), now)
+                                   : AnnouncementEffect::kStale;
+  }
   if (announcement.state != UpstreamState::kGone) {
     RemovePreviousAtAddress(announcement, now);
     by_address_[announcement.address.ToString()] = announcement.id;
@@ -138,6 +150,24 @@
   return AnnouncementEffect::kChanged;
 }
 
+AnnouncementEffect UpstreamRegistry::MarkLeaving(const UpstreamRun& run,
+                                                 TimePoint now) {
+  const auto it = all_.find(run.id);
+  if (it == all_.end() || it->second.last.run() != run ||
+      it->second.last.is_leaving ||
+      it->second.last.state == UpstreamState::kGone) {
+    return AnnouncementEffect::kStale;
+  }
+  Announcement& known = it->second.last;
+  known.is_leaving = true;
+  if (known.state == UpstreamState::kReady) {
+    known.state = UpstreamState::kDraining;
+    it->second.state_since = now;
+  }
+  NumberChange(it->second);
+  return AnnouncementEffect::kChanged;
+}
+
 void UpstreamRegistry::Expire(TimePoint now) {
   std::erase_if(all_, [&](const auto& entry) {
     const AnnouncedUpstream& known = entry.second;
--- a/src/endivecart/upstreams/upstream_registry.h
+++ b/src/endivecart/upstreams/upstream_registry.h
@@ -55,7 +55,7 @@
 
   // Merges an announcement. `received_at` is the time at which the first
   // process of the system received it.
-  AnnouncementEffect Apply(const Announcement& announcement,
+  AnnouncementEffect Apply(const Announcement& received,
                            TimePoint received_at,
                            TimePoint now);
   // Marks an upstream as gone. Has no effect if it is unknown, already gone, or
@@ -63,6 +63,10 @@
   AnnouncementEffect Leave(const UpstreamId& id,
                            std::uint64_t start_time_ms,
                            TimePoint now);
+  // Records that an incarnation said in an answer that it leaves. Its state is
+  // kDraining from then on, whatever it announces, until it is gone. Has no
+  // effect if another incarnation is known.
+  AnnouncementEffect MarkLeaving(const UpstreamRun& run, TimePoint now);
   // Records that a known upstream announced itself unchanged at `heard_at` or
   // later, as another process says. A time that is not newer has no effect.
   // Returns whether the upstream is known.
@@ -91,6 +95,8 @@
   std::uint64_t newest_change() const { return newest_change_; }
 
  private:
+  // Returns the announcement with what the incarnation said before of leaving.
+  Announcement WithLeaving(Announcement announcement) const;
   bool IsSuperseded(const Announcement& announcement) const;
   void RemovePreviousAtAddress(const Announcement& announcement, TimePoint now);
   void NumberChange(AnnouncedUpstream& upstream);
--- a/src/endivecart/upstreams/upstreams_unittest.cc
+++ b/src/endivecart/upstreams/upstreams_unittest.cc
@@ -32,6 +32,42 @@
               UpstreamState::kReady);
 }
 
+// Guards against DRAIN: the reports of an upstream that said in an answer that
+// it leaves may be older, or not show it.
+BOOST_AUTO_TEST_CASE(an_upstream_leaves_until_it_starts_again) {
+  UpstreamRegistry registry;
+  registry.Apply(Make("u", 1, 5), At(0), At(0));
+  const auto state = [&] { return registry.Find(UpstreamId("u"))->last.state; };
+  BOOST_CHECK(registry.MarkLeaving({UpstreamId("u"), 2}, At(1)) ==
+              AnnouncementEffect::kStale);
+  BOOST_CHECK(state() == UpstreamState::kReady);
+  BOOST_CHECK(registry.MarkLeaving({UpstreamId("u"), 1}, At(1)) ==
+              AnnouncementEffect::kChanged);
+  BOOST_CHECK(registry.MarkLeaving({UpstreamId("u"), 1}, At(2)) ==
+              AnnouncementEffect::kStale);
+  registry.Apply(Make("u", 1, 6), At(2), At(2));
+  BOOST_CHECK(state() == UpstreamState::kDraining);
+  registry.Apply(Make("u", 2, 1), At(3), At(3));
+  BOOST_CHECK(state() == UpstreamState::kReady);
+}
+
+BOOST_AUTO_TEST_CASE(that_an_upstream_leaves_arrives_behind_newer_reports) {
+  UpstreamRegistry teller;
+  teller.Apply(Make("u", 1, 5), At(0), At(0));
+  teller.MarkLeaving({UpstreamId("u"), 1}, At(1));
+  const auto told =
+      FromRecord(ToRecord(teller.Find(UpstreamId("u"))->last, Millis(0)));
+  BOOST_REQUIRE(told.has_value());
+  for (const std::uint64_t sequence : {4, 5, 6}) {
+    UpstreamRegistry registry;
+    registry.Apply(Make("u", 1, sequence), At(0), At(0));
+    BOOST_CHECK(registry.Apply(*told, At(1), At(1)) ==
+                AnnouncementEffect::kChanged);
+    BOOST_CHECK(registry.Find(UpstreamId("u"))->last.state ==
+                UpstreamState::kDraining);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_restart_under_the_same_id_is_a_new_incarnation) {
   UpstreamRegistry registry;
   registry.Apply(Make("u", 1, 500), At(0), At(0));
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -97,6 +97,12 @@
   hooks.cache_update = [](const fleet::CachePosition&) {
     return std::optional<wire::CacheUpdate>();
   };
+  hooks.on_leaving = [this](const upstreams::UpstreamRun& run) {
+    if (shares_leaving) {
+      registry_.MarkLeaving(run, loop.Now());
+      feed_.RequestPush();
+    }
+  };
   if (counts_usage_) {
     hooks.true_unix_ms = [this] {
       return static_cast<std::uint64_t>(
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -82,6 +82,8 @@
   // Called with each complete request that reaches an upstream.
   Handler on_request;
   std::vector<std::unique_ptr<Upstream>> upstreams;
+  // Whether the control host tells others what one host learned from answers.
+  bool shares_leaving = true;
   int upstream_slots = 64;  // that further upstreams announce
   // Status lines of the answers that callers received, by prompt parts or path.
   std::map<std::string, std::vector<std::string>> answers;
--- a/tests/support/plain_dialect.h
+++ b/tests/support/plain_dialect.h
@@ -72,6 +72,7 @@
         RequestId(std::string(head.fields.Find("Id").value_or("")));
     metadata.is_signed = head.fields.Has("Signed");
     metadata.not_run = head.fields.Has("Not-Run");
+    metadata.is_leaving = head.fields.Has("Leaving");
     if (const auto limit = head.fields.Find("Limit"))
       metadata.limits.requests_per_s = std::stod(std::string(*limit));
     if (const auto limit = head.fields.Find("Brittle"))
