Shared cache gets a new label when a customer that used it becomes isolated (WALL)

Cause: all customers that share cache had one label, MODEL.VERSION, for good. When one of them became isolated, only its own label changed. Evidence: the case's record, the label of the others before and after. Ruled out: that the configuration isn't in force at hosts (the isolated customer gets its own label). Related: a request that was accepted before the change and sent after it went by the older configuration; labels of ended isolations stayed in stores.

Change: voters record with the log who may have shared cache since the label began; when one of these becomes isolated, a new label begins. No other change begins one. Hosts take the label over with the configuration, and each send uses the one in force. Stores free what is under labels that no request may use.

--- a/src/endivecart/fleet/cache_catalog.cc
+++ b/src/endivecart/fleet/cache_catalog.cc
@@ -39,13 +39,36 @@
 
 std::string CacheLabel(const ModelId& model,
                        std::uint64_t weights_version,
-                       const CustomerId& isolated_customer) {
+                       const CacheScope& scope) {
   std::string label = model.str() + "." + std::to_string(weights_version);
-  if (!isolated_customer.empty())
-    label += "." + isolated_customer.str();
+  if (!scope.isolated_customer.empty()) {
+    label += "." + scope.isolated_customer.str();
+  } else if (scope.generation != 0) {
+    label += "@" + std::to_string(scope.generation);
+  }
   return label;
 }
 
+std::set<std::string> LiveCacheLabels(
+    const Decisions& decisions,
+    const std::vector<CacheScope>& scopes,
+    const upstreams::UpstreamRegistry& roster) {
+  std::set<std::string> labels;
+  const auto add = [&](const ModelId& model, std::uint64_t version) {
+    for (const CacheScope& scope : scopes)
+      labels.insert(CacheLabel(model, version, scope));
+  };
+  for (const auto& [id, upstream] : roster.all()) {
+    if (upstream.last.state == upstreams::UpstreamState::kGone)
+      continue;
+    for (const upstreams::LoadedModel& loaded : upstream.last.models)
+      add(loaded.model, loaded.version);
+  }
+  for (const auto& [model, version] : decisions.weights)
+    add(model, version);
+  return labels;
+}
+
 void CacheCatalog::OnLeadershipGained(std::uint64_t term,
                                       TimePoint now,
                                       bool may_have_predecessor,
--- a/src/endivecart/fleet/cache_catalog.h
+++ b/src/endivecart/fleet/cache_catalog.h
@@ -11,8 +11,10 @@
 
 #include "endivecart/base/base.h"
 #include "endivecart/fleet/cache_save_ledger.h"
+#include "endivecart/fleet/decisions.h"
 #include "endivecart/routes/routes.h"
 #include "endivecart/transport/transport.h"
+#include "endivecart/upstreams/upstreams.h"
 
 namespace endivecart::fleet {
 
@@ -30,11 +32,26 @@
 // Returns the 64-bit key that identifies a store among all leaders.
 std::uint64_t CacheStoreKey(const settings::Endpoint& address);
 
+// Whose requests may use each other's cache.
+struct CacheScope {
+  CustomerId isolated_customer;  // empty: all customers that share cache
+  // Of the cache that they share; see CacheSharing.
+  std::uint64_t generation = 0;
+
+  bool operator==(const CacheScope&) const = default;
+};
+
 // Returns the label for the cache of a model under one version of its weights.
-// `isolated_customer` is empty unless the customer doesn't share its cache.
 std::string CacheLabel(const ModelId& model,
                        std::uint64_t weights_version,
-                       const CustomerId& isolated_customer);
+                       const CacheScope& scope);
+
+// Returns the labels that requests may use: of all weights that upstreams have
+// loaded or that were decided, for each of the scopes.
+std::set<std::string> LiveCacheLabels(
+    const Decisions& decisions,
+    const std::vector<CacheScope>& scopes,
+    const upstreams::UpstreamRegistry& roster);
 
 // A part that was added to or removed from a store.
 struct CacheEvent {
--- a/src/endivecart/fleet/decision_log.cc
+++ b/src/endivecart/fleet/decision_log.cc
@@ -1,13 +1,49 @@
 #include "endivecart/fleet/decision_log.h"
 
+#include <optional>
+#include <set>
+
 namespace endivecart::fleet {
 
+namespace {
+
+template <class Names>
+std::set<CustomerId> ToCustomers(const Names& names) {
+  std::set<CustomerId> customers;
+  for (const std::string& name : names)
+    customers.emplace(name);
+  return customers;
+}
+
+std::optional<CacheCustomers> CustomersOf(
+    const wire::ReplaceRoutingCommand& command) {
+  if (!command.has_cache_customers())
+    return std::nullopt;
+  return CacheCustomers{ToCustomers(command.cache_customers().sharing()),
+                        ToCustomers(command.cache_customers().isolated())};
+}
+
+CacheSharing SharingOf(const wire::FleetDecisions& snapshot) {
+  if (snapshot.has_cache_sharers()) {
+    return {snapshot.cache_generation(),
+            ToCustomers(snapshot.cache_sharers().customers())};
+  }
+  // Before the first configuration, nobody has shared anything.
+  if (snapshot.routing_version() == 0)
+    return {};
+  return {snapshot.cache_generation(), std::nullopt};
+}
+
+}  // namespace
+
 bool DecisionLog::ReplaceRouting(const wire::ReplaceRoutingCommand& command) {
   // Operators may act concurrently, so an older version may arrive late.
   if (command.version() <= decisions_.routing_version)
     return false;
   decisions_.routing_version = command.version();
   decisions_.routing_document = command.document();
+  cache_sharing_.OnConfiguration(command.version(), CustomersOf(command));
+  decisions_.cache_generation = cache_sharing_.generation();
   return true;
 }
 
@@ -96,6 +132,11 @@
 
 std::string DecisionLog::Snapshot() const {
   wire::FleetDecisions message = ToWire(decisions_, true);
+  if (const auto& sharers = cache_sharing_.sharers()) {
+    message.mutable_cache_sharers();
+    for (const CustomerId& customer : *sharers)
+      message.mutable_cache_sharers()->add_customers(customer.str());
+  }
   *message.mutable_save_grants() = save_grants_.ToWire();
   usage_log_.AddTo(message);
   return message.SerializeAsString();
@@ -106,6 +147,7 @@
   if (!message.ParseFromString(state))
     return false;
   decisions_ = FromWire(message, nullptr);
+  cache_sharing_ = SharingOf(message);
   save_grants_ = SaveGrantLog::FromWire(message.save_grants());
   usage_log_ = duties::UsageLog::FromSnapshot(message);
   return true;
--- a/src/endivecart/fleet/decision_log.h
+++ b/src/endivecart/fleet/decision_log.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "endivecart/duties/duties.h"
+#include "endivecart/fleet/cache_sharing.h"
 #include "endivecart/fleet/decisions.h"
 #include "endivecart/fleet/save_grant_log.h"
 
@@ -40,6 +41,7 @@
   bool NameWeights(const wire::NameWeightsCommand& command);
 
   Decisions decisions_;
+  CacheSharing cache_sharing_;
   SaveGrantLog save_grants_;
   duties::UsageLog usage_log_;
 };
--- a/src/endivecart/fleet/decisions.cc
+++ b/src/endivecart/fleet/decisions.cc
@@ -23,6 +23,7 @@
   wire::FleetDecisions message;
   message.set_index(decisions.index);
   message.set_routing_version(decisions.routing_version);
+  message.set_cache_generation(decisions.cache_generation);
   if (with_document) {
     message.set_routing_document(decisions.routing_document);
   } else {
@@ -63,6 +64,7 @@
   Decisions decisions;
   decisions.index = message.index();
   decisions.routing_version = message.routing_version();
+  decisions.cache_generation = message.cache_generation();
   if (!message.routing_omitted()) {
     decisions.routing_document = message.routing_document();
   } else if (known != nullptr) {
--- a/src/endivecart/fleet/decisions.h
+++ b/src/endivecart/fleet/decisions.h
@@ -40,6 +40,8 @@
   std::uint64_t index = 0;
   std::uint64_t routing_version = 0;  // 0: none yet
   std::string routing_document;       // as it was received
+  // With `routing_version`; see CacheSharing::generation().
+  std::uint64_t cache_generation = 0;
   std::map<DomainId, DomainDecision> domains;
   std::map<routes::ServiceId, Move> moves;   // the latest of each service
   std::map<ModelId, std::uint64_t> weights;  // newest version to load
--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -7,6 +7,7 @@
 #include "endivecart/fleet/cache_catalog.h"        // IWYU pragma: export
 #include "endivecart/fleet/cache_save_batches.h"   // IWYU pragma: export
 #include "endivecart/fleet/cache_save_ledger.h"    // IWYU pragma: export
+#include "endivecart/fleet/cache_sharing.h"        // IWYU pragma: export
 #include "endivecart/fleet/decision_log.h"         // IWYU pragma: export
 #include "endivecart/fleet/decisions.h"            // IWYU pragma: export
 #include "endivecart/fleet/entry_limit.h"          // IWYU pragma: export
--- a/src/endivecart/fleet/operator_service.cc
+++ b/src/endivecart/fleet/operator_service.cc
@@ -16,6 +16,18 @@
 template <class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+wire::ReplaceRoutingCommand ToCommand(const ReplaceRouting& call) {
+  wire::ReplaceRoutingCommand command;
+  command.set_version(call.version);
+  command.set_document(call.document);
+  wire::CacheCustomersRecord& customers = *command.mutable_cache_customers();
+  for (const CustomerId& customer : call.cache_customers.sharing)
+    customers.add_sharing(customer.str());
+  for (const CustomerId& customer : call.cache_customers.isolated)
+    customers.add_isolated(customer.str());
+  return command;
+}
+
 }  // namespace
 
 std::string_view OperatorOutcomeName(OperatorOutcome outcome) {
@@ -134,8 +146,7 @@
   wire::FleetCommand command;
   std::visit(
       Overloaded{[&](const ReplaceRouting& c) {
-                   command.mutable_replace_routing()->set_version(c.version);
-                   command.mutable_replace_routing()->set_document(c.document);
+                   *command.mutable_replace_routing() = ToCommand(c);
                    ProposeCommand(command, std::move(reply));
                  },
                  [&](const SetDomain& c) {
--- a/src/endivecart/fleet/operator_service.h
+++ b/src/endivecart/fleet/operator_service.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "endivecart/fleet/cache_sharing.h"
 #include "endivecart/fleet/fleet_feed.h"
 #include "endivecart/fleet/fleet_voter.h"
 
@@ -16,6 +17,7 @@
 struct ReplaceRouting {
   std::uint64_t version = 0;
   std::string document;  // already validated
+  CacheCustomers cache_customers;
 
   bool operator==(const ReplaceRouting&) const = default;
 };
--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -169,7 +169,7 @@
   context.upstream = &gateway_.upstreams_.Find(chosen.upstream)->last;
   context.decisions = gateway_.decisions_.get();
   context.service = service_;
-  context.isolated_customer = IsolatedCustomer();
+  context.cache_scope = CacheScopeNow();
   context.may_repeat = MayRepeat();
   context.may_have_run = run_state_ == RunState::kMayHaveRun;
   context.is_cold = gateway_.upstreams_.IsCold(chosen.upstream);
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -255,8 +255,9 @@
   int Urgency() const;
   // Order in the queue; see RankOf().
   int Rank() const;
-  // The customer if its cache is isolated from others, otherwise empty.
-  CustomerId IsolatedCustomer() const;
+  // Returns with whom the request may share cache by the configuration that is
+  // in force now, which may be a later one than that of the request.
+  fleet::CacheScope CacheScopeNow() const;
 
   Gateway& gateway_;
   net::HttpExchangePtr exchange_;
--- a/src/endivecart/gateway/forwarding_cache.cc
+++ b/src/endivecart/gateway/forwarding_cache.cc
@@ -50,7 +50,7 @@
   }
   out.weights_version = weights_version_;
   out.cache_label = fleet::CacheLabel(request_.prompt->model, weights_version_,
-                                      IsolatedCustomer());
+                                      CacheScopeNow());
   cache_label_ = out.cache_label;
   CachePlan plan = PlanForLabel(out.cache_label);
   KeepPermittedSaves(plan);
--- a/src/endivecart/gateway/forwarding_choice.cc
+++ b/src/endivecart/gateway/forwarding_choice.cc
@@ -47,8 +47,10 @@
   return RankOf(Urgency(), route_.priority);
 }
 
-CustomerId Forwarding::IsolatedCustomer() const {
-  return customer_ && customer_->isolated ? customer_->id : CustomerId();
+fleet::CacheScope Forwarding::CacheScopeNow() const {
+  if (customer_ != nullptr && gateway_.routes_->IsIsolated(customer_->id))
+    return {customer_->id, 0};
+  return {CustomerId(), gateway_.cache_generation_};
 }
 
 std::vector<Candidate> Forwarding::FindCandidates(
@@ -120,10 +122,10 @@
   speed.ms_per_request = gateway_.upstreams_.speeds().MsPerRequest(service_);
   while (!candidates.empty()) {
     const auto choice =
-        request_.prompt
-            ? PlacePrompt(candidates, *request_.prompt,
-                          IsolatedCustomer().str(), speed, gateway_.random_())
-            : PlaceByLoad(candidates, gateway_.random_());
+        request_.prompt ? PlacePrompt(candidates, *request_.prompt,
+                                      CacheScopeNow().isolated_customer.str(),
+                                      speed, gateway_.random_())
+                        : PlaceByLoad(candidates, gateway_.random_());
     if (!choice) {
       is_full_ = true;
       return std::nullopt;
--- a/src/endivecart/gateway/forwarding_saves.cc
+++ b/src/endivecart/gateway/forwarding_saves.cc
@@ -14,7 +14,7 @@
   if (weights == gateway_.last_weights_.end())
     return false;
   const CachePlan plan = PlanForLabel(fleet::CacheLabel(
-      request_.prompt->model, weights->second, IsolatedCustomer()));
+      request_.prompt->model, weights->second, CacheScopeNow()));
   if (plan.saved_parts.empty())
     return false;
   has_claimed_saves_ = gateway_.save_claims_.Claim(
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -58,6 +58,7 @@
   if (!routes)
     return;
   routes_ = std::move(routes);
+  cache_generation_ = decisions_->cache_generation;
   std::set<std::string> names;
   for (const routes::Route& route : routes_->configuration().routes)
     names.insert(route.name);
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -202,6 +202,7 @@
   const fleet::FleetFollower* follower_ = nullptr;
   fleet::DecisionsPtr decisions_;
   routes::RouteTablePtr routes_;
+  std::uint64_t cache_generation_ = 0;  // with routes_; see CacheSharing
   fleet::WeightsAges weights_ages_;
   std::set<std::shared_ptr<Forwarding>> active_;
   RequestQueue request_queue_;
--- a/src/endivecart/gateway/send_invariants.cc
+++ b/src/endivecart/gateway/send_invariants.cc
@@ -72,12 +72,13 @@
                      request.cache_label ==
                          fleet::CacheLabel(request.caller->prompt->model,
                                            *request.weights_version,
-                                           context.isolated_customer),
+                                           context.cache_scope),
       Invariant::kVersionIsolation, id);
-  const bool customers = CheckInvariant(
-      context.isolated_customer.empty() || is_alone ||
-          request.cache_label.ends_with("." + context.isolated_customer.str()),
-      Invariant::kCustomerIsolation, id);
+  const std::string& isolated = context.cache_scope.isolated_customer.str();
+  const bool customers =
+      CheckInvariant(isolated.empty() || is_alone ||
+                         request.cache_label.ends_with("." + isolated),
+                     Invariant::kCustomerIsolation, id);
   const bool sources = is_alone || CheckFetches(context);
   return CheckSaves(context) && versions && customers && sources;
 }
--- a/src/endivecart/gateway/send_invariants.h
+++ b/src/endivecart/gateway/send_invariants.h
@@ -28,7 +28,7 @@
   const upstreams::Announcement* upstream = nullptr;
   const fleet::Decisions* decisions = nullptr;  // null if unknown
   routes::ServiceId service;
-  CustomerId isolated_customer;        // empty if cache may be shared
+  fleet::CacheScope cache_scope;       // with whom cache may be shared
   bool may_repeat = false;             // the request may run more than once
   bool may_have_run = false;           // an earlier send may have been run
   bool is_cold = false;                // the upstream has just started
--- a/src/endivecart/gateway/send_invariants_unittest.cc
+++ b/src/endivecart/gateway/send_invariants_unittest.cc
@@ -160,13 +160,21 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_isolated_customer_uses_its_own_label) {
-  context.isolated_customer = CustomerId("c");
+  context.cache_scope.isolated_customer = CustomerId("c");
   request.cache_label = "m.3.c";
   BOOST_TEST(CheckSendInvariants(context));
   request.cache_label = "m.3";
   BOOST_TEST(!CheckSendInvariants(context));
 }
 
+BOOST_AUTO_TEST_CASE(shared_cache_has_the_label_of_its_generation) {
+  context.cache_scope.generation = 9;
+  request.cache_label = "m.3@9";
+  BOOST_TEST(CheckSendInvariants(context));
+  request.cache_label = "m.3";
+  BOOST_TEST(!CheckSendInvariants(context));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_goes_only_to_the_upstream_that_it_names) {
   request.upstream = UpstreamId("other");
   BOOST_TEST(Violates(Invariant::kAnswerComplete));
--- a/src/endivecart/node/cache_store_controller.cc
+++ b/src/endivecart/node/cache_store_controller.cc
@@ -9,23 +9,6 @@
 
 constexpr Millis kRetireInterval{5000};
 
-// Returns the cache labels in use by upstreams or decided weights, without
-// customer suffixes.
-std::vector<std::string> LiveLabels(const fleet::Decisions& decisions,
-                                    const upstreams::UpstreamRegistry& roster) {
-  std::vector<std::string> labels;
-  for (const auto& [id, upstream] : roster.all()) {
-    if (upstream.last.state == upstreams::UpstreamState::kGone)
-      continue;
-    for (const upstreams::LoadedModel& loaded : upstream.last.models)
-      labels.push_back(
-          fleet::CacheLabel(loaded.model, loaded.version, CustomerId()));
-  }
-  for (const auto& [model, version] : decisions.weights)
-    labels.push_back(fleet::CacheLabel(model, version, CustomerId()));
-  return labels;
-}
-
 }  // namespace
 
 CacheStoreController::CacheStoreController(net::EventLoop& loop,
@@ -103,6 +86,11 @@
       stores.push_back(*service.store);
   }
   catalog_.SetStores(stores);
+  scopes_ = {{CustomerId(), decisions.cache_generation}};
+  for (const routes::Customer& customer : configuration->customers) {
+    if (customer.isolated)
+      scopes_.push_back({customer.id, 0});
+  }
   Millis request_limit{0};
   for (const routes::Route& route : configuration->routes)
     request_limit = std::max(request_limit, route.time_limit);
@@ -111,16 +99,11 @@
 
 void CacheStoreController::Retire(const fleet::Decisions& decisions,
                                   const upstreams::UpstreamRegistry& roster) {
-  const auto live = LiveLabels(decisions, roster);
+  const auto live = fleet::LiveCacheLabels(decisions, scopes_, roster);
   if (live.empty())
     return;  // no upstream is known yet
   catalog_.Retire(
-      [&live](const std::string& label) {
-        return std::any_of(
-            live.begin(), live.end(), [&](const std::string& prefix) {
-              return label == prefix || label.starts_with(prefix + ".");
-            });
-      },
+      [&live](const std::string& label) { return live.contains(label); },
       loop_.Now());
 }
 
--- a/src/endivecart/node/cache_store_controller.h
+++ b/src/endivecart/node/cache_store_controller.h
@@ -52,6 +52,7 @@
   std::optional<fleet::CacheSaveBatches> save_batches_;
   std::uint64_t term_ = 0;  // as the leader; 0: none
   std::uint64_t routing_version_ = 0;
+  std::vector<fleet::CacheScope> scopes_;  // in that version
   TimePoint retire_due_{};
 };
 
--- a/src/endivecart/routes/route_table.cc
+++ b/src/endivecart/routes/route_table.cc
@@ -31,6 +31,7 @@
   for (const Customer& customer : configuration_->customers) {
     for (const std::string& key : customer.keys)
       by_key_.emplace(key, &customer);
+    is_isolated_[customer.id] |= customer.isolated;
   }
 }
 
@@ -51,6 +52,11 @@
   return it == by_key_.end() ? nullptr : it->second;
 }
 
+bool RouteTable::IsIsolated(const CustomerId& customer) const {
+  const auto it = is_isolated_.find(customer);
+  return it == is_isolated_.end() || it->second;
+}
+
 bool RouteTable::NeedsKey(const Route& route) const {
   return route.needs_key && !configuration_->customers.empty();
 }
