--- a/src/endivecart/net/http_connection.cc
+++ b/src/endivecart/net/http_connection.cc
@@ -141,6 +141,7 @@
   head_text_ = SerializeRequestHead(request);
   body_ = request.body;
   has_sent_bytes_ = false;
+  write_failed_ = false;
   response_complete_ = false;
   keep_alive_ = false;
   paused_ = false;
@@ -197,22 +198,28 @@
   writing_ = false;
   if (closed_)
     return;
-  if (error) {
-    // If bytes were sent, a response may already be buffered; the read path
-    // reports the result.
-    if (!has_sent_bytes_)
-      End(CallResult::kNotSent);
+  if (error && !has_sent_bytes_) {
+    End(CallResult::kNotSent);
     return;
   }
-  head_text_.clear();
-  body_ = Body();
-  FinishIfComplete();
+  write_failed_ = bool(error);
+  if (!error) {
+    head_text_.clear();
+    body_ = Body();
+  }
+  if (input_ended_) {
+    OnEndOfStream();
+  } else {
+    // After an error a response may already be buffered; the read path reports
+    // the result.
+    FinishIfComplete();
+  }
 }
 
 void HttpConnection::Read() {
   // What follows a complete response belongs to no request.
   const bool has_response = call_ != nullptr && response_complete_;
-  if (reading_ || closed_ || paused_ || has_response)
+  if (reading_ || closed_ || paused_ || input_ended_ || has_response)
     return;
   reading_ = true;
   socket_.async_read_some(
@@ -277,8 +284,14 @@
 }
 
 void HttpConnection::OnEndOfStream() {
-  ErrorCode error;
-  if (parser_->got_some())
+  input_ended_ = true;
+  // A socket reports a reset once: if to the write, then the next read shows an
+  // orderly end. So the end of a response is judged after the write's.
+  if (writing_)
+    return;
+  ErrorCode error =
+      write_failed_ ? ErrorCode(asio::error::connection_reset) : ErrorCode();
+  if (!error && parser_->got_some())
     parser_->put_eof(error);
   if (!error && parser_->is_done() && parser_->head().status >= 200) {
     response_complete_ = true;
@@ -294,7 +307,7 @@
   if (!response_complete_ || writing_ || call_ == nullptr)
     return;
   // Surplus bytes after the response belong to no request.
-  keep_alive_ = keep_alive_ && buffer_.size() == 0;
+  keep_alive_ = keep_alive_ && !write_failed_ && buffer_.size() == 0;
   End(CallResult::kComplete);
 }
 
--- a/src/endivecart/net/http_connection.h
+++ b/src/endivecart/net/http_connection.h
@@ -110,6 +110,8 @@
   Body body_;
   bool writing_ = false;
   bool has_sent_bytes_ = false;
+  bool write_failed_ = false;  // of the request, after some of its bytes
+  bool input_ended_ = false;   // the server has closed, or reset
   bool response_complete_ = false;
   bool keep_alive_ = false;
   boost::beast::flat_buffer buffer_;
