A status that HTTP doesn't define is no answer (MIXED)

Callers saw: after an answer with status 000, 504 at the end of their time limit; answers with statuses from 600 on were passed on.

Cause: each status below 200 was taken for an interim response and there was no upper bound. The blocking client of role site passed 000 and interim responses on as answers.

Change: both clients treat a status outside 100 to 599, and 101, as malformed; the blocking one skips other interim responses.

--- a/src/endivecart/http/client.cc
+++ b/src/endivecart/http/client.cc
@@ -24,6 +24,7 @@
 constexpr std::size_t kReadBytes = 16UL << 10;
 constexpr std::size_t kMaxHeaderBytes = 64UL << 10;
 constexpr std::size_t kMaxReplyBytes = 16UL << 20;
+constexpr unsigned kSwitchingProtocols = 101;
 
 // Effectively unlimited: TakeIdle() checks whether a connection is stale.
 constexpr Millis kIdleLimit{3600000};
@@ -31,42 +32,44 @@
 // Reads one response from its bytes; holds no more of it than these limits.
 class ResponseReader {
  public:
-  explicit ResponseReader(bool is_head) {
-    parser_.skip(is_head);
-    parser_.eager(true);
-    parser_.header_limit(kMaxHeaderBytes);
-    parser_.body_limit(kMaxReplyBytes);
-  }
+  explicit ResponseReader(bool is_head) : is_head_(is_head) { BeginResponse(); }
 
   // Adds received bytes; none means that the server has closed. Returns what is
   // wrong with the response, if anything is.
   std::optional<std::string> Add(std::string_view bytes) {
     beast::error_code error;
     if (bytes.empty()) {
-      if (parser_.got_some())
-        parser_.put_eof(error);
-      if (!error && parser_.is_done())
+      if (parser_->got_some())
+        parser_->put_eof(error);
+      if (!error && parser_->is_done())
         return std::nullopt;
       return "response truncated";
     }
     unparsed_ += bytes;
-    while (!unparsed_.empty() && !parser_.is_done()) {
+    while (!unparsed_.empty() && !parser_->is_done()) {
       const std::size_t used =
-          parser_.put(boost::asio::buffer(unparsed_), error);
+          parser_->put(boost::asio::buffer(unparsed_), error);
       unparsed_.erase(0, used);
       if (error && error != beast::http::error::need_more)
         return "malformed response: " + error.message();
       if (used == 0)
         break;
+      if (!parser_->is_header_done())
+        continue;
+      const auto status = parser_->get().result_int();
+      if (status < 100 || status > 599 || status == kSwitchingProtocols)
+        return "malformed response: status " + std::to_string(status);
+      if (status < 200)
+        BeginResponse();  // an interim response
     }
-    if (!parser_.is_done() && unparsed_.size() > kMaxHeaderBytes)
+    if (!parser_->is_done() && unparsed_.size() > kMaxHeaderBytes)
       return "malformed response: line too long";
     return std::nullopt;
   }
-  bool is_done() const { return parser_.is_done(); }
+  bool is_done() const { return parser_->is_done(); }
   CallReply TakeReply() {
     CallReply reply;
-    auto message = parser_.release();
+    auto message = parser_->release();
     reply.status = static_cast<int>(message.result_int());
     reply.content_type = std::string(message[beast::http::field::content_type]);
     for (const auto& field : message)
@@ -77,7 +80,16 @@
   }
 
  private:
-  beast::http::response_parser<beast::http::string_body> parser_;
+  void BeginResponse() {
+    parser_.emplace();
+    parser_->skip(is_head_);
+    parser_->eager(true);
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(kMaxReplyBytes);
+  }
+
+  const bool is_head_;
+  std::optional<beast::http::response_parser<beast::http::string_body>> parser_;
   std::string unparsed_;
 };
 
--- a/src/endivecart/http/client_unittest.cc
+++ b/src/endivecart/http/client_unittest.cc
@@ -64,6 +64,23 @@
   }
 }
 
+// Guards against MIXED: an answer with status 000 was passed on.
+BOOST_AUTO_TEST_CASE(a_status_that_http_does_not_define_is_an_error) {
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    RawServer server("HTTP/1.1 " + std::string(status) +
+                     " X\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_TEST(!server.Call().has_value(), status);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_interim_response_is_skipped) {
+  RawServer server("HTTP/1.1 100 Continue\r\n\r\n" + kHead + "ok");
+  const auto reply = server.Call();
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST(reply->status == 200);
+  BOOST_TEST(reply->body == "ok");
+}
+
 // Guards against MIXED and ORDER: a server stopped in the middle of its head
 // and closed, and the caller got a 200 with an empty body, framed as whole.
 BOOST_DATA_TEST_CASE(a_response_that_was_cut_is_an_error,
--- a/src/endivecart/net/early_response_unittest.cc
+++ b/src/endivecart/net/early_response_unittest.cc
@@ -1,3 +1,5 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "endivecart/net/net.h"
@@ -5,7 +7,8 @@
 #include "support/resetting_server.h"
 
 // Guards against MIXED: callers got as a complete answer what a server in
-// trouble had sent of it before it reset the connection.
+// trouble had sent of it before it reset the connection, and answers whose
+// status HTTP doesn't define were waited out.
 
 namespace endivecart::net {
 namespace {
@@ -93,6 +96,22 @@
   BOOST_TEST(outcome->body == kPiece);
 }
 
+BOOST_DATA_TEST_CASE_F(EarlyServer,
+                       a_status_that_http_does_not_define_is_no_response,
+                       boost::unit_test::data::make({"000", "099", "101", "600",
+                                                     "999"}),
+                       status) {
+  upstream.on_bytes = [&](RawUpstream::Connection& server) {
+    if (server.received.size() <= sizeof server.buffer) {
+      Reply(server, "HTTP/1.1 " + std::string(status) +
+                        " X\r\nContent-Length: 2\r\n\r\nok");
+    }
+  };
+  const auto outcome = Upload(upstream.address());
+  BOOST_CHECK(outcome->end == CallResult::kMalformedResponse);
+  BOOST_TEST(outcome->head.status == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/net/http_parser.cc
+++ b/src/endivecart/net/http_parser.cc
@@ -15,6 +15,7 @@
 
 // The first room for a body of unknown length.
 constexpr std::size_t kMinRoomBytes = 4UL << 10;
+constexpr int kSwitchingProtocols = 101;
 
 std::string_view AsView(boost::beast::string_view text) {
   return {text.data(), text.size()};
@@ -157,7 +158,12 @@
   body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
-void ResponseParser::on_response_impl(int status, View, int, Error&) {
+void ResponseParser::on_response_impl(int status, View, int, Error& error) {
+  // HTTP defines no others, and no request asks for another protocol.
+  if (status < 100 || status > 599 || status == kSwitchingProtocols) {
+    error = http::error::bad_status;
+    return;
+  }
   head_.status = status;
 }
 
