--- a/src/endivecart/gateway/cache_isolation_unittest.cc
+++ b/src/endivecart/gateway/cache_isolation_unittest.cc
@@ -22,7 +22,7 @@
       announcement.models = {{ModelId("m"), 3}};
       gateway.upstreams().Apply(announcement, loop.Now());
     }
-    answer = [this](RawUpstream::Connection& connection, std::size_t) {
+    answer = [](RawUpstream::Connection& connection, std::size_t) {
       Reply(connection, CompleteAnswer("1", "x"));
     };
     Configure(1, {}, {"c", "d"});
