Logs name the connection of each send, refusal and broken answer

`gateway.not_run` also says how long after the send it came: a copy that waits on the connection comes sooner than any upstream answers.

`gateway.send` is now written after the call has begun; hooks never run within Start().

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -199,6 +199,7 @@
       .Add("route", route_.name)
       .Add("upstream", chosen.upstream.str())
       .Add("send", sends_)
+      .Add("connection", connection_)
       .Add("expected_ms", chosen.expected_ms)
       .Add("requests_there", chosen.requests_there)
       .Add("upstreams", chosen.counts)
@@ -273,9 +274,7 @@
     GiveUp("promise");
     return;
   }
-  LogSend(chosen, request);
   RecordFetches(request);
-  candidates_ = {};  // not to be kept for as long as the answer takes
   net::CallOptions options;
   options.connect_timeout =
       std::min(kConnectTimeout, std::max(TimeLeft(), Millis(1)));
@@ -285,6 +284,9 @@
   options.max_idle = MayRepeat() ? kMaxIdle : kMaxIdleNonIdempotent;
   call_ = StartCallTo(upstream->last.address, gateway_.dialect_.encode(request),
                       options);
+  connection_ = call_->connection_number();
+  LogSend(chosen, request);
+  candidates_ = {};  // not to be kept for as long as the answer takes
 }
 
 net::HttpCallPtr Forwarding::StartCallTo(const settings::Endpoint& address,
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -298,6 +298,7 @@
 
   // State of the current send:
   net::HttpCallPtr call_;
+  std::uint64_t connection_ = 0;  // see net::HttpCall::connection_number()
   UpstreamId upstream_;
   std::uint64_t upstream_started_ms_ = 0;  // of the upstream; see UpstreamRun
   std::optional<HostId> relay_;            // instead of an upstream
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -300,6 +300,8 @@
       .Add("request", request_.id.str())
       .Add("upstream", upstream_.str())
       .Add("status", head.status)
+      .Add("connection", connection_)
+      .Add("ms", MillisBetween(sent_at_, gateway_.loop_.Now()))
       .Info();
   if (head.status == kNoRoom) {
     gateway_.limits_.OnRefused(gateway_.upstreams_.RunOf(upstream_),
@@ -331,6 +333,7 @@
       .Add(relay_ ? "host" : "upstream",
            relay_ ? relay_->str() : upstream_.str())
       .Add("reason", reason)
+      .Add("connection", connection_)
       .Add("events", std::uint64_t{events_})
       .Add("ms", MillisBetween(sent_at_, gateway_.loop_.Now()))
       .Add("alike", request_keys_.front());
--- a/src/endivecart/gateway/forwarding_relay.cc
+++ b/src/endivecart/gateway/forwarding_relay.cc
@@ -84,6 +84,7 @@
   options.max_idle = kMaxIdle;
   call_ =
       StartCallTo({relay.host.str(), relay.reach.relay_port}, request, options);
+  connection_ = call_->connection_number();
 }
 
 void Forwarding::OnRelayEnd(net::CallResult end, bool sent) {
--- a/src/endivecart/net/http_client.cc
+++ b/src/endivecart/net/http_client.cc
@@ -33,6 +33,7 @@
   void Attach(std::shared_ptr<HttpConnection> connection, bool opened) {
     connection_ = std::move(connection);
     opened_ = opened;
+    connection_number_ = connection_->number();
   }
   void SetPaused(bool paused) override {
     if (connection_)
@@ -42,6 +43,9 @@
     return connection_ ? connection_->has_sent_bytes() : sent_;
   }
   bool opened_connection() const override { return opened_; }
+  std::uint64_t connection_number() const override {
+    return connection_number_;
+  }
 
   // Each hook may destroy this call, so a reference keeps the hooks alive.
   void OnHead(const HttpResponseHead& head) override {
@@ -63,6 +67,7 @@
   const std::shared_ptr<const CallHooks> hooks_;
   std::shared_ptr<HttpConnection> connection_;
   bool opened_ = false;
+  std::uint64_t connection_number_ = 0;
   bool sent_ = false;
 };
 
--- a/src/endivecart/net/http_client.h
+++ b/src/endivecart/net/http_client.h
@@ -2,6 +2,7 @@
 #define ENDIVECART_NET_HTTP_CLIENT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -51,6 +52,8 @@
   virtual bool may_have_been_sent() const = 0;
   // Whether a new connection was opened for the call.
   virtual bool opened_connection() const = 0;
+  // The number of the call's connection, unique within the client; for logs.
+  virtual std::uint64_t connection_number() const = 0;
 };
 
 using HttpCallPtr = std::unique_ptr<HttpCall>;
--- a/src/endivecart/net/http_connection.h
+++ b/src/endivecart/net/http_connection.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,6 +48,7 @@
   EventLoop& loop;
   const HttpClientLimits limits;
   bool closed = false;
+  std::uint64_t connections_opened = 0;
   std::map<std::string, Address> addresses;
 };
 
@@ -57,6 +59,7 @@
   HttpConnection(std::shared_ptr<HttpConnectionPool> pool, std::string address)
       : pool_(std::move(pool)),
         address_(std::move(address)),
+        number_(++pool_->connections_opened),
         socket_(pool_->loop.context()) {
     ++pool_->addresses[address_].open;
   }
@@ -74,6 +77,7 @@
   void Close();
   void SetPaused(bool paused);
 
+  std::uint64_t number() const { return number_; }
   TimePoint idle_since() const { return idle_since_; }
   bool has_sent_bytes() const { return has_sent_bytes_; }
   // Whether an idle connection is still open and has received no bytes.
@@ -96,6 +100,7 @@
 
   std::shared_ptr<HttpConnectionPool> pool_;
   const std::string address_;
+  const std::uint64_t number_;
   boost::asio::ip::tcp::socket socket_;
   std::unique_ptr<TimerSubscription> timer_;
   bool connected_ = false;
