A response that came before its request was written no longer hides the next one (LOST)

What callers saw: on a connection whose last response had come before the request was completely written, the next request ran and was answered, but nobody read its answer; it ended with 504 after its time limit.

The call then ends from the write's handler, which returned the connection to the pool with no read outstanding, and the next request started none.

There the kernel had taken the whole upload of 3.5 MB, which the test takes for impossible.

Change: an idle connection always has a read outstanding, so that its end is noticed too, and a request on a kept connection makes sure of it. The uploads of the suite are now larger than the kernel's largest send buffer (4 MB), as the tests assume: stricter.

--- a/src/endivecart/net/early_response_unittest.cc
+++ b/src/endivecart/net/early_response_unittest.cc
@@ -18,7 +18,8 @@
 using tests::Reply;
 using tests::ResettingServer;
 
-constexpr std::size_t kUploadBytes = 3500000;
+// More than the kernel takes before the server reads it.
+constexpr std::size_t kUploadBytes = 16000000;
 constexpr int kUploads = 30;
 const std::string kWithoutLength = "HTTP/1.1 200 OK\r\n\r\n";
 const std::string kPiece(1000, 'x');
@@ -81,6 +82,25 @@
   BOOST_TEST(client.IdleConnectionsTo(server.address()) == 0u);
 }
 
+// Guards against LOST: the next response on a connection was never read after
+// one that had come before its request was written.
+BOOST_AUTO_TEST_CASE(a_response_that_came_early_is_followed_by_the_next) {
+  constexpr std::string_view kResponse =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  std::size_t responses = 0;
+  upstream.on_bytes = [&](RawUpstream::Connection& server) {
+    const std::size_t request =
+        server.received.find("\r\n\r\n") + 4 + kUploadBytes;
+    if (server.received.size() > responses * request) {
+      ++responses;
+      Reply(server, std::string(kResponse));
+    }
+  };
+  for (int i = 0; i < 3; ++i)
+    BOOST_CHECK(Upload(upstream.address())->end == CallResult::kComplete);
+  BOOST_TEST(upstream.connections.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(an_orderly_close_after_the_upload_completes_a_response) {
   upstream.on_bytes = [](RawUpstream::Connection& server) {
     if (server.received.size() <= sizeof server.buffer)
--- a/src/endivecart/net/http_connection.cc
+++ b/src/endivecart/net/http_connection.cc
@@ -146,8 +146,10 @@
   keep_alive_ = false;
   paused_ = false;
   ResetParser();
-  if (connected_)
+  if (connected_) {
     WriteRequest();
+    Read();
+  }
 }
 
 void HttpConnection::ResetParser() {
@@ -341,6 +343,7 @@
         if (const auto self = weak.lock(); self && self->call_ == nullptr)
           self->Close();
       });
+  Read();
 }
 
 void HttpConnection::Cancel() {
