Test of a caller's repeat: copies come only on connections that refused it

The test wrote copies on all connections, also on those that had never carried the request, where no server would write one.

--- a/src/endivecart/gateway/repeated_refusal_unittest.cc
+++ b/src/endivecart/gateway/repeated_refusal_unittest.cc
@@ -88,14 +88,11 @@
 // same id, which went out on a connection that had carried it before.
 BOOST_AUTO_TEST_CASE(a_refusal_written_twice_is_told_apart_in_a_callers_repeat) {
   const auto repeat_refusals = answer;
-  answer = [](RawUpstream::Connection& connection, std::size_t) {
+  answer = [this](RawUpstream::Connection& connection, std::size_t) {
     Reply(connection, NotRunAnswer("1"));
+    refused_on.push_back(&connection);
   };
   BOOST_TEST(HasStatus(Send("/once/"), 503));
-  for (const RawUpstream& upstream : upstreams) {
-    for (const auto& connection : upstream.connections)
-      refused_on.push_back(connection.get());
-  }
   answer = [&](RawUpstream::Connection& connection, std::size_t) {
     repeat_refusals(connection, requests.size());
   };
