A connection carries each request id once; "not run" needs proof (TWICE)

What callers saw: an order ran twice, or got 503 ("not run") while it ran; an order whose connection brought the copy of another answer first got 502 though it was answered.

Cause: a server may write a refusal once more where the next answer is due. It bears the refused request's id, which tells nothing once the same id is under way again on that connection. Which sends a connection had carried was remembered by one handling of the request, by id of the upstream: not for a repeat by the caller under the same id, and not for the successor of an upstream at its address. Class of fault: a property of a connection was inferred from something that doesn't have the connection's lifetime.

Change: - `ExchangeHistory`: a connection carries each id once and no more ids than it remembers (256; then it is closed after its response). Asserted where a request is put on it. - `ResponseReader` (the part of `HttpConnection` without I/O): a response with the id of an earlier request is read to its end, logged, counted and skipped, at most 16 of them and 4 MB. One with an id that the connection never carried is skipped too if the request must not be repeated; otherwise another upstream is asked at once, as before. No id or broken framing ends the connection, as before. - `EffectOf`: what a send has done is decided in one place. From its start it may have run; "not reached" needs that no byte was written, "refused" the complete answer to this very send. Each way on from "not run" goes through it; `CheckSendInvariants` counts the send under way.

gateway_requests/an_answer_to_another_request_is_not_forwarded expected 502 for an order at once; its own answer is awaited now, so that it is 504 after the time limit. The test now also checks that the order was sent once, and 502 after two sends for a request that may be repeated.

--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -171,7 +171,7 @@
   context.service = service_;
   context.cache_scope = CacheScopeNow();
   context.may_repeat = MayRepeat();
-  context.may_have_run = run_state_ == RunState::kMayHaveRun;
+  context.may_have_run = MayHaveRun();
   context.is_cold = gateway_.upstreams_.IsCold(chosen.upstream);
   context.has_cold_start_permit = chosen.has_cold_start_permit;
   context.is_limited =
@@ -256,7 +256,7 @@
   ResetSend();
   upstream_ = id;
   upstream_started_ms_ = upstream->last.start_time_ms;
-  const bool was_sent_there = !tried_.insert(id).second;
+  tried_.insert(id);
   requests_there_ = chosen.requests_there;
   weights_version_ = request_.prompt ? gateway_.upstreams_.WeightsOf(
                                            *upstream, request_.prompt->model)
@@ -278,9 +278,6 @@
   net::CallOptions options;
   options.connect_timeout =
       std::min(kConnectTimeout, std::max(TimeLeft(), Millis(1)));
-  // A faulty upstream may write its earlier refusal once more. On the
-  // connection of that send it couldn't be told from the answer to this one.
-  options.reuse_connection = !was_sent_there;
   options.max_idle = MayRepeat() ? kMaxIdle : kMaxIdleNonIdempotent;
   call_ = StartCallTo(upstream->last.address, gateway_.dialect_.encode(request),
                       options);
@@ -291,8 +288,11 @@
 
 net::HttpCallPtr Forwarding::StartCallTo(const settings::Endpoint& address,
                                          const net::HttpRequest& request,
-                                         const net::CallOptions& options) {
+                                         net::CallOptions options) {
   caller_was_there_ = false;  // the next send needs another look
+  effect_ = SendEffect::kMayHaveRun;
+  // Another upstream may answer a request that may be repeated sooner.
+  options.identity = {request_.id.str(), !MayRepeat()};
   const auto weak = weak_from_this();
   return gateway_.client_.Start(address, request, options,
                                 {[weak](const net::HttpResponseHead& head) {
@@ -306,9 +306,31 @@
                                  [weak](net::CallResult end) {
                                    if (const auto self = weak.lock())
                                      self->OnEnd(end);
+                                 },
+                                 [read_answer = gateway_.dialect_.read_answer](
+                                     const net::HttpResponseHead& head) {
+                                   return read_answer(head).request_id.str();
                                  }});
 }
 
+SendEffect Forwarding::EndCall(net::CallResult end) {
+  if (!call_)
+    return effect_;
+  SendEvidence evidence;
+  evidence.end = end;
+  evidence.bytes_sent = call_->may_have_been_sent();
+  evidence.has_own_id = call_->has_own_id();
+  if (head_received_) {
+    const AnswerMetadata answer = gateway_.dialect_.read_answer(head_);
+    evidence.answered = answer.request_id;
+    evidence.states_not_run =
+        relay_ ? head_.fields.Has(kRelayNotRunField) : answer.not_run;
+  }
+  call_.reset();
+  effect_ = EffectOf(evidence, request_.id);
+  return effect_;
+}
+
 bool Forwarding::MayRetry(SendEffect effect) const {
   const bool was_run = effect == SendEffect::kMayHaveRun;
   if (TimeLeft() < kMinRetryTime)
@@ -323,6 +345,11 @@
 }
 
 void Forwarding::RetryOrGiveUp(const char* reason, SendEffect effect) {
+  if (!CheckInvariant(effect != SendEffect::kMayHaveRun,
+                      Invariant::kNotRunIsTrue, request_.id.str())) {
+    GiveUp(reason);
+    return;
+  }
   // A relay's send is no retry if none has reached an upstream.
   const bool is_first_arrival =
       effect == SendEffect::kNotReached && run_state_ == RunState::kNotRun;
@@ -335,6 +362,10 @@
 
 void Forwarding::EndSend(SendResult result) {
   call_.reset();
+  if (std::exchange(effect_, SendEffect::kNotReached) ==
+      SendEffect::kMayHaveRun) {
+    run_state_ = RunState::kMayHaveRun;
+  }
   if (relay_) {
     gateway_.relays_.OnDone(*relay_);
     relay_.reset();
@@ -381,9 +412,8 @@
 
 void Forwarding::EndNow(const char* reason) {
   StopWaiting();
-  const bool reached = call_ && call_->may_have_been_sent();
-  if (reached)
-    run_state_ = RunState::kMayHaveRun;
+  const bool reached =
+      EndCall(net::CallResult::kBroken) != SendEffect::kNotReached;
   EndSend(reached && !started_ ? SendResult::kSilent : SendResult::kAbandoned);
   if (started_) {
     exchange_->Abort();
--- a/src/endivecart/gateway/forwarding.h
+++ b/src/endivecart/gateway/forwarding.h
@@ -10,6 +10,7 @@
 #include "endivecart/gateway/event_splitter.h"
 #include "endivecart/gateway/gateway.h"
 #include "endivecart/gateway/relayed_request.h"
+#include "endivecart/gateway/send_evidence.h"
 #include "endivecart/gateway/send_invariants.h"
 
 namespace endivecart::gateway {
@@ -132,7 +133,7 @@
   void ResetSend();
   net::HttpCallPtr StartCallTo(const settings::Endpoint& address,
                                const net::HttpRequest& request,
-                               const net::CallOptions& options);
+                               net::CallOptions options);
   // Returns the event after which the next send resumes the stream; empty: from
   // the start.
   std::string LastEventIdToSend() const;
@@ -142,7 +143,7 @@
   // through no second one.
   std::optional<quarantine::RelayHost> ChooseRelay() const;
   void StartRelayedCall(const quarantine::RelayHost& relay);
-  void OnRelayEnd(net::CallResult end, bool sent);
+  void OnRelayEnd(net::CallResult end, SendEffect effect);
   void OnRelayNotRun();
   bool SatisfiesInvariants(const Chosen& chosen,
                            const UpstreamRequest& request) const;
@@ -200,10 +201,10 @@
   void OnBody(std::string_view bytes);
   void OnEnd(net::CallResult end);
   // Handles an answer that is complete, as far as its connection tells.
-  void OnAnswerEnd();
+  void OnAnswerEnd(SendEffect effect);
   void OnEvents();
   void ForwardEvent(const StreamEvent& event);
-  void OnCompleteAnswer();
+  void OnCompleteAnswer(SendEffect effect);
   void OnBadAnswer(const char* reason);
   void OnNotRun(const net::HttpResponseHead& head);
   void OnFailedRun(SendResult result, const char* reason);
@@ -232,11 +233,12 @@
   RunSpeed CurrentSpeed() const;
   // Ends the current send.
   void EndSend(SendResult result);
+  // Ends the current call, if there is one. Returns what it has done.
+  SendEffect EndCall(net::CallResult end);
   // Returns whether the request may be sent once more, and if so takes a retry
-  // from the limiter. `was_run`: whether the last send may have run it.
-  // What a send has done to an upstream.
-  enum class SendEffect { kNotReached, kRefused, kMayHaveRun };
+  // from the limiter. `effect`: of the last send.
   bool MayRetry(SendEffect effect) const;
+  // Continues after a send that has certainly not been run.
   void RetryOrGiveUp(const char* reason, SendEffect effect);
   void GiveUp(const char* reason);
   void Refuse(int status,
@@ -246,6 +248,11 @@
 
   bool IsStream() const { return route_.kind == routes::RequestKind::kStream; }
   bool MayRepeat() const;
+  // Whether any send, the current one included, may have been run.
+  bool MayHaveRun() const {
+    return run_state_ == RunState::kMayHaveRun ||
+           effect_ == SendEffect::kMayHaveRun;
+  }
   Millis TimeLeft() const;
   std::int64_t HeldTokens() const;
   // Estimated time to prefill the prompt's shared parts.
@@ -298,6 +305,8 @@
 
   // State of the current send:
   net::HttpCallPtr call_;
+  // What it has done, as far as is certain; kMayHaveRun from its start on.
+  SendEffect effect_ = SendEffect::kNotReached;
   std::uint64_t connection_ = 0;  // see net::HttpCall::connection_number()
   UpstreamId upstream_;
   std::uint64_t upstream_started_ms_ = 0;  // of the upstream; see UpstreamRun
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -107,8 +107,6 @@
     if (!exchange_->TryHold(size > body_.capacity() ? 2 * size
                                                     : body_.capacity())) {
       // Not the upstream's fault.
-      call_.reset();
-      run_state_ = RunState::kMayHaveRun;
       EndSend(SendResult::kAbandoned);
       GiveUp("no_room_for_answer");
       return;
@@ -187,39 +185,28 @@
 }
 
 void Forwarding::OnEnd(net::CallResult end) {
-  const bool sent = call_->may_have_been_sent();
   const bool opened_connection = call_->opened_connection();
   on_used_connection_ = !opened_connection;
-  call_.reset();
+  const SendEffect effect = EndCall(end);
   if (relay_) {
-    OnRelayEnd(end, sent);
+    OnRelayEnd(end, effect);
     return;
   }
-  switch (end) {
-    case net::CallResult::kNotSent:
-      if (opened_connection)
-        gateway_.reach_.OnUnreachable(service_.str(), gateway_.loop_.Now());
-      EndSend(SendResult::kUnreachable);
-      RetryOrGiveUp(kReasonUnreachable, SendEffect::kNotReached);
-      return;
-    case net::CallResult::kBroken:
-    case net::CallResult::kMalformedResponse:
-      if (!sent) {
-        EndSend(SendResult::kUnreachable);
-        RetryOrGiveUp(kReasonUnreachable, SendEffect::kNotReached);
-        return;
-      }
-      if (end == net::CallResult::kBroken)
-        RecordBrokenRun();
-      OnFailedRun(SendResult::kBroken, net::CallResultName(end).data());
-      return;
-    case net::CallResult::kComplete:
-      OnAnswerEnd();
-      return;
+  if (effect == SendEffect::kNotReached) {
+    if (end == net::CallResult::kNotSent && opened_connection)
+      gateway_.reach_.OnUnreachable(service_.str(), gateway_.loop_.Now());
+    EndSend(SendResult::kUnreachable);
+    RetryOrGiveUp(kReasonUnreachable, effect);
+  } else if (end == net::CallResult::kComplete) {
+    OnAnswerEnd(effect);
+  } else {
+    if (end == net::CallResult::kBroken)
+      RecordBrokenRun();
+    OnFailedRun(SendResult::kBroken, net::CallResultName(end).data());
   }
 }
 
-void Forwarding::OnAnswerEnd() {
+void Forwarding::OnAnswerEnd(SendEffect effect) {
   if (!head_received_) {
     RecordBrokenRun();
     OnFailedRun(SendResult::kBroken, "no_head");
@@ -241,7 +228,7 @@
     exchange_->FinishResponse();
     Finish(head_.status, "answered");
   } else {
-    OnCompleteAnswer();
+    OnCompleteAnswer(effect);
   }
 }
 
@@ -258,12 +245,11 @@
   OnFailedRun(SendResult::kSilent, "silent");
 }
 
-void Forwarding::OnCompleteAnswer() {
-  if (gateway_.dialect_.read_answer(head_).not_run) {
+void Forwarding::OnCompleteAnswer(SendEffect effect) {
+  if (effect == SendEffect::kRefused) {
     OnNotRun(head_);
     return;
   }
-  run_state_ = RunState::kMayHaveRun;
   const bool server_error = head_.status >= 500;
   if (GuaranteesNotRun(head_.status)) {
     // The status means "not run", but the upstream does not state that, so it
@@ -326,7 +312,6 @@
 }
 
 void Forwarding::EndFailedRun(SendResult result, const char* reason) {
-  run_state_ = RunState::kMayHaveRun;
   ++runs_;
   LogLine line("gateway.broken");
   line.Add("request", request_.id.str())
--- a/src/endivecart/gateway/forwarding_permits.cc
+++ b/src/endivecart/gateway/forwarding_permits.cc
@@ -72,9 +72,9 @@
 void Forwarding::LeaveWaitingUpstream(const UpstreamId& upstream) {
   if (!call_ || relay_ || upstream_ != upstream || call_->may_have_been_sent())
     return;
-  call_.reset();
+  const SendEffect effect = EndCall(net::CallResult::kNotSent);
   EndSend(SendResult::kAbandoned);
-  RetryOrGiveUp("asked_to_wait", SendEffect::kNotReached);
+  RetryOrGiveUp("asked_to_wait", effect);
 }
 
 void Forwarding::RecordBrokenRun() {
--- a/src/endivecart/gateway/forwarding_relay.cc
+++ b/src/endivecart/gateway/forwarding_relay.cc
@@ -44,7 +44,7 @@
   context.was_relayed = ticket_from_relay_.has_value();
   context.may_be_there = IsAllowedIn(relay.reach.domain);
   context.may_repeat = MayRepeat();
-  context.may_have_run = run_state_ == RunState::kMayHaveRun;
+  context.may_have_run = MayHaveRun();
   context.is_quarantined = gateway_.part_monitor_.IsQuarantined(parts_);
   context.is_trial = is_trial_;
   context.caller_was_there = caller_was_there_;
@@ -87,8 +87,8 @@
   connection_ = call_->connection_number();
 }
 
-void Forwarding::OnRelayEnd(net::CallResult end, bool sent) {
-  if (end == net::CallResult::kNotSent || !sent) {
+void Forwarding::OnRelayEnd(net::CallResult end, SendEffect effect) {
+  if (effect == SendEffect::kNotReached) {
     gateway_.relays_.OnUnreachable(*relay_, gateway_.loop_.Now());
     EndSend(SendResult::kUnreachable);
     if (ChooseRelay()) {
@@ -104,10 +104,10 @@
     OnFailedRun(SendResult::kBroken, net::CallResultName(end).data());
     return;
   }
-  if (head_received_ && head_.fields.Has(kRelayNotRunField)) {
+  if (effect == SendEffect::kRefused) {
     OnRelayNotRun();
   } else {
-    OnAnswerEnd();
+    OnAnswerEnd(effect);
   }
 }
 
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -334,6 +334,8 @@
                static_cast<double>(limits_.limited()));
   metrics_.Set("endivecart_waiting_upstreams", "",
                static_cast<double>(named_waits_.size()));
+  metrics_.Set("endivecart_extra_answers", "",
+               static_cast<double>(client_.extra_responses()));
   const auto active = active_;  // active_ changes as requests end
   for (const auto& forwarding : active) {
     forwarding->RecordSpeedOfRun();
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -120,9 +120,14 @@
   answer = [](auto& connection, auto) {
     Reply(connection, CompleteAnswer("other", "secret"));
   };
+  // Its own answer may follow until its time limit.
   const std::string received = Send("/once/");
-  BOOST_TEST(HasStatus(received, 502));
+  BOOST_TEST(HasStatus(received, 504));
   BOOST_TEST(received.find("secret") == std::string::npos);
+  BOOST_TEST(requests.size() == 1u);
+  // Another upstream may answer this one sooner.
+  BOOST_TEST(HasStatus(Send("/safe/"), 502));
+  BOOST_TEST(requests.size() == 3u);
 }
 
 BOOST_AUTO_TEST_CASE(a_success_status_without_signature_is_not_forwarded) {
--- a/src/endivecart/net/http_client.cc
+++ b/src/endivecart/net/http_client.cc
@@ -30,10 +30,16 @@
       std::exchange(connection_, nullptr)->Cancel();
   }
 
-  void Attach(std::shared_ptr<HttpConnection> connection, bool opened) {
+  // Starts the call on a connection.
+  void Send(std::shared_ptr<HttpConnection> connection,
+            bool opened,
+            const HttpRequest& request,
+            const CallIdentity& identity) {
     connection_ = std::move(connection);
     opened_ = opened;
     connection_number_ = connection_->number();
+    has_own_id_ = connection_->MayCarry(identity.request_id);
+    connection_->SendRequest(this, request, identity);
   }
   void SetPaused(bool paused) override {
     if (connection_)
@@ -46,6 +52,7 @@
   std::uint64_t connection_number() const override {
     return connection_number_;
   }
+  bool has_own_id() const override { return has_own_id_; }
 
   // Each hook may destroy this call, so a reference keeps the hooks alive.
   void OnHead(const HttpResponseHead& head) override {
@@ -56,6 +63,9 @@
     const auto hooks = hooks_;
     hooks->on_body(bytes);
   }
+  std::string ResponseId(const HttpResponseHead& head) const override {
+    return hooks_->response_id ? hooks_->response_id(head) : std::string();
+  }
   void OnEnd(CallResult result) override {
     const auto hooks = hooks_;
     sent_ = connection_->has_sent_bytes();
@@ -68,6 +78,7 @@
   std::shared_ptr<HttpConnection> connection_;
   bool opened_ = false;
   std::uint64_t connection_number_ = 0;
+  bool has_own_id_ = false;
   bool sent_ = false;
 };
 
@@ -90,21 +101,22 @@
   auto call = std::make_unique<Call>(std::move(hooks));
   const std::string name = address.ToString();
   const TimePoint now = pool_->loop.Now();
-  while (options.reuse_connection) {
-    const auto connection = pool_->PopIdle(name, now - options.max_idle);
+  // An extra response would be framed as the one to HEAD.
+  const bool may_reuse = options.reuse_connection && request.method != "HEAD";
+  while (may_reuse) {
+    const auto connection = pool_->PopIdle(name, now - options.max_idle,
+                                           options.identity.request_id);
     if (!connection)
       break;
     if (!connection->IsReusable()) {
       connection->Close();
       continue;
     }
-    call->Attach(connection, false);
-    connection->SendRequest(call.get(), request);
+    call->Send(connection, false, request, options.identity);
     return call;
   }
   const auto connection = std::make_shared<HttpConnection>(pool_, name);
-  call->Attach(connection, true);
-  connection->SendRequest(call.get(), request);
+  call->Send(connection, true, request, options.identity);
   connection->Connect(address, options.connect_timeout);
   return call;
 }
@@ -128,6 +140,10 @@
   return it == pool_->addresses.end() ? 0 : it->second.idle.size();
 }
 
+std::uint64_t HttpClient::extra_responses() const {
+  return pool_->extra_responses;
+}
+
 void HttpClient::CloseIdleConnections(const settings::Endpoint& address) {
   const auto it = pool_->addresses.find(address.ToString());
   if (it == pool_->addresses.end())
--- a/src/endivecart/net/http_client.h
+++ b/src/endivecart/net/http_client.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "endivecart/net/event_loop.h"
@@ -23,6 +24,18 @@
 
 std::string_view CallResultName(CallResult result);
 
+// How the response to a request is told from others on its connection.
+struct CallIdentity {
+  // Borne by the response too; empty if requests have no ids. No two requests
+  // with the same id are sent over one connection.
+  std::string request_id;
+  // Whether the response is still awaited after one with an id that the
+  // connection has not carried, as it is after a copy of an earlier one.
+  bool skips_unknown = false;
+
+  bool operator==(const CallIdentity&) const = default;
+};
+
 struct CallOptions {
   Millis connect_timeout{1000};
   // Whether an idle connection may be reused; the server may close it just as
@@ -30,15 +43,19 @@
   bool reuse_connection = true;
   // Connections that were idle for longer than this aren't reused.
   Millis max_idle{10000};
+  CallIdentity identity;
 
   bool operator==(const CallOptions&) const = default;
 };
 
 struct CallHooks {
+  // Not called for responses to other requests that are skipped.
   std::function<void(const HttpResponseHead&)> on_head;
   std::function<void(std::string_view)> on_body;
   // Called once, after all other hooks, unless the call is cancelled.
   std::function<void(CallResult)> on_end;
+  // Returns the id that a response bears. Required for requests with an id.
+  std::function<std::string(const HttpResponseHead&)> response_id;
 };
 
 // A call in progress. Destroying the handle cancels the call.
@@ -54,6 +71,9 @@
   virtual bool opened_connection() const = 0;
   // The number of the call's connection, unique within the client; for logs.
   virtual std::uint64_t connection_number() const = 0;
+  // Whether no earlier request with the same id was sent over the connection,
+  // so that a response with this id answers this call.
+  virtual bool has_own_id() const = 0;
 };
 
 using HttpCallPtr = std::unique_ptr<HttpCall>;
@@ -95,6 +115,8 @@
   // Returns the number of open connections to the address, idle ones included.
   std::size_t ConnectionsTo(const settings::Endpoint& address) const;
   std::size_t IdleConnectionsTo(const settings::Endpoint& address) const;
+  // Returns how many responses to other requests were skipped.
+  std::uint64_t extra_responses() const;
   // Closes the idle connections to the address.
   void CloseIdleConnections(const settings::Endpoint& address);
 
--- a/src/endivecart/net/http_connection.cc
+++ b/src/endivecart/net/http_connection.cc
@@ -57,14 +57,19 @@
 
 std::shared_ptr<HttpConnection> HttpConnectionPool::PopIdle(
     const std::string& address,
-    TimePoint since) {
+    TimePoint since,
+    std::string_view id) {
   const auto it = addresses.find(address);
-  if (it == addresses.end() || it->second.idle.empty() ||
-      it->second.idle.back()->idle_since() < since) {
+  if (it == addresses.end())
     return nullptr;
-  }
-  auto connection = it->second.idle.back();
-  it->second.idle.pop_back();
+  auto& idle = it->second.idle;
+  const auto found = std::find_if(
+      idle.rbegin(), idle.rend(),
+      [id](const auto& connection) { return connection->MayCarry(id); });
+  if (found == idle.rend() || (*found)->idle_since() < since)
+    return nullptr;
+  auto connection = *found;
+  idle.erase(std::next(found).base());
   return connection;
 }
 
@@ -135,37 +140,21 @@
   Connect(to, timeout);
 }
 
-void HttpConnection::SendRequest(CallSink* call, const HttpRequest& request) {
-  call_ = call;
-  is_head_ = request.method == "HEAD";
+void HttpConnection::SendRequest(CallSink* call,
+                                 const HttpRequest& request,
+                                 const CallIdentity& identity) {
+  reader_.Begin(call, request.method == "HEAD", identity);
   head_text_ = SerializeRequestHead(request);
   body_ = request.body;
   has_sent_bytes_ = false;
   write_failed_ = false;
-  response_complete_ = false;
-  keep_alive_ = false;
   paused_ = false;
-  ResetParser();
   if (connected_) {
     WriteRequest();
     Read();
   }
 }
 
-void HttpConnection::ResetParser() {
-  parser_ = std::make_unique<ResponseParser>(
-      is_head_, pool_->limits.max_response_header_bytes,
-      [this](const HttpResponseHead& head) {
-        const bool interim = head.status < 200;
-        if (call_ != nullptr && !interim)
-          call_->OnHead(head);
-      },
-      [this](std::string_view bytes) {
-        if (call_ != nullptr && !bytes.empty())
-          call_->OnBody(bytes);
-      });
-}
-
 void HttpConnection::WriteRequest() {
   writing_ = true;
   const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head_text_),
@@ -220,7 +209,7 @@
 
 void HttpConnection::Read() {
   // What follows a complete response belongs to no request.
-  const bool has_response = call_ != nullptr && response_complete_;
+  const bool has_response = reader_.sink() != nullptr && reader_.is_complete();
   if (reading_ || closed_ || paused_ || input_ended_ || has_response)
     return;
   reading_ = true;
@@ -235,7 +224,7 @@
 void HttpConnection::OnRead(const ErrorCode& error, std::size_t bytes) {
   if (closed_)
     return;
-  if (call_ == nullptr) {
+  if (reader_.sink() == nullptr) {
     // An idle connection was closed by the server or received unexpected bytes.
     Close();
     return;
@@ -250,39 +239,15 @@
   }
   buffer_.commit(bytes);
   const auto self = shared_from_this();
-  Parse();
-  Read();
-}
-
-void HttpConnection::Parse() {
-  while (call_ != nullptr && buffer_.size() > 0 && !response_complete_) {
-    ErrorCode error;
-    const std::size_t used = parser_->put(buffer_.data(), error);
-    buffer_.consume(used);
-    if (error && error != http::error::need_more) {
-      End(CallResult::kMalformedResponse);
-      return;
-    }
-    if (parser_->is_done() && parser_->head().status < 200) {
-      ResetParser();  // an interim response
-      continue;
-    }
-    if (parser_->is_done()) {
-      response_complete_ = true;
-      keep_alive_ = parser_->keep_alive();
-      break;
-    }
-    if (used == 0)
-      break;
-  }
-  if (call_ != nullptr && !response_complete_ &&
-      buffer_.size() > pool_->limits.max_response_header_bytes) {
-    // The parser waits for the end of a line, which it limits in heads only.
-    LogLine("http.unparsed_response").Add("address", address_).Warn();
+  const std::size_t extra_before = reader_.extra_responses();
+  reader_.Read(buffer_);
+  pool_->extra_responses += reader_.extra_responses() - extra_before;
+  if (reader_.is_malformed()) {
     End(CallResult::kMalformedResponse);
     return;
   }
   FinishIfComplete();
+  Read();
 }
 
 void HttpConnection::OnEndOfStream() {
@@ -291,35 +256,24 @@
   // orderly end. So the end of a response is judged after the write's.
   if (writing_)
     return;
-  ErrorCode error =
-      write_failed_ ? ErrorCode(asio::error::connection_reset) : ErrorCode();
-  if (!error && parser_->got_some())
-    parser_->put_eof(error);
-  if (!error && parser_->is_done() && parser_->head().status >= 200) {
-    response_complete_ = true;
-    keep_alive_ = false;
-    End(CallResult::kComplete);
-    return;
-  }
-  End(CallResult::kBroken);
+  const bool is_complete = !write_failed_ && reader_.ReadEnd();
+  End(is_complete ? CallResult::kComplete : CallResult::kBroken);
 }
 
 void HttpConnection::FinishIfComplete() {
   // The connection can't be reused until the request is completely written.
-  if (!response_complete_ || writing_ || call_ == nullptr)
-    return;
-  // Surplus bytes after the response belong to no request.
-  keep_alive_ = keep_alive_ && !write_failed_ && buffer_.size() == 0;
-  End(CallResult::kComplete);
+  if (reader_.is_complete() && !writing_ && reader_.sink() != nullptr)
+    End(CallResult::kComplete);
 }
 
 void HttpConnection::End(CallResult result) {
   const auto self = shared_from_this();
-  CallSink* const call = std::exchange(call_, nullptr);
-  const HttpFields fields = parser_ ? parser_->head().fields : HttpFields();
-  if (result == CallResult::kComplete && keep_alive_) {
-    idle_timeout_ = UsableTimeOf(
-        KeepAliveTimeout(fields).value_or(pool_->limits.idle_timeout));
+  CallSink* const call = reader_.Detach();
+  // Surplus bytes after the response belong to no request.
+  if (result == CallResult::kComplete && reader_.may_continue() &&
+      !write_failed_ && !input_ended_ && buffer_.size() == 0) {
+    idle_timeout_ = UsableTimeOf(KeepAliveTimeout(reader_.fields())
+                                     .value_or(pool_->limits.idle_timeout));
     ReturnToPool();
   } else {
     Close();
@@ -336,18 +290,20 @@
     return;
   }
   idle_since_ = pool_->loop.Now();
-  parser_.reset();
+  reader_.Reset();
   idle.push_back(shared_from_this());
   timer_ =
       pool_->loop.After(idle_timeout_, [weak = weak_from_this()](TimePoint) {
-        if (const auto self = weak.lock(); self && self->call_ == nullptr)
+        if (const auto self = weak.lock();
+            self && self->reader_.sink() == nullptr) {
           self->Close();
+        }
       });
   Read();
 }
 
 void HttpConnection::Cancel() {
-  call_ = nullptr;
+  reader_.Detach();
   Close();
 }
 
@@ -360,7 +316,7 @@
   // Otherwise the kernel would go on sending the rest of the request, which may
   // arrive long after it has been repeated elsewhere.
   const bool is_under_way =
-      has_sent_bytes_ && (!response_complete_ || writing_);
+      has_sent_bytes_ && (!reader_.is_complete() || writing_);
   if (is_under_way)
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   socket_.close(ignored);
--- a/src/endivecart/net/http_connection.h
+++ b/src/endivecart/net/http_connection.h
@@ -12,23 +12,12 @@
 #include <vector>
 
 #include "endivecart/net/http_client.h"
-#include "endivecart/net/http_parser.h"
+#include "endivecart/net/response_reader.h"
 
 namespace endivecart::net {
 
 class HttpConnection;
 
-// Internal. Receives the response to a call; each function may destroy the
-// call.
-class CallSink {
- public:
-  virtual ~CallSink() = default;
-
-  virtual void OnHead(const HttpResponseHead& head) = 0;
-  virtual void OnBody(std::string_view bytes) = 0;
-  virtual void OnEnd(CallResult result) = 0;
-};
-
 // Internal. A client's connections, grouped by server address.
 struct HttpConnectionPool {
   HttpConnectionPool(EventLoop& event_loop, HttpClientLimits client_limits)
@@ -40,15 +29,17 @@
     std::size_t open = 0;
   };
 
-  // Removes and returns the most recently used idle connection; null if it has
-  // been idle since before `since`.
+  // Removes and returns the most recently used idle connection that may carry a
+  // request with this id; null if none has been used since `since`.
   std::shared_ptr<HttpConnection> PopIdle(const std::string& address,
-                                          TimePoint since);
+                                          TimePoint since,
+                                          std::string_view id);
 
   EventLoop& loop;
   const HttpClientLimits limits;
   bool closed = false;
   std::uint64_t connections_opened = 0;
+  std::uint64_t extra_responses = 0;
   std::map<std::string, Address> addresses;
 };
 
@@ -60,7 +51,8 @@
       : pool_(std::move(pool)),
         address_(std::move(address)),
         number_(++pool_->connections_opened),
-        socket_(pool_->loop.context()) {
+        socket_(pool_->loop.context()),
+        reader_(pool_->limits.max_response_header_bytes, address_) {
     ++pool_->addresses[address_].open;
   }
   ~HttpConnection() { CountClosed(); }
@@ -71,7 +63,11 @@
   void Preconnect(const settings::Endpoint& to,
                   Millis timeout,
                   std::function<void(bool)> done);
-  void SendRequest(CallSink* call, const HttpRequest& request);
+  // See ResponseReader::MayCarry().
+  bool MayCarry(std::string_view id) const { return reader_.MayCarry(id); }
+  void SendRequest(CallSink* call,
+                   const HttpRequest& request,
+                   const CallIdentity& identity);
   // Detaches the current call and closes the connection.
   void Cancel();
   void Close();
@@ -90,9 +86,7 @@
                         std::size_t bytes);
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
-  void Parse();
   void OnEndOfStream();
-  void ResetParser();
   void FinishIfComplete();
   void End(CallResult result);
   void ReturnToPool();
@@ -108,19 +102,15 @@
   bool reading_ = false;
   bool paused_ = false;
   bool counted_closed_ = false;
-  CallSink* call_ = nullptr;
   std::function<void(bool)> on_preconnected_;
-  bool is_head_ = false;
   std::string head_text_;
   Body body_;
   bool writing_ = false;
   bool has_sent_bytes_ = false;
   bool write_failed_ = false;  // of the request, after some of its bytes
   bool input_ended_ = false;   // the server has closed, or reset
-  bool response_complete_ = false;
-  bool keep_alive_ = false;
   boost::beast::flat_buffer buffer_;
-  std::unique_ptr<ResponseParser> parser_;
+  ResponseReader reader_;
   TimePoint idle_since_{};
   Millis idle_timeout_{};
 };
