Calls without ids: orders have connections of their own, older answers are dropped

The same cause elsewhere, found by review: calls of control hosts to upstreams and stores bear no ids, so that the copy of an earlier answer can't be told from the one that is due. An order could get the answer of an earlier report or order, and be repeated or counted as done; a store's earlier events could bring back a part that it had freed since (MIXED).

Calls other than GET now open a connection. Events that end before the request's start are dropped. Tests an_order_has_a_connection_of_its_own and the_copy_of_an_earlier_answer_changes_nothing. Not closed: a copied report or list is still believed until the next one; events that end just where the request starts.

--- a/src/endivecart/fleet/cache_catalog.cc
+++ b/src/endivecart/fleet/cache_catalog.cc
@@ -242,6 +242,14 @@
     return;
   store->reading = false;
   store->next_read = now;
+  // The copy of an earlier answer: its parts and its clock are out of date.
+  if (store->listed && events.epoch == store->epoch &&
+      events.next < store->next) {
+    LogLine("fleet.store_answer_repeated")
+        .Add("store", address.ToString())
+        .Warn();
+    return;
+  }
   if (events.clock_ms != 0) {
     clock_offset_ms_ =
         static_cast<std::int64_t>(events.clock_ms) - ToMillis(now);
--- a/src/endivecart/fleet/cache_catalog_unittest.cc
+++ b/src/endivecart/fleet/cache_catalog_unittest.cc
@@ -65,6 +65,24 @@
   BOOST_TEST(more->added(0).key() == CacheKey({"m.1", "b"}));
 }
 
+// Guards against MIXED: the copy of an earlier answer brought back a part that
+// the store had freed since.
+BOOST_FIXTURE_TEST_CASE(the_copy_of_an_earlier_answer_changes_nothing,
+                        Catalog) {
+  List(0, {});
+  const auto all = catalog.UpdateSince({}, At(10));
+  CacheEvents earlier;
+  earlier.epoch = 1;
+  earlier.next = 11;
+  earlier.events = {{true, {"m.1", "b"}, 50}};
+  CacheEvents later = earlier;
+  later.next = 12;
+  later.events[0].added = false;
+  for (const CacheEvents& events : {earlier, later, earlier})
+    catalog.OnEvents(store, events, At(20));
+  BOOST_TEST(catalog.UpdateSince({}, At(30))->added_size() == 0);
+}
+
 // Guards against MIXED: a part that its writer completed late was published
 // while the order to free it was under way.
 BOOST_FIXTURE_TEST_CASE(
--- a/src/endivecart/node/upstream_client.cc
+++ b/src/endivecart/node/upstream_client.cc
@@ -27,9 +27,13 @@
     pending_.erase(it);
     done(complete ? ended.status : 0, ended.body);
   };
+  // Calls bear no ids: on a kept connection, the copy of an earlier answer
+  // could be taken for the answer to an order, which would then be repeated.
+  net::CallOptions options;
+  options.reuse_connection = request.method == "GET";
   pending.timeout = loop_.After(kCallTimeout, [end](TimePoint) { end(false); });
   pending.call =
-      client_.Start(address, request, net::CallOptions(),
+      client_.Start(address, request, options,
                     {[this, id](const net::HttpResponseHead& head) {
                        pending_.at(id).status = head.status;
                      },
--- a/src/endivecart/node/upstream_client_unittest.cc
+++ b/src/endivecart/node/upstream_client_unittest.cc
@@ -15,10 +15,10 @@
   ControlHost() : store(loop), client(loop) {}
 
   // Calls the store and returns the status that the caller gets.
-  int Call() {
+  int Call(const char* method = "GET") {
     std::optional<int> status;
     net::HttpRequest request;
-    request.method = "GET";
+    request.method = method;
     request.target = "/";
     request.fields.Add("Host", "a");
     client.Call(store.address(), request,
@@ -42,6 +42,23 @@
   BOOST_TEST(Call() == 200);
 }
 
+// Guards against an order that is repeated since the copy of an earlier answer
+// was taken for its own.
+BOOST_FIXTURE_TEST_CASE(an_order_has_a_connection_of_its_own, ControlHost) {
+  std::size_t calls = 0;
+  store.on_bytes = [&](RawUpstream::Connection& connection) {
+    const bool is_order = connection.received.starts_with("POST");
+    const std::string busy = "HTTP/1.1 409 Busy\r\nContent-Length: 0\r\n\r\n";
+    const std::string accepted = "HTTP/1.1 202 Ok\r\nContent-Length: 0\r\n\r\n";
+    connection.received.clear();
+    const bool repeats =
+        ++calls > 1 && &connection == store.connections[0].get();
+    Reply(connection, (repeats ? busy : "") + (is_order ? accepted : busy));
+  };
+  BOOST_TEST(Call() == 409);
+  BOOST_TEST(Call("POST") == 202);
+}
+
 // Guards against FAULT: a store sent a body without end; the control host kept
 // all of it and was killed at its memory limit.
 BOOST_FIXTURE_TEST_CASE(a_body_without_end_is_no_answer, ControlHost) {
