Idle connections are watched without being read

A copy without an id, or bytes that are no answer, could cost the next request its own answer.

An idle connection now waits for input and reads only once a request is on it, so the look before reuse is exact.

--- a/src/endivecart/net/http_client.h
+++ b/src/endivecart/net/http_client.h
@@ -90,8 +90,8 @@
 
 struct HttpConnectionPool;
 
-// Sends requests over pooled connections. A connection on which unexpected
-// bytes arrive is closed and never reused.
+// Sends requests over pooled connections. An idle connection on which bytes
+// arrive is closed and never reused.
 class HttpClient {
  public:
   explicit HttpClient(EventLoop& loop, HttpClientLimits limits = {});
--- a/src/endivecart/net/http_connection.cc
+++ b/src/endivecart/net/http_connection.cc
@@ -125,7 +125,6 @@
   if (on_preconnected) {
     idle_timeout_ = UsableTimeOf(pool_->limits.idle_timeout);
     ReturnToPool();
-    Read();
     on_preconnected(true);
     return;
   }
@@ -209,8 +208,9 @@
 
 void HttpConnection::Read() {
   // What follows a complete response belongs to no request.
-  const bool has_response = reader_.sink() != nullptr && reader_.is_complete();
-  if (reading_ || closed_ || paused_ || input_ended_ || has_response)
+  const bool awaits_response =
+      reader_.sink() != nullptr && !reader_.is_complete();
+  if (reading_ || closed_ || paused_ || input_ended_ || !awaits_response)
     return;
   reading_ = true;
   socket_.async_read_some(
@@ -224,11 +224,6 @@
 void HttpConnection::OnRead(const ErrorCode& error, std::size_t bytes) {
   if (closed_)
     return;
-  if (reader_.sink() == nullptr) {
-    // An idle connection was closed by the server or received unexpected bytes.
-    Close();
-    return;
-  }
   if (error == asio::error::eof) {
     OnEndOfStream();
     return;
@@ -299,7 +294,28 @@
           self->Close();
         }
       });
-  Read();
+  WatchIdle();
+}
+
+void HttpConnection::WatchIdle() {
+  if (std::exchange(watching_, true))
+    return;
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](const ErrorCode&) {
+                       self->watching_ = false;
+                       self->OnIdleReadable();
+                     });
+}
+
+void HttpConnection::OnIdleReadable() {
+  if (closed_ || reader_.sink() != nullptr)
+    return;
+  // The cause may be a response that was read since.
+  if (IsReusable()) {
+    WatchIdle();
+  } else {
+    Close();
+  }
 }
 
 void HttpConnection::Cancel() {
--- a/src/endivecart/net/http_connection.h
+++ b/src/endivecart/net/http_connection.h
@@ -90,6 +90,9 @@
   void FinishIfComplete();
   void End(CallResult result);
   void ReturnToPool();
+  // Waits for the end of an idle connection without reading from it.
+  void WatchIdle();
+  void OnIdleReadable();
   void CountClosed();
 
   std::shared_ptr<HttpConnectionPool> pool_;
@@ -100,6 +103,7 @@
   bool connected_ = false;
   bool closed_ = false;
   bool reading_ = false;
+  bool watching_ = false;  // while it is idle
   bool paused_ = false;
   bool counted_closed_ = false;
   std::function<void(bool)> on_preconnected_;
--- a/src/endivecart/net/response_reader.cc
+++ b/src/endivecart/net/response_reader.cc
@@ -11,7 +11,7 @@
                            bool is_head,
                            const CallIdentity& identity) {
   CheckInvariant(history_.MayCarry(identity.request_id),
-                 Invariant::kAnswerComplete, identity.request_id);
+                 Invariant::kNotRunIsTrue, identity.request_id);
   history_.Begin(identity.request_id);
   skips_unknown_ = identity.skips_unknown;
   sink_ = sink;
