A broken answer never counts as "not run", whatever it states

Found by review: a stream answer that states "not run", but has a success status and ends inside its first event, was taken for a refusal; its caller got 503. Now 502, as before.

send_evidence_unittest goes through each pair at every split of the bytes.

--- a/src/endivecart/base/invariant.h
+++ b/src/endivecart/base/invariant.h
@@ -18,7 +18,7 @@
   kDomainOutGetsNoWork,  // a disabled failure domain gets no requests
   kBadVersionShare,      // a faulty version gets a small share only
   kAnswerComplete,       // a caller gets the complete answer to its own request
-  kNotRunIsTrue,         // "not run" is reported only if no byte was sent
+  kNotRunIsTrue,         // "not run" is reported only if it is certain
   kAtMostOnce,           // a non-idempotent request runs at most once
   kLeavingGetsNoWork,    // a leaving upstream gets no new requests
   kGracefulStop,         // a planned stop aborts no request
--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -312,6 +312,7 @@
 }
 
 void Forwarding::EndFailedRun(SendResult result, const char* reason) {
+  effect_ = SendEffect::kMayHaveRun;  // whatever a broken answer states
   ++runs_;
   LogLine line("gateway.broken");
   line.Add("request", request_.id.str())
--- a/src/endivecart/gateway/repeated_refusal_unittest.cc
+++ b/src/endivecart/gateway/repeated_refusal_unittest.cc
@@ -63,9 +63,10 @@
   BOOST_TEST(HasStatus(received, 200));
 }
 
-// Guards against TWICE: the upstream at an address had another id by the time of
-// the next send, which then went out on the connection of the refusal.
-BOOST_AUTO_TEST_CASE(a_refusal_written_twice_is_told_apart_at_a_reused_address) {
+// Guards against TWICE: the upstream at an address had another id by the time
+// of the next send, which then went out on the connection of the refusal.
+BOOST_AUTO_TEST_CASE(
+    a_refusal_written_twice_is_told_apart_at_a_reused_address) {
   const auto repeat_refusals = answer;
   answer = [&](RawUpstream::Connection& connection, std::size_t number) {
     repeat_refusals(connection, number);
@@ -84,9 +85,10 @@
   BOOST_TEST(HasStatus(received, 200));
 }
 
-// Guards against TWICE: a caller that was refused repeated its request under the
-// same id, which went out on a connection that had carried it before.
-BOOST_AUTO_TEST_CASE(a_refusal_written_twice_is_told_apart_in_a_callers_repeat) {
+// Guards against TWICE: a caller that was refused repeated its request under
+// the same id, which went out on a connection that had carried it before.
+BOOST_AUTO_TEST_CASE(
+    a_refusal_written_twice_is_told_apart_in_a_callers_repeat) {
   const auto repeat_refusals = answer;
   answer = [this](RawUpstream::Connection& connection, std::size_t) {
     Reply(connection, NotRunAnswer("1"));
--- a/src/endivecart/gateway/send_evidence_unittest.cc
+++ b/src/endivecart/gateway/send_evidence_unittest.cc
@@ -44,18 +44,23 @@
   bool skips_unknown = false;
 
   bool MayCarry(const char* id) const { return reader_.MayCarry(id); }
-  // Returns the effect of a send after which these bytes come and then, unless
-  // they hold its answer, the end of the connection.
-  SendEffect Exchange(const char* id, const std::string& received) {
+  // Returns the effect of a send after which these bytes come, in two pieces,
+  // and then, unless they hold its answer, the end of the connection.
+  SendEffect Exchange(const char* id,
+                      const std::string& received,
+                      std::size_t first_piece = 0) {
     evidence_ = {};
     evidence_.bytes_sent = true;
     evidence_.has_own_id = MayCarry(id);
     reader_.Begin(this, false, {id, skips_unknown});
     boost::beast::flat_buffer buffer;
-    boost::asio::buffer_copy(buffer.prepare(received.size()),
-                             boost::asio::buffer(received));
-    buffer.commit(received.size());
-    reader_.Read(buffer);
+    for (const std::string& piece :
+         {received.substr(0, first_piece), received.substr(first_piece)}) {
+      boost::asio::buffer_copy(buffer.prepare(piece.size()),
+                               boost::asio::buffer(piece));
+      buffer.commit(piece.size());
+      reader_.Read(buffer);
+    }
     if (reader_.is_malformed()) {
       evidence_.end = CallResult::kMalformedResponse;
     } else if (reader_.is_complete() || reader_.ReadEnd()) {
@@ -134,18 +139,20 @@
 BOOST_AUTO_TEST_CASE(each_pair_of_what_was_sent_and_what_comes_then) {
   for (const std::string& before : kBefore) {
     for (const Received& received : AllReceived()) {
-      BOOST_TEST_CONTEXT(before << "; " << received.name) {
-        Connection connection;
-        Carry(connection, before);
-        BOOST_TEST(connection.MayCarry("x"));
-        const bool is_new = before == "nothing";
-        const SendEffect effect = connection.Exchange("x", received.bytes);
-        BOOST_TEST(
-            SendEffectName(effect) ==
-            SendEffectName(is_new ? received.effect_if_new : received.effect));
-        BOOST_TEST(connection.is_answered_with("x") ==
-                   (is_new ? received.answered_if_new : received.answered));
-        BOOST_TEST(!connection.MayCarry("x"));
+      for (std::size_t i = 0; i <= received.bytes.size(); ++i) {
+        BOOST_TEST_CONTEXT(before << "; " << received.name << "; after " << i) {
+          Connection connection;
+          Carry(connection, before);
+          BOOST_TEST(connection.MayCarry("x"));
+          const bool is_new = before == "nothing";
+          const SendEffect effect = connection.Exchange("x", received.bytes, i);
+          BOOST_TEST(SendEffectName(effect) ==
+                     SendEffectName(is_new ? received.effect_if_new
+                                           : received.effect));
+          BOOST_TEST(connection.is_answered_with("x") ==
+                     (is_new ? received.answered_if_new : received.answered));
+          BOOST_TEST(!connection.MayCarry("x"));
+        }
       }
     }
   }
@@ -159,6 +166,14 @@
   BOOST_CHECK(EffectOf(evidence, RequestId("x")) == kMayHaveRun);
 }
 
+BOOST_AUTO_TEST_CASE(only_a_complete_answer_with_the_id_is_a_refusal) {
+  const SendEvidence other{CallResult::kComplete, true, RequestId("y"), true,
+                           true};
+  BOOST_CHECK(EffectOf(other, RequestId("x")) == kMayHaveRun);
+  const SendEvidence cut{CallResult::kBroken, true, RequestId("x"), true, true};
+  BOOST_CHECK(EffectOf(cut, RequestId("x")) == kMayHaveRun);
+}
+
 BOOST_AUTO_TEST_CASE(what_was_not_sent_has_reached_nothing) {
   for (const CallResult end :
        {CallResult::kNotSent, CallResult::kBroken,
