A host remembers that an upstream leaves before its list names that start of it (DRAIN)

Callers saw: nothing yet; a host could send requests to an upstream seconds after it had passed on an answer of it with Server-Leaving.

Cause: what an answer said was dropped if the host's list named another start of the upstream, or none. That is so for a relayed answer while the list is behind, as after a loss of contact, and the answers of a host that is cut off are relayed. Once the list named that start, the host took it for ready. It was also forgotten when the list dropped the upstream.

Change: the fact is kept by id and start, whether the list names it or not, for two minutes after the answer or as long as the list has it, and applies to what the list says of that start later. Polls report it too, so that control hosts and other hosts learn it as soon as they know that start.

--- a/src/endivecart/gateway/leaving_upstream_unittest.cc
+++ b/src/endivecart/gateway/leaving_upstream_unittest.cc
@@ -66,6 +66,14 @@
     return gateway(host).upstreams().Find(Leaver().id)->last.state ==
            upstreams::UpstreamState::kReady;
   }
+  // Tells a host that the leaver has started again.
+  void AnnounceRestart(std::size_t host) {
+    auto announcement = gateway(host).upstreams().Find(Leaver().id)->last;
+    ++announcement.start_time_ms;
+    announcement.state = upstreams::UpstreamState::kReady;
+    announcement.is_leaving = false;
+    gateway(host).upstreams().Apply(announcement, loop.Now());
+  }
   // Sends requests to a host until the leaver has answered one.
   void SendUntilTold(int host, Form form) {
     for (int i = 0; i < 200 && Leaver().requests.empty(); ++i) {
@@ -144,6 +152,28 @@
   BOOST_TEST(!IsReadyAt(0));
 }
 
+// Guards against DRAIN: a host forgot what a relayed answer said of an
+// incarnation that its list didn't name yet, and sent to it once the list did.
+BOOST_AUTO_TEST_CASE(an_incarnation_leaves_that_the_host_learns_of_only_later) {
+  shares_leaving = false;
+  says_leaving = false;
+  Start("plain", Form::kAnswer);
+  CutLinks(0, RawProxy::Cut::kRefuseNew);
+  for (int i = 0; i < 100; ++i) {
+    // The other hosts have to have answers themselves.
+    SendPlain(i % kHosts, "/plain/" + std::to_string(i % kHosts));
+    RunFor(Millis(20));
+  }
+  AnnounceRestart(1);
+  AnnounceRestart(2);
+  says_leaving = true;
+  Leaver().requests.clear();
+  SendUntilTold(0, Form::kAnswer);
+  RunFor(Millis(200));
+  AnnounceRestart(0);
+  BOOST_TEST(!IsReadyAt(0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -65,7 +65,11 @@
 upstreams::AnnouncementEffect UpstreamTracker::Apply(
     const upstreams::Announcement& announcement,
     TimePoint received_at) {
-  return registry_.Apply(announcement, received_at, now_());
+  if (!leaving_.contains(announcement.run()))
+    return registry_.Apply(announcement, received_at, now_());
+  upstreams::Announcement leaving = announcement;
+  leaving.is_leaving = true;
+  return registry_.Apply(leaving, received_at, now_());
 }
 
 void UpstreamTracker::SetDecisions(fleet::DecisionsPtr decisions) {
@@ -107,20 +111,22 @@
 }
 
 bool UpstreamTracker::RecordLeaving(const upstreams::UpstreamRun& run) {
+  const bool is_new = leaving_.insert_or_assign(run, now_()).second;
   const AnnouncedUpstream* upstream = registry_.Find(run.id);
   if (upstream == nullptr || upstream->last.run() != run)
-    return false;
-  leaving_.insert(run);
+    return is_new;
   return registry_.MarkLeaving(run, now_()) ==
          upstreams::AnnouncementEffect::kChanged;
 }
 
 std::vector<upstreams::UpstreamRun> UpstreamTracker::LeavingUpstreams() const {
   std::vector<upstreams::UpstreamRun> leaving;
-  for (const upstreams::UpstreamRun& run : leaving_) {
+  for (const auto& [run, said_at] : leaving_) {
     const AnnouncedUpstream* upstream = registry_.Find(run.id);
-    if (upstream != nullptr && upstream->last.run() == run &&
-        upstream->last.state != UpstreamState::kGone) {
+    if (upstream == nullptr ||
+        upstream->last.start_time_ms < run.start_time_ms ||
+        (upstream->last.run() == run &&
+         upstream->last.state != UpstreamState::kGone)) {
       leaving.push_back(run);
     }
   }
@@ -430,9 +436,12 @@
 void UpstreamTracker::Expire() {
   registry_.Expire(now_());
   speeds_.Tick(now_());
-  std::erase_if(leaving_, [&](const upstreams::UpstreamRun& run) {
+  std::erase_if(leaving_, [&](const auto& entry) {
+    const auto& [run, said_at] = entry;
     const AnnouncedUpstream* upstream = registry_.Find(run.id);
-    return upstream == nullptr || upstream->last.run() != run;
+    const bool is_known = upstream != nullptr && upstream->last.run() == run;
+    return !is_known &&
+           now_() - said_at > upstreams::UpstreamRegistry::kGoneRetention;
   });
   std::erase_if(records_, [&](const auto& entry) {
     return entry.second.requests == 0 && registry_.Find(entry.first) == nullptr;
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -97,8 +97,8 @@
   // Records that an answer to this host said that the upstream leaves: it gets
   // no new requests from here on. Returns whether that was unknown.
   bool RecordLeaving(const upstreams::UpstreamRun& run);
-  // Returns the upstreams that said so to this host and are not gone, for the
-  // other hosts.
+  // Returns the upstreams that said so to this host and are not known to be
+  // gone or to have started again, for the other hosts.
   std::vector<upstreams::UpstreamRun> LeavingUpstreams() const;
 
   // Records the load that an answer reported.
@@ -206,7 +206,9 @@
   fleet::DecisionsPtr decisions_;
   std::map<UpstreamId, Record> records_;
   std::map<DomainId, DomainFailures> domain_failures_;
-  std::set<upstreams::UpstreamRun> leaving_;  // by their answers to this host
+  // When an answer to this host last said so; also of upstreams that are not
+  // known yet, or no more.
+  std::map<upstreams::UpstreamRun, TimePoint> leaving_;
   estimates::UpstreamSpeeds speeds_;
   quarantine::FailureMonitor failures_;
 };
