--- a/src/endivecart/gateway/forwarding_answers.cc
+++ b/src/endivecart/gateway/forwarding_answers.cc
@@ -69,7 +69,7 @@
 void Forwarding::RecordRelayedLeaving(const net::HttpResponseHead& head) {
   const auto text = head.fields.Find(kRelayLeavingField);
   if (const auto run = text ? ParseUpstreamRun(*text) : std::nullopt)
-    gateway_.OnLeaving(*run);
+    gateway_.OnLeaving(*run, sent_at_);
 }
 
 void Forwarding::RecordMetadata(const AnswerMetadata& metadata) {
@@ -83,7 +83,7 @@
   }
   if (metadata.is_leaving) {
     leaving_ = {upstream_, upstream_started_ms_};
-    gateway_.OnLeaving(*leaving_);
+    gateway_.OnLeaving(*leaving_, sent_at_);
   }
   if (metadata.server_load)
     gateway_.upstreams_.RecordServerLoad(upstream_, *metadata.server_load);
--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -267,8 +267,8 @@
   }
 }
 
-void Gateway::OnLeaving(const upstreams::UpstreamRun& run) {
-  if (!upstreams_.RecordLeaving(run))
+void Gateway::OnLeaving(const upstreams::UpstreamRun& run, TimePoint sent_at) {
+  if (!upstreams_.RecordLeaving(run, sent_at))
     return;
   metrics_.Add("endivecart_upstreams_leaving_total");
   LogLine("gateway.upstream_leaving").Add("upstream", run.id.str()).Info();
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -161,8 +161,9 @@
   void OnRequestLimit(const UpstreamId& upstream,
                       const AnswerMetadata& metadata,
                       TimePoint sent_at);
-  // Records that an answer said that this upstream leaves.
-  void OnLeaving(const upstreams::UpstreamRun& run);
+  // Records that the answer to a request that was sent at `sent_at` said that
+  // this upstream leaves.
+  void OnLeaving(const upstreams::UpstreamRun& run, TimePoint sent_at);
   // Records the wait that an upstream named with a refusal.
   void OnNamedWait(const UpstreamId& upstream, const AnswerMetadata& metadata);
   void Admit();
--- a/src/endivecart/gateway/leaving_upstream_unittest.cc
+++ b/src/endivecart/gateway/leaving_upstream_unittest.cc
@@ -66,13 +66,14 @@
     return gateway(host).upstreams().Find(Leaver().id)->last.state ==
            upstreams::UpstreamState::kReady;
   }
-  // Tells a host that the leaver has started again.
-  void AnnounceRestart(std::size_t host) {
+  // Tells a host that the leaver has started again, as it announced at
+  // `announced_at`.
+  void AnnounceRestart(std::size_t host, TimePoint announced_at) {
     auto announcement = gateway(host).upstreams().Find(Leaver().id)->last;
     ++announcement.start_time_ms;
     announcement.state = upstreams::UpstreamState::kReady;
     announcement.is_leaving = false;
-    gateway(host).upstreams().Apply(announcement, loop.Now());
+    gateway(host).upstreams().Apply(announcement, announced_at);
   }
   // Sends requests to a host until the leaver has answered one.
   void SendUntilTold(int host, Form form) {
@@ -164,16 +165,32 @@
     SendPlain(i % kHosts, "/plain/" + std::to_string(i % kHosts));
     RunFor(Millis(20));
   }
-  AnnounceRestart(1);
-  AnnounceRestart(2);
+  AnnounceRestart(1, loop.Now());
+  AnnounceRestart(2, loop.Now());
   says_leaving = true;
   Leaver().requests.clear();
   SendUntilTold(0, Form::kAnswer);
   RunFor(Millis(200));
-  AnnounceRestart(0);
+  AnnounceRestart(0, loop.Now());
   BOOST_TEST(!IsReadyAt(0));
 }
 
+// Guards against DRAIN: an upstream said that it leaves after it had started
+// again under its id; the host, which learned of the start only later, took it
+// for one that had started since.
+BOOST_AUTO_TEST_CASE(an_upstream_leaves_whose_start_the_host_had_not_heard_of) {
+  shares_leaving = false;
+  Start("plain", Form::kAnswer);
+  const TimePoint restarted_at = loop.Now();
+  RunFor(Millis(200));
+  SendUntilTold(0, Form::kAnswer);
+  RunFor(Millis(200));
+  AnnounceRestart(0, restarted_at);
+  BOOST_TEST(!IsReadyAt(0));
+  AnnounceRestart(0, loop.Now());
+  BOOST_TEST(IsReadyAt(0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace endivecart::gateway
--- a/src/endivecart/gateway/upstream_tracker.cc
+++ b/src/endivecart/gateway/upstream_tracker.cc
@@ -65,13 +65,27 @@
 upstreams::AnnouncementEffect UpstreamTracker::Apply(
     const upstreams::Announcement& announcement,
     TimePoint received_at) {
-  if (!leaving_.contains(announcement.run()))
+  const auto said_at = SaidLeavingAt(announcement.run(), received_at);
+  if (!said_at)
     return registry_.Apply(announcement, received_at, now_());
+  leaving_.try_emplace(announcement.run(), *said_at);
   upstreams::Announcement leaving = announcement;
   leaving.is_leaving = true;
   return registry_.Apply(leaving, received_at, now_());
 }
 
+std::optional<TimePoint> UpstreamTracker::SaidLeavingAt(
+    const upstreams::UpstreamRun& run,
+    TimePoint announced_at) const {
+  std::optional<TimePoint> said_at;
+  for (auto it = leaving_.lower_bound({run.id, 0});
+       it != leaving_.end() && it->first <= run; ++it) {
+    if (it->first == run || it->second >= announced_at)
+      said_at = it->second;
+  }
+  return said_at;
+}
+
 void UpstreamTracker::SetDecisions(fleet::DecisionsPtr decisions) {
   decisions_ = std::move(decisions);
 }
@@ -110,8 +124,10 @@
   return std::max(announced, it->second);
 }
 
-bool UpstreamTracker::RecordLeaving(const upstreams::UpstreamRun& run) {
-  const bool is_new = leaving_.insert_or_assign(run, now_()).second;
+bool UpstreamTracker::RecordLeaving(const upstreams::UpstreamRun& run,
+                                    TimePoint sent_at) {
+  const auto [it, is_new] = leaving_.try_emplace(run, sent_at);
+  it->second = std::max(it->second, sent_at);
   const AnnouncedUpstream* upstream = registry_.Find(run.id);
   if (upstream == nullptr || upstream->last.run() != run)
     return is_new;
@@ -121,7 +137,7 @@
 
 std::vector<upstreams::UpstreamRun> UpstreamTracker::LeavingUpstreams() const {
   std::vector<upstreams::UpstreamRun> leaving;
-  for (const auto& [run, said_at] : leaving_) {
+  for (const auto& [run, sent_at] : leaving_) {
     const AnnouncedUpstream* upstream = registry_.Find(run.id);
     if (upstream == nullptr ||
         upstream->last.start_time_ms < run.start_time_ms ||
@@ -437,11 +453,11 @@
   registry_.Expire(now_());
   speeds_.Tick(now_());
   std::erase_if(leaving_, [&](const auto& entry) {
-    const auto& [run, said_at] = entry;
+    const auto& [run, sent_at] = entry;
     const AnnouncedUpstream* upstream = registry_.Find(run.id);
     const bool is_known = upstream != nullptr && upstream->last.run() == run;
     return !is_known &&
-           now_() - said_at > upstreams::UpstreamRegistry::kGoneRetention;
+           now_() - sent_at > upstreams::UpstreamRegistry::kGoneRetention;
   });
   std::erase_if(records_, [&](const auto& entry) {
     return entry.second.requests == 0 && registry_.Find(entry.first) == nullptr;
--- a/src/endivecart/gateway/upstream_tracker.h
+++ b/src/endivecart/gateway/upstream_tracker.h
@@ -94,9 +94,10 @@
                      const ModelId& model,
                      std::uint64_t version);
 
-  // Records that an answer to this host said that the upstream leaves: it gets
-  // no new requests from here on. Returns whether that was unknown.
-  bool RecordLeaving(const upstreams::UpstreamRun& run);
+  // Records that the answer to a request that this host sent at `sent_at` said
+  // that the upstream leaves: it gets no new requests from here on. Returns
+  // whether that was unknown.
+  bool RecordLeaving(const upstreams::UpstreamRun& run, TimePoint sent_at);
   // Returns the upstreams that said so to this host and are not known to be
   // gone or to have started again, for the other hosts.
   std::vector<upstreams::UpstreamRun> LeavingUpstreams() const;
@@ -199,6 +200,11 @@
   bool IsDistrusted(const upstreams::AnnouncedUpstream& upstream,
                     const Record& record) const;
   const Record& RecordOf(const UpstreamId& id) const;
+  // Returns when the request was sent whose answer said that this incarnation
+  // leaves, if one did. An earlier incarnation doesn't answer what is sent once
+  // this one has announced itself, even if this host took it for that.
+  std::optional<TimePoint> SaidLeavingAt(const upstreams::UpstreamRun& run,
+                                         TimePoint announced_at) const;
 
   const DomainId own_domain_;
   const std::function<TimePoint()> now_;
@@ -206,8 +212,8 @@
   fleet::DecisionsPtr decisions_;
   std::map<UpstreamId, Record> records_;
   std::map<DomainId, DomainFailures> domain_failures_;
-  // When an answer to this host last said so; also of upstreams that are not
-  // known yet, or no more.
+  // When the request was sent whose answer last said so; also of upstreams that
+  // are not known yet, or no more.
   std::map<upstreams::UpstreamRun, TimePoint> leaving_;
   estimates::UpstreamSpeeds speeds_;
   quarantine::FailureMonitor failures_;
