--- a/src/endivecart/net/net_unittest.cc
+++ b/src/endivecart/net/net_unittest.cc
@@ -4,7 +4,6 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "endivecart/net/exchange_history.h"
 #include "endivecart/net/net.h"
 #include "endivecart/net/socket_options.h"
 #include "support/loop_fixture.h"
@@ -266,28 +265,24 @@
     bool may_have_been_sent = false;
   };
 
-  std::shared_ptr<Outcome> Get(const settings::Endpoint& address,
-                               const std::string& id = "") {
+  std::shared_ptr<Outcome> Get(const settings::Endpoint& address) {
     auto outcome = std::make_shared<Outcome>();
-    CallOptions options;
-    options.identity.request_id = id;
     HttpRequest request;
     request.method = "GET";
     request.target = "/";
     request.fields.Add("Host", "a");
     outcome->call = client.Start(
-        address, request, options,
+        address, request, CallOptions(),
         {[outcome](const HttpResponseHead& head) { outcome->head = head; },
          [outcome](std::string_view bytes) { outcome->body += bytes; },
          [outcome](CallResult result) {
            outcome->may_have_been_sent = outcome->call->may_have_been_sent();
            outcome->end = result;
-         },
-         [id](const HttpResponseHead&) { return id; }});
+         }});
     return outcome;
   }
-  std::shared_ptr<Outcome> GetFromUpstream(const std::string& id = "") {
-    auto outcome = Get(upstream.address(), id);
+  std::shared_ptr<Outcome> GetFromUpstream() {
+    auto outcome = Get(upstream.address());
     RunUntil([&] { return outcome->end.has_value(); });
     BOOST_REQUIRE(outcome->end.has_value());
     return outcome;
@@ -312,32 +307,6 @@
   BOOST_TEST(upstream.connections.size() == 1u);
 }
 
-// Guards against TWICE: a request went out once more on the connection of its
-// refusal.
-BOOST_FIXTURE_TEST_CASE(a_connection_carries_each_id_once, ClientFixture) {
-  upstream.on_bytes = [](auto& connection) {
-    Reply(connection, kCompleteResponse);
-  };
-  GetFromUpstream("a");
-  GetFromUpstream("a");
-  BOOST_TEST(upstream.connections.size() == 2u);
-  GetFromUpstream("b");
-  GetFromUpstream("b");
-  BOOST_TEST(upstream.connections.size() == 2u);
-}
-
-BOOST_FIXTURE_TEST_CASE(a_connection_ends_with_the_ids_that_it_remembers,
-                        ClientFixture) {
-  upstream.on_bytes = [](auto& connection) {
-    Reply(connection, kCompleteResponse);
-  };
-  for (std::size_t i = 0; i < ExchangeHistory::kMaxIds; ++i)
-    GetFromUpstream(std::to_string(i));
-  BOOST_TEST(upstream.connections.size() == 1u);
-  GetFromUpstream("next");
-  BOOST_TEST(upstream.connections.size() == 2u);
-}
-
 BOOST_FIXTURE_TEST_CASE(a_connection_with_surplus_bytes_is_not_reused,
                         ClientFixture) {
   upstream.on_bytes = [](auto& connection) {
