--- a/src/endivecart/gateway/forwarding.cc
+++ b/src/endivecart/gateway/forwarding.cc
@@ -291,7 +291,8 @@
                                          net::CallOptions options) {
   caller_was_there_ = false;  // the next send needs another look
   effect_ = SendEffect::kMayHaveRun;
-  // Another upstream may answer a request that may be repeated sooner.
+  // After an answer to an unknown request, one that may be repeated goes to
+  // another upstream; the own answer to any other may still follow.
   options.identity = {request_.id.str(), !MayRepeat()};
   const auto weak = weak_from_this();
   return gateway_.client_.Start(address, request, options,
--- a/src/endivecart/net/exchange_history.cc
+++ b/src/endivecart/net/exchange_history.cc
@@ -15,18 +15,6 @@
 
 }  // namespace
 
-std::string_view ResponseOwnerName(ResponseOwner owner) {
-  switch (owner) {
-    case ResponseOwner::kCurrent:
-      return "current";
-    case ResponseOwner::kEarlier:
-      return "earlier";
-    case ResponseOwner::kUnknown:
-      return "unknown";
-  }
-  return "";
-}
-
 bool ExchangeHistory::MayCarry(std::string_view id) const {
   return id.empty() || (!IsFull() && !Contains(hashes_, id));
 }
--- a/src/endivecart/net/exchange_history.h
+++ b/src/endivecart/net/exchange_history.h
@@ -16,8 +16,6 @@
   kUnknown,  // none
 };
 
-std::string_view ResponseOwnerName(ResponseOwner owner);
-
 // Internal. The ids of the requests that one client connection has carried.
 //
 // A server may repeat an earlier response where the next one is due. The id
