--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -58,6 +58,9 @@
   }
   follower.sent_names = {poll.names_epoch(), poll.names()};
   follower.sent_decisions = poll.decisions_index();
+  follower.unconfirmed_documents.erase(
+      follower.unconfirmed_documents.begin(),
+      follower.unconfirmed_documents.upper_bound(poll.routing_version()));
   if (poll.routing_version() == decisions_.routing_version) {
     // A new process of the host may lack it again.
     follower.missing_version = 0;
@@ -137,9 +140,29 @@
 
 void FleetFeed::PushDecisions(const Decisions& decisions) {
   RecordWeightsAges(decisions);
+  const bool is_new_routing =
+      decisions.routing_version != decisions_.routing_version;
+  const std::uint64_t waiting = UnconfirmedBytes();
   decisions_ = decisions;
   for (auto& [host, follower] : followers_)
     Send(host, follower, false);
+  if (is_new_routing) {
+    LogLine("fleet.configuration_sent")
+        .Add("version", decisions.routing_version)
+        .Add("document_bytes", std::uint64_t{decisions.routing_document.size()})
+        .Add("sent_bytes", UnconfirmedBytes() - waiting)
+        .Add("waiting_bytes", waiting)
+        .Info();
+  }
+}
+
+std::uint64_t FleetFeed::UnconfirmedBytes() const {
+  std::uint64_t bytes = 0;
+  for (const auto& [host, follower] : followers_) {
+    for (const auto& [version, sent] : follower.unconfirmed_documents)
+      bytes += sent;
+  }
+  return bytes;
 }
 
 void FleetFeed::ReportQuarantines() {
@@ -299,6 +322,7 @@
   }
   follower.sent_document_version = version;
   follower.document_sent_at = now;
+  follower.unconfirmed_documents[version] += decisions_.routing_document.size();
   return true;
 }
 
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -162,6 +162,9 @@
   }
   // Polls with more entries than a host has.
   std::uint64_t dropped_polls() const { return poll_limit_.dropped(); }
+  // Bytes of routing documents that were sent to followers and that these have
+  // not confirmed to have in force.
+  std::uint64_t UnconfirmedBytes() const;
   // Returns the outstanding work of all hosts at an upstream, as they reported
   // it.
   wire::UpstreamLoad TotalLoad(const UpstreamId& upstream) const {
@@ -183,6 +186,8 @@
     TimePoint missing_since{};
     std::uint64_t sent_document_version = 0;
     TimePoint document_sent_at{};
+    // Bytes by routing version.
+    std::map<std::uint64_t, std::uint64_t> unconfirmed_documents;
     std::uint64_t sent_limits = 0;  // see limits_version_
     TimePoint limits_sent_at{};
     bool was_primary = false;  // the last poll asked for loads
--- a/src/endivecart/node/control_metrics.cc
+++ b/src/endivecart/node/control_metrics.cc
@@ -54,6 +54,8 @@
     SetCount(metrics, "endivecart_update_sent_bytes",
              "part=\"" + std::string(part) + "\"", bytes);
   }
+  SetCount(metrics, "endivecart_documents_unconfirmed_bytes", "",
+           feed.UnconfirmedBytes());
   SetCount(metrics, "endivecart_polls_waiting", "", polls.waiting());
   SetCount(metrics, "endivecart_polls_dropped", "", polls.dropped());
   SetCount(metrics, "endivecart_polls_too_long", "", feed.dropped_polls());
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -215,6 +215,7 @@
 
 void EntryNode::Parts::ApplyDecisions(const fleet::DecisionsPtr& decisions) {
   routes::RouteTablePtr table;
+  const TimePoint began = loop.Now();
   if (decisions->routing_version != 0) {
     auto decoded = hooks.decode_routing(decisions->routing_document);
     if (decoded) {
@@ -237,6 +238,8 @@
   LogLine("node.decisions")
       .Add("index", decisions->index)
       .Add("routing_version", decisions->routing_version)
+      .Add("document_bytes", std::uint64_t{decisions->routing_document.size()})
+      .Add("decode_ms", MillisBetween(began, loop.Now()))
       .Info();
   gateway.SetDecisions(decisions, std::move(table));
 }
