A test of many routes that change fast fails: versions wait behind those that they replace (CONFIG)

What callers saw: a request refused as an older version says, longer after a version's acknowledgement than the 2 s that are allowed.

--- a/src/endivecart/fleet/large_fleet_fixture.h
+++ b/src/endivecart/fleet/large_fleet_fixture.h
@@ -13,8 +13,8 @@
 
 #include "endivecart/fleet/fleet.h"
 
-// A whole fleet of real feeds and followers on a network without delay, with a
-// manual clock. For tests.
+// A whole fleet of real feeds and followers with a manual clock, on a network
+// without delay unless the entry hosts' links are limited. For tests.
 
 namespace endivecart::fleet {
 
@@ -86,6 +86,45 @@
       Step();
   }
 
+  // From now on messages to each entry host arrive one after the other, at this
+  // rate.
+  void LimitLinks(std::size_t bytes_per_s) { link_bytes_per_s_ = bytes_per_s; }
+  // All control hosts apply a new routing document.
+  void Replace(std::uint64_t version, const std::string& document) {
+    for (ControlHost& host : control_) {
+      Decisions decisions;
+      decisions.index = ++host.index;
+      decisions.routing_version = version;
+      decisions.routing_document = document;
+      host.feed->PushDecisions(decisions);
+    }
+  }
+  // Returns how many entry hosts have this routing version, or a newer one, in
+  // force.
+  int CountWithRouting(std::uint64_t version) const {
+    return static_cast<int>(std::count_if(
+        entries_.begin(), entries_.end(), [version](const EntryHost& host) {
+          const DecisionsPtr& decisions = host.follower->decisions();
+          return decisions && decisions->routing_version >= version;
+        }));
+  }
+  const Decisions& DecisionsOf(int host) const {
+    return *entries_[AsIndex(host)].follower->decisions();
+  }
+  // Returns the bytes that wait at the control host, at most at any time.
+  std::size_t PeakQueuedBytes(int host) const {
+    const auto it = peak_queued_.find(control_ids_[AsIndex(host)]);
+    return it == peak_queued_.end() ? 0 : it->second;
+  }
+  // Messages to the entry host are lost while it is cut off.
+  void SetCutOff(int host, bool is_cut_off) {
+    entries_[AsIndex(host)].is_cut_off = is_cut_off;
+  }
+  void RestartEntryHost(int host) {
+    entries_[AsIndex(host)].has_routing = false;
+    StartFollower(host, ++restarts_ * 1000003);
+  }
+
   void ResetCounts() {
     counts_.clear();
     control_bytes_.clear();
@@ -198,12 +237,14 @@
     upstreams::UpstreamRegistry registry;
     std::unique_ptr<FleetFeed> feed;
     std::unique_ptr<FleetFollower> follower;
+    std::uint64_t index = 1;  // of the last decision
     bool is_lost = false;
   };
   struct EntryHost {
     std::unique_ptr<FleetFollower> follower;
     std::set<std::string> known;  // upstreams
     bool has_routing = false;
+    bool is_cut_off = false;
     HostId loads_from;
     std::map<std::string, TimePoint> heard;
   };
@@ -330,7 +371,19 @@
     if (legacy_ && envelope.has_fleet_news())
       envelope.mutable_fleet_news()->clear_poll_interval_ms();
     CountMessage(from, to, envelope);
-    messages_.push_back({from, to, std::move(envelope)});
+    TimePoint due = now_;
+    if (link_bytes_per_s_ > 0 && entry_numbers_.contains(to)) {
+      const std::size_t size = envelope.ByteSizeLong();
+      TimePoint& link_free_at = link_free_at_[to];
+      link_free_at =
+          std::max(link_free_at, now_) +
+          std::chrono::microseconds(size * 1000000 / link_bytes_per_s_);
+      due = link_free_at;
+      queued_[from] += size;
+      std::size_t& peak = peak_queued_[from];
+      peak = std::max(peak, queued_[from]);
+    }
+    messages_.emplace(due, Message{from, to, std::move(envelope)});
   }
 
   void CountMessage(const HostId& from,
@@ -360,13 +413,17 @@
   }
 
   void Deliver() {
-    while (!messages_.empty()) {
-      const Message message = std::move(messages_.front());
-      messages_.pop_front();
+    while (!messages_.empty() && messages_.begin()->first <= now_) {
+      const Message message = std::move(messages_.begin()->second);
+      messages_.erase(messages_.begin());
+      const auto entry = entry_numbers_.find(message.to);
+      if (link_bytes_per_s_ > 0 && entry != entry_numbers_.end())
+        queued_[message.from] -= message.envelope.ByteSizeLong();
       if (IsLost(message.from) || IsLost(message.to))
         continue;
-      const auto entry = entry_numbers_.find(message.to);
       if (entry != entry_numbers_.end()) {
+        if (entries_[AsIndex(entry->second)].is_cut_off)
+          continue;
         if (message.envelope.fleet_news().has_fleet_loads())
           entries_[AsIndex(entry->second)].loads_from = message.from;
         entries_[AsIndex(entry->second)].follower->OnUpdate(
@@ -440,7 +497,12 @@
   std::map<HostId, int> entry_numbers_;
   std::deque<ControlHost> control_;
   std::deque<EntryHost> entries_;
-  std::deque<Message> messages_;
+  std::multimap<TimePoint, Message> messages_;  // by arrival
+  std::size_t link_bytes_per_s_ = 0;            // 0: unlimited
+  std::map<HostId, TimePoint> link_free_at_;
+  std::map<HostId, std::size_t> queued_;  // bytes by sender
+  std::map<HostId, std::size_t> peak_queued_;
+  std::uint64_t restarts_ = 1;
   std::map<std::string, Count> counts_;
   std::map<HostId, std::uint64_t> control_bytes_;
   std::map<std::string, double> processor_us_;
