Routing documents go to hosts as differences, one transfer at a time (CONFIG)

What callers saw: a request refused as an older version says, longer after a version's acknowledgement than allowed.

Cause: nothing limited what stood in front of a version. Each was queued whole for each host, behind the documents that it replaced, in queues bounded in messages and not in bytes; one that took longer than 250 ms counted as lost and was sent again. Class: a queue of states of which only the newest matters, without a bound in bytes.

Ruled out as causes by the record: loss of contact or leadership (comes after the queues), validation (no configuration was unreadable).

Change: RoutingTransfers decides what a host is sent: one transfer under way, the next one is the newest version, as the difference from what the host has confirmed by a receipt or poll; 16 MB under way to all. DocumentCodec encodes both differences and whole documents as zstd frames (new: libzstd) and verifies length and checksum. The time for which a host has had an old version no longer begins anew with each version, so that other control hosts step in while changes go on. A new process of a host gets the document at once. Control hosts no longer send each other documents, which they have from the log. Hosts and control hosts of an earlier release get and send whole documents.

The test of documents in transit counts encoded documents by their decoded length.

--- a/src/endivecart/fleet/cache_sharing_unittest.cc
+++ b/src/endivecart/fleet/cache_sharing_unittest.cc
@@ -96,9 +96,8 @@
       each->Apply(Command(3, Customers({kB}, {kA, kC})), 3);
       BOOST_TEST(each->decisions().cache_generation == 3u);
     }
-    BOOST_TEST(
-        FromWire(ToWire(log.decisions(), false), nullptr).cache_generation ==
-        3u);
+    BOOST_TEST(FromWire(ToWire(log.decisions(), false), "").cache_generation ==
+               3u);
   }
 }
 
--- a/src/endivecart/fleet/decision_log.cc
+++ b/src/endivecart/fleet/decision_log.cc
@@ -146,7 +146,7 @@
   wire::FleetDecisions message;
   if (!message.ParseFromString(state))
     return false;
-  decisions_ = FromWire(message, nullptr);
+  decisions_ = FromWire(message, message.routing_document());
   cache_sharing_ = SharingOf(message);
   save_grants_ = SaveGrantLog::FromWire(message.save_grants());
   usage_log_ = duties::UsageLog::FromSnapshot(message);
--- a/src/endivecart/fleet/decisions.cc
+++ b/src/endivecart/fleet/decisions.cc
@@ -1,5 +1,7 @@
 #include "endivecart/fleet/decisions.h"
 
+#include <utility>
+
 namespace endivecart::fleet {
 
 std::string_view MoveStateName(MoveState state) {
@@ -60,16 +62,12 @@
 }
 
 Decisions FromWire(const wire::FleetDecisions& message,
-                   const Decisions* known) {
+                   std::string routing_document) {
   Decisions decisions;
   decisions.index = message.index();
   decisions.routing_version = message.routing_version();
   decisions.cache_generation = message.cache_generation();
-  if (!message.routing_omitted()) {
-    decisions.routing_document = message.routing_document();
-  } else if (known != nullptr) {
-    decisions.routing_document = known->routing_document;
-  }
+  decisions.routing_document = std::move(routing_document);
   for (const wire::DomainOut& out : message.domains_out())
     decisions.domains[DomainId(out.domain())] = {out.out(), out.index()};
   for (const wire::FleetMove& move : message.moves()) {
--- a/src/endivecart/fleet/decisions.h
+++ b/src/endivecart/fleet/decisions.h
@@ -60,9 +60,10 @@
 // Omits the routing document unless `with_document` is true, for a receiver
 // that already has this version.
 wire::FleetDecisions ToWire(const Decisions& decisions, bool with_document);
-// If the message omits the routing document, it is copied from `known`, which
-// may be null.
-Decisions FromWire(const wire::FleetDecisions& message, const Decisions* known);
+// `routing_document`: that of the message's routing version, which the message
+// may omit.
+Decisions FromWire(const wire::FleetDecisions& message,
+                   std::string routing_document);
 
 }  // namespace endivecart::fleet
 
--- a/src/endivecart/fleet/fleet.h
+++ b/src/endivecart/fleet/fleet.h
@@ -10,6 +10,7 @@
 #include "endivecart/fleet/cache_sharing.h"        // IWYU pragma: export
 #include "endivecart/fleet/decision_log.h"         // IWYU pragma: export
 #include "endivecart/fleet/decisions.h"            // IWYU pragma: export
+#include "endivecart/fleet/document_codec.h"       // IWYU pragma: export
 #include "endivecart/fleet/entry_limit.h"          // IWYU pragma: export
 #include "endivecart/fleet/fleet_bus.h"            // IWYU pragma: export
 #include "endivecart/fleet/fleet_feed.h"           // IWYU pragma: export
@@ -23,6 +24,7 @@
 #include "endivecart/fleet/poll_queue.h"           // IWYU pragma: export
 #include "endivecart/fleet/quarantine_messages.h"  // IWYU pragma: export
 #include "endivecart/fleet/remote_loads.h"         // IWYU pragma: export
+#include "endivecart/fleet/routing_transfers.h"    // IWYU pragma: export
 #include "endivecart/fleet/save_grant_log.h"       // IWYU pragma: export
 #include "endivecart/fleet/voter_set_manager.h"    // IWYU pragma: export
 #include "endivecart/fleet/weights_ages.h"         // IWYU pragma: export
--- a/src/endivecart/fleet/fleet_feed.cc
+++ b/src/endivecart/fleet/fleet_feed.cc
@@ -58,16 +58,11 @@
   }
   follower.sent_names = {poll.names_epoch(), poll.names()};
   follower.sent_decisions = poll.decisions_index();
-  follower.unconfirmed_documents.erase(
-      follower.unconfirmed_documents.begin(),
-      follower.unconfirmed_documents.upper_bound(poll.routing_version()));
-  if (poll.routing_version() == decisions_.routing_version) {
-    // A new process of the host may lack it again.
-    follower.missing_version = 0;
-  } else if (follower.missing_version != decisions_.routing_version) {
-    follower.missing_version = decisions_.routing_version;
-    follower.missing_since = follower.polled_at;
-  }
+  const RoutingPosition at{poll.incarnation(), poll.routing_version(),
+                           poll.reads_encoded_routing(),
+                           poll.needs_whole_routing()};
+  UpdatePosition(follower, at, follower.polled_at);
+  transfers_.OnPoll(from, at, follower.polled_at);
   if (poll.serves_callers())
     RecordFindings(from, poll);
   for (const auto& limit : FromWire(poll.limits(), hooks_.now())) {
@@ -85,6 +80,51 @@
       hooks_.on_leaving({*id, record.born_ms()});
   }
   Send(from, follower, true);
+  SendToWaiting();
+}
+
+void FleetFeed::UpdatePosition(Follower& follower,
+                               const RoutingPosition& at,
+                               TimePoint now) {
+  if (at.routing_version >= decisions_.routing_version) {
+    follower.outdated_since.reset();
+  } else if (!follower.outdated_since ||
+             at.routing_version != follower.routing_version ||
+             at.incarnation != follower.incarnation) {
+    follower.outdated_since = now;
+  }
+  follower.routing_version = at.routing_version;
+  follower.incarnation = at.incarnation;
+}
+
+void FleetFeed::OnReceipt(const HostId& from,
+                          const wire::RoutingReceipt& receipt) {
+  const auto it = followers_.find(from);
+  if (it == followers_.end() ||
+      it->second.incarnation != receipt.incarnation()) {
+    return;
+  }
+  Follower& follower = it->second;
+  const RoutingPosition at{receipt.incarnation(), receipt.routing_version(),
+                           true, receipt.needs_whole_routing()};
+  UpdatePosition(follower, at, hooks_.now());
+  transfers_.OnReceipt(from, at);
+  follower.sent_decisions = receipt.decisions_index();
+  if (at.routing_version < decisions_.routing_version)
+    Send(from, follower, false);
+  SendToWaiting();
+}
+
+void FleetFeed::SendToWaiting() {
+  for (std::size_t left = transfers_.waiting(); left > 0; --left) {
+    const auto host = transfers_.TakeWaiting();
+    if (!host)
+      return;
+    Follower& follower = followers_.at(*host);
+    follower.sent_decisions =
+        std::min(follower.sent_decisions, decisions_.index - 1);
+    Send(*host, follower, false);
+  }
 }
 
 void FleetFeed::RecordFindings(const HostId& from,
@@ -142,29 +182,26 @@
   RecordWeightsAges(decisions);
   const bool is_new_routing =
       decisions.routing_version != decisions_.routing_version;
-  const std::uint64_t waiting = UnconfirmedBytes();
+  const std::size_t waiting = transfers_.bytes_under_way();
   decisions_ = decisions;
-  for (auto& [host, follower] : followers_)
+  transfers_.SetDocument(decisions.routing_version, decisions.routing_document);
+  for (auto& [host, follower] : followers_) {
+    if (is_new_routing && !follower.outdated_since)
+      follower.outdated_since = hooks_.now();
     Send(host, follower, false);
+  }
   if (is_new_routing) {
     LogLine("fleet.configuration_sent")
         .Add("version", decisions.routing_version)
         .Add("document_bytes", std::uint64_t{decisions.routing_document.size()})
-        .Add("sent_bytes", UnconfirmedBytes() - waiting)
-        .Add("waiting_bytes", waiting)
+        .Add("sent_bytes",
+             std::uint64_t{transfers_.bytes_under_way() - waiting})
+        .Add("waiting_bytes", std::uint64_t{waiting})
+        .Add("waiting_hosts", std::uint64_t{transfers_.waiting()})
         .Info();
   }
 }
 
-std::uint64_t FleetFeed::UnconfirmedBytes() const {
-  std::uint64_t bytes = 0;
-  for (const auto& [host, follower] : followers_) {
-    for (const auto& [version, sent] : follower.unconfirmed_documents)
-      bytes += sent;
-  }
-  return bytes;
-}
-
 void FleetFeed::ReportQuarantines() {
   // Times of requests for them change all the time.
   const auto is_same = [](const quarantine::Quarantine& told,
@@ -202,6 +239,7 @@
       return false;
     LogLine("fleet.follower_lost").Add("host", entry.first.str()).Info();
     loads_.Set(entry.first, {});
+    transfers_.Remove(entry.first);
     return true;
   });
   UpdateMembership();
@@ -238,9 +276,12 @@
   wire::Envelope envelope;
   wire::FleetUpdate& update = *envelope.mutable_fleet_news();
   AddAnnouncements(follower, update);
-  if (decisions_.index > follower.sent_decisions) {
-    *update.mutable_decisions() =
-        ToWire(decisions_, IncludeDocument(follower, now));
+  // Control hosts apply decisions from their own log.
+  if (follower.poll.serves_callers() &&
+      decisions_.index > follower.sent_decisions) {
+    *update.mutable_decisions() = ToWire(decisions_, false);
+    if (SendsDocument(follower, now))
+      transfers_.AddDocument(to, *update.mutable_decisions(), now);
     follower.sent_decisions = decisions_.index;
   }
   if (update.has_decisions() ||
@@ -307,23 +348,10 @@
   count_list("relays", update.relays());
 }
 
-bool FleetFeed::IncludeDocument(Follower& follower, TimePoint now) {
-  const std::uint64_t version = decisions_.routing_version;
-  if (follower.poll.routing_version() == version)
-    return false;
-  const bool is_overdue =
-      follower.missing_version == version &&
-      now - follower.missing_since >= kSecondaryDocumentDelay;
-  if (!follower.poll.wants_loads() && !is_overdue)
-    return false;
-  if (follower.sent_document_version == version &&
-      now - follower.document_sent_at < kDocumentResendDelay) {
-    return false;
-  }
-  follower.sent_document_version = version;
-  follower.document_sent_at = now;
-  follower.unconfirmed_documents[version] += decisions_.routing_document.size();
-  return true;
+bool FleetFeed::SendsDocument(const Follower& follower, TimePoint now) const {
+  return follower.poll.wants_loads() ||
+         (follower.outdated_since &&
+          now - *follower.outdated_since >= kSecondaryDocumentDelay);
 }
 
 wire::FleetLoads FleetFeed::Loads(const HostId& to, const Follower& follower) {
--- a/src/endivecart/fleet/fleet_feed.h
+++ b/src/endivecart/fleet/fleet_feed.h
@@ -14,6 +14,7 @@
 #include "endivecart/fleet/decisions.h"
 #include "endivecart/fleet/entry_limit.h"
 #include "endivecart/fleet/load_table.h"
+#include "endivecart/fleet/routing_transfers.h"
 #include "endivecart/fleet/weights_ages.h"
 #include "endivecart/limits/limits.h"
 #include "endivecart/quarantine/quarantine.h"
@@ -77,10 +78,6 @@
   // FleetFollower::kControlHostRetention, so that this may be lost repeatedly.
   static constexpr Millis kControlHostsRepeat{5000};
 
-  // A routing document is not sent again within a poll interval, since the
-  // first copy may still be in transit.
-  static constexpr Millis kDocumentResendDelay{250};
-
   // Longer lists of announcements are sent in parts; a follower asks for the
   // next part at once. With 3,000 upstreams, one whole list of 300 kB for each
   // of 300 hosts kept the others waiting for longer than they wait for answers,
@@ -101,8 +98,8 @@
   static constexpr Millis kAgesRepeatTime{60000};
 
   // Normally only a follower's primary control host sends it the routing
-  // document. Other control hosts send it once the follower has lacked it for
-  // this long.
+  // document. Other control hosts send it once the follower has had the same
+  // old version for this long.
   static constexpr Millis kSecondaryDocumentDelay{1000};
 
   // `incarnation` distinguishes this process from earlier ones on its host.
@@ -118,6 +115,8 @@
     told_quarantines_ = quarantines;
   }
   void OnPoll(const HostId& from, const wire::FleetPoll& poll);
+  // A follower tells what it has, and is sent what it lacks.
+  void OnReceipt(const HostId& from, const wire::RoutingReceipt& receipt);
   // A poll has arrived and may be answered late or not at all: the follower is
   // alive and still gets pushed changes.
   void OnPollReceived(const HostId& from) {
@@ -162,9 +161,7 @@
   }
   // Polls with more entries than a host has.
   std::uint64_t dropped_polls() const { return poll_limit_.dropped(); }
-  // Bytes of routing documents that were sent to followers and that these have
-  // not confirmed to have in force.
-  std::uint64_t UnconfirmedBytes() const;
+  const RoutingTransfers& transfers() const { return transfers_; }
   // Returns the outstanding work of all hosts at an upstream, as they reported
   // it.
   wire::UpstreamLoad TotalLoad(const UpstreamId& upstream) const {
@@ -180,23 +177,25 @@
     std::vector<HostId> sent_control_hosts;
     TimePoint control_hosts_sent_at{};
     std::uint64_t sent_decisions = 0;
-    // The routing version that the follower lacks, and that of the document
-    // last sent to it.
-    std::uint64_t missing_version = 0;
-    TimePoint missing_since{};
-    std::uint64_t sent_document_version = 0;
-    TimePoint document_sent_at{};
-    // Bytes by routing version.
-    std::map<std::uint64_t, std::uint64_t> unconfirmed_documents;
+    std::uint64_t incarnation = 0;
+    // That it has in force, and since when although a newer one was decided;
+    // nullopt if it has the newest.
+    std::uint64_t routing_version = 0;
+    std::optional<TimePoint> outdated_since;
     std::uint64_t sent_limits = 0;  // see limits_version_
     TimePoint limits_sent_at{};
     bool was_primary = false;  // the last poll asked for loads
   };
 
-  // Returns whether to send the routing document along with the decisions, and
-  // if so records it as sent. Sent sparingly, as it may be far larger than the
-  // rest and hosts may have slow links.
-  bool IncludeDocument(Follower& follower, TimePoint now);
+  // Records which routing version the follower has.
+  void UpdatePosition(Follower& follower,
+                      const RoutingPosition& at,
+                      TimePoint now);
+  // Returns whether this control host is to send the follower the routing
+  // document: it may be far larger than the rest and links may be slow.
+  bool SendsDocument(const Follower& follower, TimePoint now) const;
+  // Sends the document to followers that had to wait for it.
+  void SendToWaiting();
 
   // Records the ages of the versions that `decisions` adds to the current ones.
   void RecordWeightsAges(const Decisions& decisions);
@@ -228,6 +227,7 @@
   std::map<HostId, std::uint32_t> caller_ranks_;
   std::vector<HostId> spares_;
   LoadTable loads_;
+  RoutingTransfers transfers_;
   // The newest change at each call of Expire() in the last kRepeatedTime.
   std::deque<std::pair<TimePoint, std::uint64_t>> newest_changes_;
   quarantine::PartJudge part_judge_;
--- a/src/endivecart/fleet/fleet_follower.cc
+++ b/src/endivecart/fleet/fleet_follower.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "endivecart/fleet/document_codec.h"
 #include "endivecart/fleet/failure_messages.h"
 #include "endivecart/fleet/fleet_feed.h"
 #include "endivecart/fleet/limit_messages.h"
@@ -32,6 +33,8 @@
   poll.set_member(options_.member);
   poll.set_serves_callers(options_.serves_callers);
   poll.set_reads_differences(true);
+  poll.set_reads_encoded_routing(true);
+  poll.set_needs_whole_routing(needs_whole_routing_);
   if (decisions_) {
     poll.set_decisions_index(decisions_->index);
     poll.set_routing_version(decisions_->routing_version);
@@ -282,8 +285,9 @@
   }
   if (update.weights_ages_size() > 0 && hooks_.on_weights_ages)
     hooks_.on_weights_ages(update);
-  if (update.has_decisions())
-    ApplyDecisions(update.decisions());
+  // Control hosts apply decisions from their own log.
+  if (update.has_decisions() && options_.serves_callers)
+    ApplyDecisions(from, update.decisions());
   std::vector<HostId> named;
   for (const std::string& host : update.control_hosts())
     named.emplace_back(host);
@@ -305,26 +309,82 @@
   control.feed_cursor = 0;
 }
 
-void FleetFollower::ApplyDecisions(const wire::FleetDecisions& message) {
+void FleetFollower::ApplyDecisions(const HostId& from,
+                                   const wire::FleetDecisions& message) {
   if (decisions_ && message.index() <= decisions_->index)
     return;
-  const bool needs_document =
-      message.routing_omitted() && message.routing_version() != 0 &&
-      (!decisions_ || decisions_->routing_version != message.routing_version());
-  if (needs_document) {
-    poll_due_ = hooks_.now();  // requests the document
-    return;
+  auto document = RoutingDocument(from, message);
+  if (!document) {
+    OnOutdatedRouting(from);
+  } else {
+    auto decisions = std::make_shared<const Decisions>(
+        FromWire(message, std::move(*document)));
+    if (CheckInvariant(!decisions_ || decisions->routing_version >=
+                                          decisions_->routing_version,
+                       Invariant::kConfigurationMonotone,
+                       "a later decision has an older routing version")) {
+      has_outdated_routing_ = false;
+      if (message.has_encoded_routing() || !message.routing_omitted())
+        needs_whole_routing_ = false;
+      decisions_ = std::move(decisions);
+      hooks_.on_decisions(decisions_);
+    }
   }
-  auto decisions =
-      std::make_shared<const Decisions>(FromWire(message, decisions_.get()));
-  if (!CheckInvariant(!decisions_ || decisions->routing_version >=
-                                         decisions_->routing_version,
-                      Invariant::kConfigurationMonotone,
-                      "a later decision has an older routing version")) {
-    return;
+  if (message.has_encoded_routing())
+    SendReceipt(from);
+}
+
+std::optional<std::string> FleetFollower::RoutingDocument(
+    const HostId& from,
+    const wire::FleetDecisions& message) {
+  if (!message.routing_omitted())
+    return message.routing_document();
+  const std::uint64_t known = decisions_ ? decisions_->routing_version : 0;
+  if (message.routing_version() == known)
+    return decisions_ ? decisions_->routing_document : "";
+  if (!message.has_encoded_routing())
+    return std::nullopt;
+  const wire::EncodedDocument& encoded = message.encoded_routing();
+  // Otherwise the sender learns from the receipt what this process has.
+  if (encoded.base_version() != 0 && encoded.base_version() != known)
+    return std::nullopt;
+  auto document = DecodeDocument(
+      encoded, encoded.base_version() == 0
+                   ? std::string_view()
+                   : std::string_view(decisions_->routing_document));
+  if (document)
+    return std::move(*document);
+  LogLine("fleet.document_unusable")
+      .Add("control_host", from.str())
+      .Add("version", message.routing_version())
+      .Add("base_version", encoded.base_version())
+      .Add("reason", DocumentErrorName(document.error()))
+      .Warn();
+  needs_whole_routing_ = true;
+  return std::nullopt;
+}
+
+void FleetFollower::OnOutdatedRouting(const HostId& from) {
+  has_outdated_routing_ = true;
+  // A control host that has just become primary sends the document once polled.
+  if (from == PrimaryControlHost() && from != polled_primary_)
+    poll_due_ = hooks_.now();
+}
+
+void FleetFollower::SendReceipt(const HostId& to) {
+  const TimePoint now = hooks_.now();
+  if (needs_whole_routing_) {
+    if (now - whole_requested_at_ < kAskForWholeInterval)
+      return;
+    whole_requested_at_ = now;
   }
-  decisions_ = std::move(decisions);
-  hooks_.on_decisions(decisions_);
+  wire::Envelope envelope;
+  wire::RoutingReceipt& receipt = *envelope.mutable_routing_receipt();
+  receipt.set_incarnation(options_.incarnation);
+  receipt.set_decisions_index(decisions_ ? decisions_->index : 0);
+  receipt.set_routing_version(decisions_ ? decisions_->routing_version : 0);
+  receipt.set_needs_whole_routing(needs_whole_routing_);
+  hooks_.send(to, std::move(envelope));
 }
 
 void FleetFollower::UpdateControlHosts(const std::vector<HostId>& hosts) {
--- a/src/endivecart/fleet/fleet_follower.h
+++ b/src/endivecart/fleet/fleet_follower.h
@@ -109,6 +109,9 @@
   // A control host that is no longer listed by any other is polled for this
   // long.
   static constexpr Millis kControlHostRetention{30000};
+  // How often a whole routing document is asked for at most, other than by
+  // polls.
+  static constexpr Millis kAskForWholeInterval{250};
   // All announcements are asked for again at most this often, from one control
   // host.
   static constexpr Millis kAskForAllInterval{10000};
@@ -128,6 +131,9 @@
 
   // Null until the first update with decisions.
   const DecisionsPtr& decisions() const { return decisions_; }
+  // Returns whether a newer routing document than that of decisions() is known
+  // to be in force.
+  bool HasOutdatedRouting() const { return has_outdated_routing_; }
   // Returns whether any control host answered within kContactTimeout.
   bool InContact() const;
   // The number of processes that serve callers, including this one, and the
@@ -188,13 +194,24 @@
   // Returns the control host to treat as primary while none is in contact.
   // Rotates with each poll, from a start that differs between processes.
   HostId NextProbedHost() const;
-  void ApplyDecisions(const wire::FleetDecisions& message);
+  void ApplyDecisions(const HostId& from, const wire::FleetDecisions& message);
+  // Returns the routing document that goes with `message`, or nullopt if this
+  // process doesn't get it from there.
+  std::optional<std::string> RoutingDocument(
+      const HostId& from,
+      const wire::FleetDecisions& message);
+  void OnOutdatedRouting(const HostId& from);
+  void SendReceipt(const HostId& to);
   void NotifyControlHosts() const;
   void DetectLostContacts();
 
   FleetFollowerOptions options_;
   const Hooks hooks_;
   DecisionsPtr decisions_;
+  bool has_outdated_routing_ = false;
+  // An encoded document could not be used with the one that this process has.
+  bool needs_whole_routing_ = false;
+  TimePoint whole_requested_at_{};
   std::map<HostId, ControlHost> control_hosts_;
   TimePoint poll_due_{};
   std::uint64_t polls_ = 0;
--- a/src/endivecart/fleet/fleet_following_unittest.cc
+++ b/src/endivecart/fleet/fleet_following_unittest.cc
@@ -34,8 +34,9 @@
   FleetFeed::Hooks FeedHooks() {
     return {[this](const HostId&, const wire::Envelope& envelope) {
               ++messages;
-              document_bytes +=
-                  envelope.fleet_news().decisions().routing_document().size();
+              const auto& decisions = envelope.fleet_news().decisions();
+              document_bytes += decisions.routing_document().size() +
+                                decisions.encoded_routing().length();
               if (connected)
                 follower.OnUpdate(HostId("v"), envelope.fleet_news());
             },
@@ -53,6 +54,10 @@
   FleetFollower::Hooks FollowHooks() {
     FleetFollower::Hooks hooks;
     hooks.send = [this](const HostId& to, const wire::Envelope& envelope) {
+      if (envelope.has_routing_receipt()) {
+        feed.OnReceipt(HostId("e"), envelope.routing_receipt());
+        return;
+      }
       polls += to == HostId("v") ? 1 : 0;
       if (connected && to == HostId("v"))
         feed.OnPoll(HostId("e"), envelope.fleet_poll());
@@ -149,7 +154,7 @@
   }
   // One to the follower that polled before, one to this one.
   BOOST_TEST(document_bytes == 2 * std::string("document 5").size());
-  now += FleetFeed::kDocumentResendDelay;
+  now += RoutingTransfers::kConfirmTime;
   feed.OnPoll(HostId("f"), poll);
   BOOST_TEST(document_bytes == 3 * std::string("document 5").size());
 }
--- a/src/endivecart/fleet/fleet_unittest.cc
+++ b/src/endivecart/fleet/fleet_unittest.cc
@@ -101,7 +101,7 @@
   log.Apply(NameVersion("m", 4), 2);
   const auto message = ToWire(log.decisions(), false);
   BOOST_TEST(message.routing_document().empty());
-  BOOST_CHECK(FromWire(message, &known) == log.decisions());
+  BOOST_CHECK(FromWire(message, known.routing_document) == log.decisions());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/endivecart/fleet/large_fleet_fixture.h
+++ b/src/endivecart/fleet/large_fleet_fixture.h
@@ -366,8 +366,10 @@
   }
 
   void Queue(const HostId& from, const HostId& to, wire::Envelope envelope) {
-    if (legacy_ && envelope.has_fleet_poll())
+    if (legacy_ && envelope.has_fleet_poll()) {
       envelope.mutable_fleet_poll()->clear_reads_differences();
+      envelope.mutable_fleet_poll()->clear_reads_encoded_routing();
+    }
     if (legacy_ && envelope.has_fleet_news())
       envelope.mutable_fleet_news()->clear_poll_interval_ms();
     CountMessage(from, to, envelope);
@@ -399,6 +401,10 @@
       counts_[where + "polls"].Add(size);
       return;
     }
+    if (envelope.has_routing_receipt()) {
+      counts_["receipts"].Add(size);
+      return;
+    }
     const wire::FleetUpdate& update = envelope.fleet_news();
     counts_[where + "updates"].Add(size, CountEntries(update));
     std::size_t announced = 0;
@@ -437,6 +443,8 @@
       const auto began = std::chrono::steady_clock::now();
       if (message.envelope.has_fleet_poll()) {
         host.feed->OnPoll(message.from, message.envelope.fleet_poll());
+      } else if (message.envelope.has_routing_receipt()) {
+        host.feed->OnReceipt(message.from, message.envelope.routing_receipt());
       } else {
         host.follower->OnUpdate(message.from, message.envelope.fleet_news());
       }
--- a/src/endivecart/fleet/routing_distribution_unittest.cc
+++ b/src/endivecart/fleet/routing_distribution_unittest.cc
@@ -128,6 +128,50 @@
     BOOST_TEST(with_routes.fleet.PeakQueuedBytes(host) <= kMaxQueuedBytes);
 }
 
+BOOST_AUTO_TEST_CASE(a_change_costs_bytes_by_its_size) {
+  constexpr int kHosts = 100;
+  constexpr int kChanges = 10;
+  FleetWithRoutes with_routes(kHosts);
+  const Storm storm =
+      RunStorm(with_routes.fleet, with_routes.documents, 3, kChanges, kHosts);
+  // Polls are answered meanwhile; a whole document has 400 kB.
+  BOOST_TEST(storm.update_bytes / kChanges < 10000ULL * kHosts);
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_missed_changes_get_the_newest_whole) {
+  constexpr int kHosts = 20;
+  FleetWithRoutes with_routes(kHosts);
+  Fleet& fleet = with_routes.fleet;
+  fleet.SetCutOff(3, true);
+  RunStorm(fleet, with_routes.documents, 3, 15, kHosts - 1);
+  fleet.RestartEntryHost(4);
+  fleet.SetCutOff(3, false);
+  const std::string document = with_routes.documents.Next(18);
+  fleet.Replace(18, document);
+  fleet.RunFor(Millis(1500));
+  for (const int host : {0, 3, 4}) {
+    BOOST_TEST(fleet.DecisionsOf(host).routing_version == 18u);
+    BOOST_CHECK(fleet.DecisionsOf(host).routing_document == document);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(hosts_of_an_earlier_release_get_whole_documents) {
+  constexpr int kHosts = 20;
+  FleetWithRoutes with_routes(kHosts, true);
+  Fleet& fleet = with_routes.fleet;
+  std::string document;
+  for (std::uint64_t version = 3; version < 9; ++version) {
+    document = with_routes.documents.Next(version);
+    fleet.Replace(version, document);
+    fleet.RunFor(kChangeInterval);
+  }
+  fleet.RunFor(Millis(2000));
+  BOOST_TEST(fleet.CountWithRouting(8) == kHosts);
+  BOOST_CHECK(fleet.DecisionsOf(0).routing_document == document);
+  // One under way to each, whatever else was decided meanwhile.
+  BOOST_TEST(fleet.PeakQueuedBytes(0) < 2 * kHosts * document.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/endivecart/node/control_metrics.cc
+++ b/src/endivecart/node/control_metrics.cc
@@ -55,7 +55,9 @@
              "part=\"" + std::string(part) + "\"", bytes);
   }
   SetCount(metrics, "endivecart_documents_unconfirmed_bytes", "",
-           feed.UnconfirmedBytes());
+           feed.transfers().bytes_under_way());
+  SetCount(metrics, "endivecart_documents_encoded", "",
+           feed.transfers().encoded());
   SetCount(metrics, "endivecart_polls_waiting", "", polls.waiting());
   SetCount(metrics, "endivecart_polls_dropped", "", polls.dropped());
   SetCount(metrics, "endivecart_polls_too_long", "", feed.dropped_polls());
--- a/src/endivecart/node/voter_node.cc
+++ b/src/endivecart/node/voter_node.cc
@@ -394,6 +394,8 @@
       follower->UpdateControlHosts({from});
   } else if (envelope.has_fleet_news()) {
     follower->OnUpdate(from, envelope.fleet_news());
+  } else if (envelope.has_routing_receipt()) {
+    feed->OnReceipt(from, envelope.routing_receipt());
   } else if (envelope.has_cache_save_claim()) {
     if (voter->IsConfirmedLeader())
       caches.OnSaveClaim(from, envelope.cache_save_claim());
--- a/src/endivecart/transport/message_bus.cc
+++ b/src/endivecart/transport/message_bus.cc
@@ -116,6 +116,8 @@
       return "cache_save_grant";
     case wire::Envelope::kCacheSaveRelease:
       return "cache_save_release";
+    case wire::Envelope::kRoutingReceipt:
+      return "routing_receipt";
     case wire::Envelope::BODY_NOT_SET:
       break;
   }
