Only routes whose text has changed are parsed (CONFIG)

Cause: of the 0.45 s that a version took at the first host, 0.24 s were decoding of the whole document, with a twelfth of a core; a change each 0.33 s took three quarters of a host's processor from its callers. Any decision, also one that left the routing document as it was, decoded it again.

Change: RoutingDecoder keeps the routes of the last configuration by their text, parses the document without those that it knows, and puts both together; errors are those of the whole document. Entry hosts and control hosts use it; an entry host decodes a version once. The check for duplicate routes copies no strings.

Test: 600 random documents, broken ones among them, decode to the same as without it; of 1,400 routes one is parsed after a change of one.

--- a/daemons/fleet_programs.cc
+++ b/daemons/fleet_programs.cc
@@ -64,24 +64,37 @@
   return 0;
 }
 
+std::shared_ptr<platform::RoutingDecoder> MakeRoutingDecoder() {
+  return std::make_shared<platform::RoutingDecoder>();
+}
+
+node::RoutingDecoder DecodeWith(
+    std::shared_ptr<platform::RoutingDecoder> decoder) {
+  return [decoder = std::move(decoder)](std::string_view document) {
+    return decoder->Decode(document);
+  };
+}
+
 }  // namespace
 
 int RunEntry(const std::string& settings_file) {
   return RunNode<node::EntryNode>(
       settings_file, node::EntryNodeHooks{platform::MakeCallerDialect(),
-                                          platform::DecodeRouting,
+                                          DecodeWith(MakeRoutingDecoder()),
                                           platform::IsReadinessCheck});
 }
 
 int RunControl(const std::string& settings_file) {
+  const auto routing = MakeRoutingDecoder();
   return RunNode<node::VoterNode>(
       settings_file,
       node::VoterNodeHooks{
-          platform::MakeOperatorCallDecoder(), platform::EncodeOperatorReply,
-          platform::UnknownCallResponse, platform::EncodeWeightsOrder,
-          platform::DecodeWeightsOrderResult, platform::EncodeWeightsCheck,
-          platform::DecodeWeightsReport, platform::DecodeRouting,
-          platform::EncodeCacheRead, platform::DecodeCacheEvents,
-          platform::DecodeCacheList, platform::EncodeCacheFree,
-          platform::EncodeDutyCall, platform::DecodeDutyResult});
+          platform::MakeOperatorCallDecoder(routing),
+          platform::EncodeOperatorReply, platform::UnknownCallResponse,
+          platform::EncodeWeightsOrder, platform::DecodeWeightsOrderResult,
+          platform::EncodeWeightsCheck, platform::DecodeWeightsReport,
+          DecodeWith(routing), platform::EncodeCacheRead,
+          platform::DecodeCacheEvents, platform::DecodeCacheList,
+          platform::EncodeCacheFree, platform::EncodeDutyCall,
+          platform::DecodeDutyResult});
 }
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -109,6 +109,7 @@
   gateway::Gateway gateway;
   std::unique_ptr<fleet::FleetBus> bus;
   std::optional<fleet::FleetFollower> follower;
+  std::uint64_t routing_version = 0;  // of the last decisions
   std::unique_ptr<net::HttpServer> callers;
   std::unique_ptr<net::HttpServer> relay;
   std::unique_ptr<net::HttpServer> ready;
@@ -216,7 +217,8 @@
 void EntryNode::Parts::ApplyDecisions(const fleet::DecisionsPtr& decisions) {
   routes::RouteTablePtr table;
   const TimePoint began = loop.Now();
-  if (decisions->routing_version != 0) {
+  if (std::exchange(routing_version, decisions->routing_version) !=
+      decisions->routing_version) {
     auto decoded = hooks.decode_routing(decisions->routing_document);
     if (decoded) {
       auto configuration = std::make_shared<const routes::RoutingConfiguration>(
--- a/src/endivecart/routes/routing_configuration.cc
+++ b/src/endivecart/routes/routing_configuration.cc
@@ -70,7 +70,7 @@
 
 std::optional<RoutingError> CheckConfiguration(
     const RoutingConfiguration& configuration) {
-  std::set<std::pair<std::string, std::string>> seen_prefixes;
+  std::set<std::pair<std::string_view, std::string_view>> seen_prefixes;
   for (const Route& route : configuration.routes) {
     if (auto error = CheckRoute(configuration, route))
       return error;
