A host that knows of a newer configuration doesn't refuse by its own for good (CONFIG)

Cause: a host refused an unknown route or key with 404 or 401 although it had been told, by a control host that doesn't send it documents, that a newer version was decided.

Change: while that is so it answers 503 with Retry-After (reason older_configuration).

--- a/src/endivecart/gateway/gateway.cc
+++ b/src/endivecart/gateway/gateway.cc
@@ -59,7 +59,7 @@
     return;
   routes_ = std::move(routes);
   cache_generation_ = decisions_->cache_generation;
-  std::set<std::string> names;
+  std::set<std::string_view> names;
   for (const routes::Route& route : routes_->configuration().routes)
     names.insert(route.name);
   durations_.KeepOnly(
@@ -121,6 +121,14 @@
   RespondWithRefusal(exchange, refusal, is_relayed);
 }
 
+Gateway::Refusal Gateway::RoutingRefusal(int status,
+                                         std::string_view reason,
+                                         const RequestId& id) const {
+  if (follower_ != nullptr && follower_->HasOutdatedRouting())
+    return {503, kReasonOlderConfiguration, kRetryAfterStart, id};
+  return {status, std::string(reason), std::nullopt, id};
+}
+
 void Gateway::Handle(net::HttpExchangePtr exchange) {
   const net::HttpRequest& received = exchange->request();
   Accept(std::move(exchange), received, std::nullopt);
@@ -166,14 +174,14 @@
   }
   const routes::Route* route = routes_->Match(request->host, request->path);
   if (route == nullptr) {
-    Refuse(*exchange, {404, "no_route", std::nullopt, request->id}, is_relayed);
+    Refuse(*exchange, RoutingRefusal(404, "no_route", request->id), is_relayed);
     return;
   }
   const routes::Customer* customer = nullptr;
   if (routes_->NeedsKey(*route)) {
     customer = routes_->FindCustomer(request->key);
     if (customer == nullptr) {
-      Refuse(*exchange, {401, "unknown_key", std::nullopt, request->id},
+      Refuse(*exchange, RoutingRefusal(401, "unknown_key", request->id),
              is_relayed);
       return;
     }
--- a/src/endivecart/gateway/gateway.h
+++ b/src/endivecart/gateway/gateway.h
@@ -134,6 +134,12 @@
   void Accept(net::HttpExchangePtr exchange,
               const net::HttpRequest& received,
               std::optional<RelayTicket> ticket);
+  // Returns the refusal of a request whose route or key the configuration
+  // doesn't have. It isn't final if a newer configuration is known to be in
+  // force, which may have them.
+  Refusal RoutingRefusal(int status,
+                         std::string_view reason,
+                         const RequestId& id) const;
   void Refuse(net::HttpExchange& exchange,
               const Refusal& refusal,
               bool is_relayed);
