--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -34,6 +34,41 @@
   BOOST_TEST(requests.empty());
 }
 
+// Guards against requests on a route that was added, or with a key that was,
+// that are refused for good by a host that has not got that configuration yet.
+BOOST_AUTO_TEST_CASE(
+    a_host_that_lacks_a_newer_configuration_refuses_no_route_for_good) {
+  const HostId control("10.0.0.9");
+  fleet::FleetFollowerOptions options;
+  options.serves_callers = true;
+  options.contacts = {control};
+  fleet::FleetFollower::Hooks hooks;
+  hooks.send = [](const HostId&, const wire::Envelope&) {};
+  hooks.on_control_hosts = [](const std::vector<HostId>&) {};
+  hooks.on_decisions = [](const fleet::DecisionsPtr&) {};
+  hooks.local_loads = [] { return std::vector<fleet::LocalLoad>(); };
+  hooks.move_reports = [] { return std::vector<wire::ServiceMoveReport>(); };
+  hooks.now = [this] { return loop.Now(); };
+  fleet::FleetFollower follower(options, std::move(hooks));
+  follower.Tick();
+  gateway.SetFollower(&follower);
+  BOOST_TEST(HasStatus(Send("/none/"), 404));
+  wire::FleetUpdate update;
+  update.mutable_decisions()->set_index(5);
+  update.mutable_decisions()->set_routing_version(5);
+  update.mutable_decisions()->set_routing_omitted(true);
+  follower.OnUpdate(control, update);
+  const std::string received = Send("/none/");
+  BOOST_TEST(HasStatus(received, 503));
+  BOOST_TEST(received.find("Retry-After") != std::string::npos);
+  BOOST_TEST(HasStatus(Send("/once/", "1", "Key: other\r\n"), 503));
+  update.mutable_decisions()->set_routing_omitted(false);
+  update.mutable_decisions()->set_routing_document("{}");
+  follower.OnUpdate(control, update);
+  BOOST_TEST(HasStatus(Send("/none/"), 404));
+  gateway.SetFollower(nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(
     a_non_idempotent_request_is_not_retried_after_a_lost_answer) {
   answer = [](auto& connection, auto) { connection.socket.close(); };
