An entry host decodes a large change in parts, between which it serves callers (CONFIG)

Cause: the change that adds 1,400 routes held a host's loop for 0.27 s (12 ms of a whole core), and all streams under way paused for that long at all hosts at once.

Change: the decoder parses at most 32 routes a call; the host goes on in the next turn of its loop.

--- a/daemons/fleet_programs.cc
+++ b/daemons/fleet_programs.cc
@@ -15,6 +15,9 @@
 constexpr int kFailure = 1;
 constexpr int kUsageError = 2;
 constexpr Millis kSettingsInterval{5000};
+// Routes of a new configuration that an entry host parses before it serves
+// callers again.
+constexpr std::size_t kRoutesPerTurn = 32;
 
 int Fail(const std::string& message, int code) {
   LogLine("node.start_failed").Add("reason", message).Error();
@@ -64,37 +67,32 @@
   return 0;
 }
 
-std::shared_ptr<platform::RoutingDecoder> MakeRoutingDecoder() {
-  return std::make_shared<platform::RoutingDecoder>();
-}
-
-node::RoutingDecoder DecodeWith(
-    std::shared_ptr<platform::RoutingDecoder> decoder) {
-  return [decoder = std::move(decoder)](std::string_view document) {
-    return decoder->Decode(document);
-  };
-}
-
 }  // namespace
 
 int RunEntry(const std::string& settings_file) {
+  const auto routing = std::make_shared<platform::RoutingDecoder>();
+  const auto decode_part = [routing](std::string_view document) {
+    return routing->DecodePart(document, kRoutesPerTurn);
+  };
   return RunNode<node::EntryNode>(
-      settings_file, node::EntryNodeHooks{platform::MakeCallerDialect(),
-                                          DecodeWith(MakeRoutingDecoder()),
-                                          platform::IsReadinessCheck});
+      settings_file,
+      node::EntryNodeHooks{platform::MakeCallerDialect(), decode_part,
+                           platform::IsReadinessCheck});
 }
 
 int RunControl(const std::string& settings_file) {
-  const auto routing = MakeRoutingDecoder();
+  const auto routing = std::make_shared<platform::RoutingDecoder>();
+  const auto decode = [routing](std::string_view document) {
+    return routing->Decode(document);
+  };
   return RunNode<node::VoterNode>(
       settings_file,
       node::VoterNodeHooks{
           platform::MakeOperatorCallDecoder(routing),
           platform::EncodeOperatorReply, platform::UnknownCallResponse,
           platform::EncodeWeightsOrder, platform::DecodeWeightsOrderResult,
-          platform::EncodeWeightsCheck, platform::DecodeWeightsReport,
-          DecodeWith(routing), platform::EncodeCacheRead,
-          platform::DecodeCacheEvents, platform::DecodeCacheList,
-          platform::EncodeCacheFree, platform::EncodeDutyCall,
-          platform::DecodeDutyResult});
+          platform::EncodeWeightsCheck, platform::DecodeWeightsReport, decode,
+          platform::EncodeCacheRead, platform::DecodeCacheEvents,
+          platform::DecodeCacheList, platform::EncodeCacheFree,
+          platform::EncodeDutyCall, platform::DecodeDutyResult});
 }
--- a/src/endivecart/node/entry_node.cc
+++ b/src/endivecart/node/entry_node.cc
@@ -87,6 +87,10 @@
   void OpenFollower();
   Result<bool, NodeError> OpenRelay();
   void ApplyDecisions(const fleet::DecisionsPtr& decisions);
+  void ContinueDecoding();
+  // Brings the decisions whose document was decoded into force. `table` is null
+  // if it stays as it is.
+  void SetDecisions(routes::RouteTablePtr table);
   bool IsReady() const { return gateway.HasRoutes() && !stopping; }
   void StopTick(TimePoint now);
   // Returns when the load balancer has stopped sending new callers.
@@ -110,6 +114,12 @@
   std::unique_ptr<fleet::FleetBus> bus;
   std::optional<fleet::FleetFollower> follower;
   std::uint64_t routing_version = 0;  // of the last decisions
+  // Whose routing document is being decoded, and the newest that came
+  // meanwhile.
+  fleet::DecisionsPtr decoding;
+  fleet::DecisionsPtr waiting;
+  TimePoint decoding_began;
+  std::unique_ptr<TimerSubscription> decoding_timer;
   std::unique_ptr<net::HttpServer> callers;
   std::unique_ptr<net::HttpServer> relay;
   std::unique_ptr<net::HttpServer> ready;
@@ -215,34 +225,57 @@
 }
 
 void EntryNode::Parts::ApplyDecisions(const fleet::DecisionsPtr& decisions) {
-  routes::RouteTablePtr table;
-  const TimePoint began = loop.Now();
-  if (std::exchange(routing_version, decisions->routing_version) !=
-      decisions->routing_version) {
-    auto decoded = hooks.decode_routing(decisions->routing_document);
-    if (decoded) {
-      const routes::RoutingConfigurationPtr& configuration = *decoded;
-      callers->SetLimits(
-          ServerLimits(configuration->limits, connection_limits.callers));
-      if (relay) {
-        relay->SetLimits(
-            ServerLimits(configuration->limits, connection_limits.relay));
-      }
-      table = std::make_shared<const routes::RouteTable>(configuration);
-    } else {
-      LogLine("node.configuration_unreadable")
-          .Add("version", decisions->routing_version)
-          .Add("reason", decoded.error().detail)
-          .Error();
-    }
+  if (decoding) {
+    // Decoding goes on, so that a series of changes can't keep it from ending.
+    waiting = decisions;
+    return;
+  }
+  decoding = decisions;
+  decoding_began = loop.Now();
+  ContinueDecoding();
+}
+
+void EntryNode::Parts::ContinueDecoding() {
+  if (decoding->routing_version == routing_version) {
+    SetDecisions(nullptr);
+    return;
+  }
+  const auto decoded = hooks.decode_routing(decoding->routing_document);
+  if (!decoded) {
+    decoding_timer =
+        loop.After(Millis(0), [this](TimePoint) { ContinueDecoding(); });
+    return;
+  }
+  routing_version = decoding->routing_version;
+  if (!*decoded) {
+    LogLine("node.configuration_unreadable")
+        .Add("version", routing_version)
+        .Add("reason", decoded->error().detail)
+        .Error();
+    SetDecisions(nullptr);
+    return;
   }
+  const routes::RoutingConfigurationPtr& configuration = **decoded;
+  callers->SetLimits(
+      ServerLimits(configuration->limits, connection_limits.callers));
+  if (relay) {
+    relay->SetLimits(
+        ServerLimits(configuration->limits, connection_limits.relay));
+  }
+  SetDecisions(std::make_shared<const routes::RouteTable>(configuration));
+}
+
+void EntryNode::Parts::SetDecisions(routes::RouteTablePtr table) {
+  const fleet::DecisionsPtr decisions = std::exchange(decoding, nullptr);
   LogLine("node.decisions")
       .Add("index", decisions->index)
       .Add("routing_version", decisions->routing_version)
       .Add("document_bytes", std::uint64_t{decisions->routing_document.size()})
-      .Add("decode_ms", MillisBetween(began, loop.Now()))
+      .Add("decode_ms", MillisBetween(decoding_began, loop.Now()))
       .Info();
   gateway.SetDecisions(decisions, std::move(table));
+  if (waiting)
+    ApplyDecisions(std::exchange(waiting, nullptr));
 }
 
 void EntryNode::Parts::StopTick(TimePoint now) {
--- a/src/endivecart/node/entry_node.h
+++ b/src/endivecart/node/entry_node.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "endivecart/gateway/gateway.h"
@@ -11,13 +12,16 @@
 
 namespace endivecart::node {
 
-using RoutingDecoder =
-    std::function<Result<routes::RoutingConfigurationPtr, routes::RoutingError>(
-        std::string_view document)>;
+using DecodedRouting =
+    Result<routes::RoutingConfigurationPtr, routes::RoutingError>;
+// Does a bounded amount of work. Returns nullopt if it must be called again
+// with the same document.
+using RoutingPartDecoder =
+    std::function<std::optional<DecodedRouting>(std::string_view document)>;
 
 struct EntryNodeHooks {
   gateway::Dialect dialect;
-  RoutingDecoder decode_routing;
+  RoutingPartDecoder decode_routing;
   std::function<bool(const net::HttpRequest&)> is_readiness_check;
 };
 
