--- a/src/endivecart/fleet/fleet_following_unittest.cc
+++ b/src/endivecart/fleet/fleet_following_unittest.cc
@@ -37,8 +37,17 @@
               const auto& decisions = envelope.fleet_news().decisions();
               document_bytes += decisions.routing_document().size() +
                                 decisions.encoded_routing().length();
-              if (connected)
-                follower.OnUpdate(HostId("v"), envelope.fleet_news());
+              if (!connected)
+                return;
+              wire::FleetUpdate update = envelope.fleet_news();
+              if (damages_documents && decisions.has_encoded_routing()) {
+                update.mutable_decisions()
+                    ->mutable_encoded_routing()
+                    ->mutable_frame()
+                    ->back() ^= 1;
+              }
+              bases.push_back(decisions.encoded_routing().base_version());
+              follower.OnUpdate(HostId("v"), update);
             },
             [this] { return now; },
             [] {
@@ -92,6 +101,8 @@
 
   TimePoint now = At(0);
   bool connected = true;
+  bool damages_documents = false;
+  std::vector<std::uint64_t> bases;  // of the documents delivered; 0: none
   std::vector<UpstreamId> quiesced;
   int polls = 0;
   std::size_t document_bytes = 0;
@@ -159,6 +170,30 @@
   BOOST_TEST(document_bytes == 3 * std::string("document 5").size());
 }
 
+// Guards against a configuration in force that no operator has sent.
+BOOST_FIXTURE_TEST_CASE(a_document_that_cannot_be_decoded_is_sent_whole,
+                        FeedAndFollower) {
+  Advance(10);
+  Decide(5, 1);
+  damages_documents = true;
+  Decide(6, 2);
+  BOOST_TEST(follower.decisions()->routing_version == 5u);
+  BOOST_TEST(follower.decisions()->index == 1u);
+  BOOST_TEST(follower.decisions()->routing_document == "document 5");
+  BOOST_TEST(follower.HasOutdatedRouting());
+  damages_documents = false;
+  bases.clear();
+  Advance(600);
+  Advance(600);
+  BOOST_TEST(follower.decisions()->routing_document == "document 6");
+  BOOST_TEST(!follower.HasOutdatedRouting());
+  BOOST_TEST(std::count(bases.begin(), bases.end(), 5u) == 0);
+  // A difference again, from the whole.
+  Decide(7, 3);
+  BOOST_TEST(bases.back() == 6u);
+  BOOST_TEST(follower.decisions()->routing_document == "document 7");
+}
+
 BOOST_FIXTURE_TEST_CASE(
     other_control_hosts_send_a_document_only_if_it_is_overdue,
     FeedAndFollower) {
--- a/src/endivecart/gateway/gateway_unittest.cc
+++ b/src/endivecart/gateway/gateway_unittest.cc
@@ -60,7 +60,7 @@
   follower.OnUpdate(control, update);
   const std::string received = Send("/none/");
   BOOST_TEST(HasStatus(received, 503));
-  BOOST_TEST(received.find("Retry-After") != std::string::npos);
+  BOOST_TEST(received.find("Retry: ") != std::string::npos);
   BOOST_TEST(HasStatus(Send("/once/", "1", "Key: other\r\n"), 503));
   update.mutable_decisions()->set_routing_omitted(false);
   update.mutable_decisions()->set_routing_document("{}");
