--- a/bench/distribution_experiment.cc
+++ b/bench/distribution_experiment.cc
@@ -150,7 +150,7 @@
     const HostId self(name);
     fleet::FleetFollowerOptions options;
     options.self = self;
-    options.incarnation = static_cast<std::uint64_t>(number + 1);
+    options.incarnation = static_cast<std::uint64_t>(number) + 1;
     options.serves_callers = true;
     options.contacts = {control_};
     fleet::FleetFollower::Hooks hooks;
--- a/src/endivecart/fleet/operator_service.cc
+++ b/src/endivecart/fleet/operator_service.cc
@@ -147,16 +147,16 @@
   std::visit(
       Overloaded{[&](const ReplaceRouting& c) {
                    *command.mutable_replace_routing() = ToCommand(c);
-                   ProposeCommand(command, [version = c.version,
-                                            reply = std::move(reply)](
-                                               const OperatorReply& result) {
-                     if (result.outcome == OperatorOutcome::kDone) {
-                       LogLine("fleet.configuration_acknowledged")
-                           .Add("version", version)
-                           .Info();
-                     }
-                     reply(result);
-                   });
+                   ProposeCommand(
+                       command, [version = c.version, reply = std::move(reply)](
+                                    const OperatorReply& result) {
+                         if (result.outcome == OperatorOutcome::kDone) {
+                           LogLine("fleet.configuration_acknowledged")
+                               .Add("version", version)
+                               .Info();
+                         }
+                         reply(result);
+                       });
                  },
                  [&](const SetDomain& c) {
                    command.mutable_set_domain()->set_domain(c.domain.str());
--- a/src/endivecart/fleet/routing_distribution_unittest.cc
+++ b/src/endivecart/fleet/routing_distribution_unittest.cc
@@ -169,7 +169,7 @@
   BOOST_TEST(fleet.CountWithRouting(8) == kHosts);
   BOOST_CHECK(fleet.DecisionsOf(0).routing_document == document);
   // One under way to each, whatever else was decided meanwhile.
-  BOOST_TEST(fleet.PeakQueuedBytes(0) < 2 * kHosts * document.size());
+  BOOST_TEST(fleet.PeakQueuedBytes(0) < 2 * document.size() * kHosts);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
