--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -63,16 +63,15 @@
                   head.Get("X-Attempt-Id").c_str());
       servers[static_cast<std::size_t>(i)]->Fall();
     };
-    servers.push_back(std::make_unique<Server>(options, site.core_ips(),
-                                               record));
+    servers.push_back(
+        std::make_unique<Server>(options, site.core_ips(), record));
   }
   for (auto& server : servers) {
     if (!server->Start())
       return kCouldNotRun;
   }
-  const std::string manifest =
-      Manifest(1, "model-hall",
-               {Route("r-draft", "/draft/", "streaming", 3000, 1)});
+  const std::string manifest = Manifest(
+      1, "model-hall", {Route("r-draft", "/draft/", "streaming", 3000, 1)});
   if (site.Order("POST", "/Config.Replace", manifest).first != 200 ||
       !site.WaitReady(10000))
     return kCouldNotRun;
@@ -101,16 +100,18 @@
     std::string prefix;
     for (int i = 0; i + 1 < kParts; ++i) {
       const bool is_deadly = with_deadly && i == deadly_at;
-      prefix += (is_deadly ? deadly
-                           : PartId(conversation * 1000 +
-                                    static_cast<unsigned>(i))) + ":40,";
+      prefix +=
+          (is_deadly ? deadly
+                     : PartId(conversation * 1000 + static_cast<unsigned>(i))) +
+          ":40,";
     }
     prefix += PartId(0x10000000 + ++number) + ":40";
-    clients.Send("POST", (with_deadly ? "/draft/x" : "/draft/") + std::to_string(number),
-                 3000, -1,
-                 {{"X-Model", "m0"},
-                  {"X-Token-Count", std::to_string(kParts * 40) + ",20"},
-                  {"X-Prompt-Prefix", prefix}});
+    clients.Send(
+        "POST", (with_deadly ? "/draft/x" : "/draft/") + std::to_string(number),
+        3000, -1,
+        {{"X-Model", "m0"},
+         {"X-Token-Count", std::to_string(kParts * 40) + ",20"},
+         {"X-Prompt-Prefix", prefix}});
   };
   // Sound requests of ten conversations, and one with the part every 0.7 s,
   // which shares all its other parts with sound ones.
@@ -130,10 +131,9 @@
 
   std::size_t sound_failed = 0;
   for (const Outcome& outcome : clients.outcomes())
-    sound_failed += outcome.status != 200 &&
-                            !outcome.target.starts_with("/draft/x")
-                        ? 1
-                        : 0;
+    sound_failed +=
+        outcome.status != 200 && !outcome.target.starts_with("/draft/x") ? 1
+                                                                         : 0;
   const double fifth = crashes.size() >= 5 ? crashes[4] : 1e12;
   const auto late = static_cast<std::size_t>(std::count_if(
       arrivals.begin(), arrivals.end(),
@@ -143,8 +143,8 @@
              std::to_string(sound_failed));
   record.Say("crashes " + std::to_string(crashes.size()) +
              "; requests with the part that reached servers later than "
-             "contact_window_ms after the fifth: " + std::to_string(late) +
-             ", allowed " + std::to_string(kAllowed));
+             "contact_window_ms after the fifth: " +
+             std::to_string(late) + ", allowed " + std::to_string(kAllowed));
   record.Say(late > kAllowed ? "BUDGET is broken" : "BUDGET held");
   return late > kAllowed ? kBroken : kHeld;
 }
--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -43,8 +43,8 @@
         return fields;
       };
     }
-    servers.push_back(std::make_unique<Server>(options, site.core_ips(),
-                                               record));
+    servers.push_back(
+        std::make_unique<Server>(options, site.core_ips(), record));
   }
   for (auto& server : servers) {
     if (!server->Start())
@@ -146,8 +146,10 @@
   record.Say("statuses of the burst: " + clients.Statuses(burst, NowMs()));
   record.Say("unsafe requests that ended with 502 or a closed channel: " +
              std::to_string(lost));
-  record.Say("requests that reached the server later than drain_timeout_ms "
-             "after the ack: " + std::to_string(late));
+  record.Say(
+      "requests that reached the server later than drain_timeout_ms "
+      "after the ack: " +
+      std::to_string(late));
   record.Say(late > 0 ? "DRAIN is broken" : "DRAIN held");
   return late > 0 ? kBroken : kHeld;
 }
--- a/review/site-3.hpp
+++ b/review/site-3.hpp
@@ -139,9 +139,9 @@
     if (colon == std::string::npos)
       continue;
     auto begin = line.find_first_not_of(' ', colon + 1);
-    head.fields.emplace_back(
-        line.substr(0, colon),
-        begin == std::string::npos ? "" : line.substr(begin));
+    head.fields.emplace_back(line.substr(0, colon), begin == std::string::npos
+                                                        ? ""
+                                                        : line.substr(begin));
   }
   return head;
 }
@@ -161,8 +161,8 @@
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
     ::fcntl(fd_, F_SETFL, O_NONBLOCK);
-    if (::connect(fd_, reinterpret_cast<sockaddr*>(&address),
-                  sizeof address) != 0) {
+    if (::connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+        0) {
       pollfd wait{fd_, POLLOUT, 0};
       if (errno != EINPROGRESS ||
           ::poll(&wait, 1, static_cast<int>(timeout_ms)) <= 0)
@@ -184,8 +184,8 @@
   bool Write(const std::string& text) {
     std::size_t done = 0;
     while (done < text.size()) {
-      const auto sent = ::send(fd_, text.data() + done, text.size() - done,
-                               MSG_NOSIGNAL);
+      const auto sent =
+          ::send(fd_, text.data() + done, text.size() - done, MSG_NOSIGNAL);
       if (sent > 0) {
         done += static_cast<std::size_t>(sent);
         continue;
@@ -310,8 +310,8 @@
     const std::string& host,
     const std::vector<std::pair<std::string, std::string>>& fields,
     const std::string& body) {
-  std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host +
-                     "\r\n";
+  std::string text =
+      method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n";
   for (const auto& [name, value] : fields)
     text += name + ": " + value + "\r\n";
   if (!body.empty() || method == "POST")
@@ -359,8 +359,8 @@
     const std::string path =
         std::string("PATH=") +
         (std::getenv("PATH") != nullptr ? std::getenv("PATH") : "/usr/bin");
-    const int log = ::open(log_.c_str(),
-                           O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    const int log =
+        ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     pid_ = ::fork();
     if (pid_ == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -480,8 +480,8 @@
         if (status != 307) {
           if (status >= 200 && status < 500 && status != 408 && status != 429) {
             record_.Line("%s %s: %d from %s", method.c_str(), path.c_str(),
-                         status, cores_[static_cast<std::size_t>(by)]
-                                     ->name().c_str());
+                         status,
+                         cores_[static_cast<std::size_t>(by)]->name().c_str());
             if (answer_body != nullptr)
               *answer_body = answer.body;
             return {status, by};
@@ -574,9 +574,8 @@
     if (is_core) {
       out << "\"operators\":\"" << ip << ":" << kControlPort << "\",";
     } else {
-      out << "\"callers\":\"" << ip << ":" << kFrontendPort
-          << "\",\"ready\":\"" << ip << ":" << kReadyPort << "\",\"relay\":\""
-          << ip << ":7715\",";
+      out << "\"callers\":\"" << ip << ":" << kFrontendPort << "\",\"ready\":\""
+          << ip << ":" << kReadyPort << "\",\"relay\":\"" << ip << ":7715\",";
     }
     out << "\"metrics\":\"" << ip << ":9464\"},\n\"peer_port\":7700,"
         << "\"contacts\":[";
@@ -786,8 +785,8 @@
         continue;
       }
       const Head head = ParseHead(buffer.substr(0, end + 2));
-      const auto length = std::strtoul(head.Get("Content-Length").c_str(),
-                                       nullptr, 10);
+      const auto length =
+          std::strtoul(head.Get("Content-Length").c_str(), nullptr, 10);
       if (buffer.size() < end + 4 + length) {
         bool ended = false;
         channel.Fill(NowMs() + 20, &ended);
@@ -821,10 +820,10 @@
         text += name + ": " + value + "\r\n";
     }
     text += "Keep-Alive: timeout=15\r\nContent-Type: ";
-    text += options_.streams && status == 200 ? "text/event-stream"
-                                              : "text/plain";
-    text += "\r\nContent-Length: " +
-            std::to_string(body.size()) + "\r\n\r\n" + body;
+    text +=
+        options_.streams && status == 200 ? "text/event-stream" : "text/plain";
+    text += "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+            body;
     channel.Write(text);
   }
 
@@ -1014,12 +1013,12 @@
   }
   ~Clients() { Join(); }
 
-  std::string Send(const std::string& method,
-                   const std::string& target,
-                   double deadline_ms,
-                   int entry = -1,
-                   const std::vector<std::pair<std::string, std::string>>&
-                       fields = {}) {
+  std::string Send(
+      const std::string& method,
+      const std::string& target,
+      double deadline_ms,
+      int entry = -1,
+      const std::vector<std::pair<std::string, std::string>>& fields = {}) {
     const int number = next_++;
     const int to = entry >= 0 ? entry : number % 6;
     char text[48];
@@ -1038,13 +1037,11 @@
       all.insert(all.end(), fields.begin(), fields.end());
       const Answer answer =
           Call(site_.entry_ips()[static_cast<std::size_t>(to)], kFrontendPort,
-               method, target, all,
-               method == "POST" ? "order " + attempt : "", deadline_ms + 500,
-               host_);
+               method, target, all, method == "POST" ? "order " + attempt : "",
+               deadline_ms + 500, host_);
       outcome.ended_ms = NowMs();
       outcome.status = answer.complete ? answer.status : 0;
-      record_.Line("client: %s ended with %d", attempt.c_str(),
-                   outcome.status);
+      record_.Line("client: %s ended with %d", attempt.c_str(), outcome.status);
       {
         std::scoped_lock lock(mutex_);
         outcomes_.push_back(outcome);
